Move the settings reader into the library and add the blocking-style facade

The conductor and the adapter both need the settings object as the one Settings type, so its reader moves from the adapter to src/setup.rs, with typed errors whose words are the ones the adapter's tests expect. Two limits that only sockets need (connect timeout, idle time) join Settings and have defaults. src/facade.rs numbers attempts and keeps timers round the module; it decides nothing.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -8,9 +8,10 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
 
+use rillrelay::setup::{settings, Names};
 use rillrelay::Router;
 use serde_json::{json, Value};
-use wire::{Line, Names};
+use wire::Line;
 
 /// A router and the names that its indices stand for; `None` once it has been given up.
 type Instances = BTreeMap<String, Option<(Names, Router)>>;
@@ -81,7 +82,7 @@
     match name {
         "provision" => {
             let (seed, setup) = wire::provision(rest)?;
-            let made = Names::new(setup).and_then(|n| Ok((wire::settings(setup, &n)?, n)));
+            let made = Names::new(setup).and_then(|n| Ok((settings(setup, &n)?, n)));
             return Ok(match made {
                 Ok((settings, names)) => {
                     let router = Router::new(settings, seed);
@@ -90,7 +91,7 @@
                 }
                 Err(message) => {
                     instances.insert(instance.to_string(), None);
-                    vec![json!(["panic", instance, message])]
+                    vec![json!(["panic", instance, message.to_string()])]
                 }
             });
         }
--- /dev/null
+++ b/src/facade.rs
@@ -0,0 +1,225 @@
+//! The decisions in blocking style, for network code: [`Facade::pick`] takes a request,
+//! [`Facade::report`] tells what became of it, [`Facade::tick`] lets time pass. Each is given the
+//! time and returns [`Verdicts`]. The facade decides nothing; it numbers the attempts, keeps the
+//! timers, and turns the module's events and actions into words that a caller without knowledge
+//! of them can use.
+
+use std::collections::{BTreeSet, HashMap};
+
+use crate::brain::Router;
+use crate::interface::*;
+
+/// What is to be done about a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Send it to this worker and stop waiting at `stop_at`.
+    Send {
+        /// The worker.
+        worker: Id,
+        /// On the caller's clock.
+        stop_at: Micros,
+    },
+    /// Final answer: refused, trying again is harmless.
+    Refuse {
+        /// How long the client should stay away; 0 for no advice.
+        retry_after: Micros,
+    },
+    /// Final answer: failed.
+    Fail,
+    /// Stop waiting for the attempt that is out.
+    Cancel,
+    /// Let go of whatever is held for it at any worker.
+    Release,
+    /// End its running stream; the client comes back for the rest.
+    Move,
+}
+
+/// All that one call brought about.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Verdicts {
+    /// What to do, request by request, in order.
+    pub requests: Vec<(Id, Verdict)>,
+    /// Workers to probe.
+    pub probes: Vec<Id>,
+    /// The list of workers must be asked for anew.
+    pub watch: bool,
+    /// Lines for the operators.
+    pub log: Vec<String>,
+    /// When [`Facade::tick`] is due.
+    pub wake_at: Option<Micros>,
+}
+
+/// What became of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Report {
+    /// The first event of its answer has come.
+    Started,
+    /// The attempt that was out has ended.
+    Ended {
+        /// How.
+        outcome: Outcome,
+        /// Prompt tokens that the worker still had.
+        kept_tokens: u64,
+        /// The worker's load report, if one came along.
+        load: Option<Load>,
+    },
+    /// Nobody waits for it any more. The caller says so once for each request, as the last thing;
+    /// an attempt that was still out is called off by that.
+    Left,
+}
+
+/// A request that has not been left, and its latest attempt.
+#[derive(Default)]
+struct Open {
+    attempts: u32,
+    started: bool,
+    /// Worker and send time of the attempt that is out.
+    out: Option<(Id, Micros)>,
+}
+
+/// The decision module, its timers and the numbers of its attempts.
+pub struct Facade {
+    router: Router,
+    open: HashMap<Id, Open>,
+    bells: BTreeSet<(Micros, u64)>,
+    actions: Vec<Action>,
+}
+
+impl Facade {
+    /// A facade whose module knows no worker yet.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Facade {
+            router: Router::new(settings, seed),
+            open: HashMap::new(),
+            bells: BTreeSet::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes a request; `None` if its id is that of one still open, of which the module knows.
+    pub fn pick(&mut self, now: Micros, query: Query) -> Option<Verdicts> {
+        if self.open.contains_key(&query.id) {
+            return None;
+        }
+        self.open.insert(query.id.clone(), Open::default());
+        Some(self.handle(now, Event::Query(query)))
+    }
+
+    /// Tells what became of a request.
+    pub fn report(&mut self, now: Micros, id: &Id, report: Report) -> Verdicts {
+        match report {
+            Report::Started => self.started(now, id),
+            Report::Ended { outcome, kept_tokens, load } => self.ended(now, id, outcome, kept_tokens, load),
+            Report::Left => self.left(now, id),
+        }
+    }
+
+    /// News of the list of workers.
+    pub fn members(&mut self, now: Micros, form: ListForm, entries: Vec<Entry>) -> Verdicts {
+        self.handle(now, Event::Members { form, entries })
+    }
+
+    /// A probe came back.
+    pub fn probed(&mut self, now: Micros, worker: Id, outcome: Outcome, load: Option<Load>) -> Verdicts {
+        self.handle(now, Event::Probed { worker, outcome, load })
+    }
+
+    /// Rings every timer that is due.
+    pub fn tick(&mut self, now: Micros) -> Verdicts {
+        let mut verdicts = Verdicts::default();
+        while let Some(&(at, token)) = self.bells.first() {
+            if at > now {
+                break;
+            }
+            self.bells.pop_first();
+            self.feed(now, Event::Bell { token }, &mut verdicts);
+        }
+        self.close(verdicts)
+    }
+
+    fn started(&mut self, now: Micros, id: &Id) -> Verdicts {
+        let Some(open) = self.open.get_mut(id) else { return self.close(Verdicts::default()) };
+        let Some((_, sent)) = &open.out else { return self.close(Verdicts::default()) };
+        open.started = true;
+        let (attempt, elapsed) = (open.attempts - 1, now.saturating_sub(*sent));
+        self.handle(now, Event::Headers { id: id.clone(), attempt, elapsed })
+    }
+
+    fn ended(
+        &mut self,
+        now: Micros,
+        id: &Id,
+        outcome: Outcome,
+        kept_tokens: u64,
+        load: Option<Load>,
+    ) -> Verdicts {
+        let Some(open) = self.open.get_mut(id) else { return self.close(Verdicts::default()) };
+        let Some((worker, sent)) = open.out.take() else { return self.close(Verdicts::default()) };
+        let event = Event::Result {
+            id: id.clone(),
+            attempt: open.attempts - 1,
+            worker,
+            outcome,
+            elapsed: now.saturating_sub(sent),
+            kept_tokens,
+            finished: open.started || outcome == Outcome::Served,
+            load,
+        };
+        self.handle(now, event)
+    }
+
+    fn left(&mut self, now: Micros, id: &Id) -> Verdicts {
+        let mut verdicts = Verdicts::default();
+        self.feed(now, Event::ClientGone { id: id.clone() }, &mut verdicts);
+        let called_off = self.ended(now, id, Outcome::CalledOff, 0, None);
+        self.open.remove(id);
+        verdicts.requests.extend(called_off.requests);
+        verdicts.log.extend(called_off.log);
+        verdicts.wake_at = called_off.wake_at;
+        verdicts
+    }
+
+    fn handle(&mut self, now: Micros, event: Event) -> Verdicts {
+        let mut verdicts = Verdicts::default();
+        self.feed(now, event, &mut verdicts);
+        self.close(verdicts)
+    }
+
+    fn close(&self, mut verdicts: Verdicts) -> Verdicts {
+        verdicts.wake_at = self.bells.first().map(|(at, _)| *at);
+        verdicts
+    }
+
+    fn feed(&mut self, now: Micros, event: Event, verdicts: &mut Verdicts) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.router.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.carry(now, action, verdicts);
+        }
+        self.actions = actions;
+    }
+
+    fn carry(&mut self, now: Micros, action: Action, verdicts: &mut Verdicts) {
+        let (id, verdict) = match action {
+            Action::Send { id, worker, stop_at } => {
+                let open = self.open.entry(id.clone()).or_default();
+                open.attempts += 1;
+                open.out = Some((worker.clone(), now));
+                (id, Verdict::Send { worker, stop_at })
+            }
+            Action::Cancel { id, .. } => (id, Verdict::Cancel),
+            Action::Decline { id, retry_after } => (id, Verdict::Refuse { retry_after }),
+            Action::Fail { id } => (id, Verdict::Fail),
+            Action::DropState { id } => (id, Verdict::Release),
+            Action::Move { id } => (id, Verdict::Move),
+            Action::Probe { worker } => return verdicts.probes.push(worker),
+            Action::Watch => return verdicts.watch = true,
+            Action::Timer { delay, token } => {
+                self.bells.insert((now + delay, token));
+                return;
+            }
+            Action::Log(line) => return verdicts.log.push(line),
+        };
+        verdicts.requests.push((id, verdict));
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -190,6 +190,10 @@
     pub resume: bool,
     /// A state or place must be taken or let go within this time.
     pub release: Micros,
+    /// A connection that has not come up within this time never will.
+    pub connect_timeout: Micros,
+    /// A worker closes a connection that has been idle this long, or earlier.
+    pub conn_idle: Micros,
     /// Slack after a client's deadline within which a final answer counts.
     pub answer_slack: Micros,
     /// Nothing may go to a worker later than this after it is known to drain.
@@ -391,6 +395,8 @@
             self_prefill: false,
             resume: false,
             release: 500_000,
+            connect_timeout: 250_000,
+            conn_idle: 30_000_000,
             answer_slack: 10_000,
             drain_grace: 500_000,
             cold_from: 0.25,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,7 +45,10 @@
 #![warn(missing_docs)]
 
 mod brain;
+mod facade;
 mod interface;
+pub mod setup;
 
 pub use brain::Router;
+pub use facade::{Facade, Report, Verdict, Verdicts};
 pub use interface::*;
