--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,23 @@
+//! Requests, attempts and outcomes: what a conductor does with the decisions, whatever the wire.
+//!
+//! [`start`] takes the settings, something that reaches boxes ([`Boxes`]) and a list of members
+//! ([`MemberList`]), and gives a [`Conductor`]: a cheap handle that any front can call, and a
+//! [`tower_service::Service`] for use as a client-side plug-in within an RPC library.
+//!
+//! Who owns what: one task owns the decisions ([`rillrelay::Facade`]); each request is one future
+//! that owns its single final answer, its attempt and its seat at the owner. Dropping that future, as
+//! a front does when its client has gone, drops the attempt, and the seat tells the owner.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod clock;
+mod owner;
+mod release;
+mod request;
+mod traits;
+
+pub use clock::Clock;
+pub use owner::{start, Conductor, Parts};
+pub use request::{Answer, AnswerStream, Broken, CallError, Request};
+pub use traits::{Boxes, Events, MemberList, News, Reply, Step};
--- /dev/null
+++ b/core/src/request.rs
@@ -0,0 +1,232 @@
+//! One request: a future that owns its single final answer.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use rillrelay::{Id, Load, Micros, Outcome, Query, Report, Verdict};
+use tokio::sync::mpsc;
+use tokio::time::timeout_at;
+
+use crate::owner::{Conductor, Message, Ticket};
+use crate::traits::{Boxes, Events, Reply, Step};
+
+/// A stream that says nothing for this long has lost its box: a machine that vanished ends no
+/// connection. Below the 5 s after which a waiting client counts as left waiting.
+const SILENCE: Duration = Duration::from_millis(4_500);
+
+/// A client's request as a front hands it over.
+#[derive(Debug)]
+pub struct Request<C> {
+    /// What the decisions know of it.
+    pub query: Query,
+    /// What goes to the boxes.
+    pub call: C,
+}
+
+/// The final answer of a request.
+#[derive(Debug)]
+pub enum Answer<E: Events> {
+    /// Served: the events of one box's stream.
+    Served(AnswerStream<E>),
+    /// Refused: trying again is harmless.
+    Refused {
+        /// How long the client should stay away; zero for no advice.
+        retry_after: Duration,
+    },
+    /// Failed; how the last attempt had ended, if there was one.
+    Failed {
+        /// The last outcome.
+        last: Option<Outcome>,
+    },
+}
+
+/// Why a request was not taken at all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CallError {
+    /// Its id is that of a request that has not ended.
+    #[error("a request with this id has not ended yet")]
+    IdInUse,
+}
+
+/// A stream ended before the whole of the answer had come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the answer broke off")]
+pub struct Broken;
+
+/// A request's place at the owner. Whatever way the request ends, dropping the seat is the last word on
+/// it: an attempt that is still out is called off and what is held is let go.
+#[derive(Debug)]
+struct Seat {
+    id: Id,
+    ticket: Ticket,
+    verdicts: mpsc::UnboundedReceiver<Verdict>,
+    tell: mpsc::UnboundedSender<Message>,
+}
+
+impl Seat {
+    fn report(&self, report: Report) {
+        // The owner runs for as long as there is a sender, and this is one.
+        let _ = self.tell.send(Message::Report(self.id.clone(), self.ticket, report));
+    }
+
+    fn ended(&self, outcome: Outcome, kept_tokens: u64, load: Option<Load>) {
+        self.report(Report::Ended { outcome, kept_tokens, load });
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.report(Report::Left);
+    }
+}
+
+/// What an attempt leaves to be done.
+enum Next<E> {
+    Stream(E),
+    /// The outcome has been reported; more verdicts follow.
+    Again(Outcome),
+    /// The decisions have ended it while it was out.
+    Verdict(Verdict),
+}
+
+impl<B: Boxes> Conductor<B> {
+    /// Takes a request to its final answer. Dropping the future gives the request up.
+    pub async fn call(&self, request: Request<B::Call>) -> Result<Answer<B::Events>, CallError> {
+        let Request { query, call } = request;
+        let (to_seat, verdicts) = mpsc::unbounded_channel();
+        let ticket = self.ticket();
+        let mut seat = Seat { id: query.id.clone(), ticket, verdicts, tell: self.tell.clone() };
+        // Cannot fail: the owner runs for as long as there is a handle.
+        let _ = self.tell.send(Message::Pick(query, ticket, to_seat));
+        let mut next = seat.verdicts.recv().await;
+        if next.is_none() {
+            return Err(CallError::IdInUse);
+        }
+        let mut last = None;
+        while let Some(verdict) = next {
+            next = match verdict {
+                Verdict::Send { worker, stop_at } => {
+                    match self.attempt(&mut seat, &worker, stop_at, &call).await {
+                        Next::Stream(events) => return Ok(Answer::Served(AnswerStream::new(seat, events))),
+                        Next::Verdict(verdict) => Some(verdict),
+                        Next::Again(outcome) => {
+                            last = Some(outcome);
+                            seat.verdicts.recv().await
+                        }
+                    }
+                }
+                Verdict::Refuse { retry_after } => {
+                    return Ok(Answer::Refused { retry_after: Duration::from_micros(retry_after) })
+                }
+                Verdict::Fail => return Ok(Answer::Failed { last }),
+                // Nothing is out, nothing runs; the owner sees to releases itself.
+                Verdict::Cancel | Verdict::Move | Verdict::Release => seat.verdicts.recv().await,
+            };
+        }
+        Ok(Answer::Failed { last })
+    }
+
+    /// One attempt, until it ends, its time is up, or the decisions end it.
+    async fn attempt(
+        &self,
+        seat: &mut Seat,
+        worker: &Id,
+        stop_at: Micros,
+        call: &B::Call,
+    ) -> Next<B::Events> {
+        let wait = Duration::from_micros(stop_at.saturating_sub(self.clock.now()));
+        let reply = {
+            let id = seat.id.clone();
+            let attempt = self.boxes.attempt(worker, &id, call, wait);
+            let attempt = timeout_at(self.clock.instant(stop_at), attempt);
+            tokio::select! {
+                biased;
+                reply = attempt => reply.unwrap_or(Reply::Ended(Outcome::NoAnswer, None)),
+                verdict = seat.verdicts.recv() => match verdict {
+                    None | Some(Verdict::Cancel) => Reply::Ended(Outcome::CalledOff, None),
+                    Some(verdict) => return Next::Verdict(verdict),
+                },
+            }
+        };
+        match reply {
+            Reply::Stream(events) => {
+                seat.report(Report::Started);
+                Next::Stream(events)
+            }
+            Reply::Read { kept_tokens, load } => {
+                seat.ended(Outcome::ReadDone, kept_tokens, load);
+                Next::Again(Outcome::ReadDone)
+            }
+            Reply::Ended(outcome, load) => {
+                seat.ended(outcome, 0, load);
+                Next::Again(outcome)
+            }
+        }
+    }
+}
+
+/// The events of an answer that has begun, unchanged and as they come. It ends well only where the
+/// box's stream did; a break is an error, so that a front never completes it.
+#[derive(Debug)]
+pub struct AnswerStream<E: Events> {
+    seat: Option<Seat>,
+    events: E,
+    silence: Pin<Box<tokio::time::Sleep>>,
+}
+
+impl<E: Events> AnswerStream<E> {
+    fn new(seat: Seat, events: E) -> Self {
+        AnswerStream { seat: Some(seat), events, silence: Box::pin(tokio::time::sleep(SILENCE)) }
+    }
+
+    /// The next events; `None` at the end.
+    pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        let Some(seat) = &mut self.seat else { return Poll::Ready(None) };
+        let moved = matches!(seat.verdicts.poll_recv(cx), Poll::Ready(None | Some(Verdict::Move)));
+        let step = match self.events.poll_step(cx) {
+            Poll::Ready(step) => step,
+            Poll::Pending if moved || self.silence.as_mut().poll(cx).is_ready() => Step::Broken,
+            Poll::Pending => return Poll::Pending,
+        };
+        Poll::Ready(match step {
+            Step::Data(bytes) => {
+                self.silence.as_mut().reset(tokio::time::Instant::now() + SILENCE);
+                Some(Ok(bytes))
+            }
+            Step::End => {
+                seat.ended(Outcome::Served, 0, None);
+                self.seat = None;
+                None
+            }
+            Step::Broken => {
+                seat.ended(Outcome::ConnectionLost, 0, None);
+                self.seat = None;
+                Some(Err(Broken))
+            }
+        })
+    }
+
+    /// True once the end, good or bad, has been given.
+    pub fn is_over(&self) -> bool {
+        self.seat.is_none()
+    }
+}
+
+impl<B: Boxes> tower_service::Service<Request<B::Call>> for Conductor<B> {
+    type Response = Answer<B::Events>;
+    type Error = CallError;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, CallError>> + Send>>;
+
+    /// Always ready: what to hold and for how long is the decisions' part.
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), CallError>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<B::Call>) -> Self::Future {
+        let conductor = self.clone();
+        Box::pin(async move { Conductor::call(&conductor, request).await })
+    }
+}
--- /dev/null
+++ b/core/src/traits.rs
@@ -0,0 +1,81 @@
+//! What the core asks of the wires at either end.
+
+use std::future::Future;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use rillrelay::{Entry, Id, ListForm, Load, Outcome};
+
+/// What came of an attempt, up to the first event of a stream.
+#[derive(Debug)]
+pub enum Reply<E> {
+    /// The prompt is read; so many of its tokens were found kept.
+    Read {
+        /// Prompt tokens that the reader still had.
+        kept_tokens: u64,
+        /// Its load report, if one came along.
+        load: Option<Load>,
+    },
+    /// The answer has begun: its first event is there.
+    Stream(E),
+    /// It ended without either.
+    Ended(Outcome, Option<Load>),
+}
+
+/// What comes next in an answer that has begun.
+#[derive(Debug, PartialEq)]
+pub enum Step {
+    /// Events as they came.
+    Data(Bytes),
+    /// The whole of the answer has come.
+    End,
+    /// It broke off.
+    Broken,
+}
+
+/// An answer that has begun. Dropping it ends the attempt.
+pub trait Events: Send + Unpin + 'static {
+    /// The next step; not called again after [`Step::End`] or [`Step::Broken`].
+    fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Step>;
+}
+
+/// The way to the boxes. Dropping a future that it returned ends what that future did: the attempt's
+/// connection is closed.
+pub trait Boxes: Send + Sync + 'static {
+    /// What travels to a box: the request as the front's wire has it.
+    type Call: Send + Sync + 'static;
+    /// Answers.
+    type Events: Events;
+
+    /// One attempt, never repeated: it resolves with the read's end, the first event or the outcome.
+    /// `wait` is how long the conductor will wait; keeping to it is the caller's part.
+    fn attempt(
+        &self,
+        worker: &Id,
+        request: &Id,
+        call: &Self::Call,
+        wait: Duration,
+    ) -> impl Future<Output = Reply<Self::Events>> + Send;
+
+    /// Asks one box to let go of all that is held for the request; true once it has said so.
+    fn release(&self, worker: &Id, request: &Id) -> impl Future<Output = bool> + Send;
+
+    /// Probes one box.
+    fn probe(&self, worker: &Id) -> impl Future<Output = (Outcome, Option<Load>)> + Send;
+}
+
+/// News of the list of members.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    /// What kind of news.
+    pub form: ListForm,
+    /// The lines.
+    pub entries: Vec<Entry>,
+}
+
+/// Where the list of members comes from.
+pub trait MemberList: Send + 'static {
+    /// The next news; pends for as long as there are none. `None`: the source has closed.
+    fn next(&mut self) -> impl Future<Output = Option<News>> + Send;
+}
--- /dev/null
+++ b/daemon/src/config.rs
@@ -0,0 +1,105 @@
+//! What a conductor is told at its start: the JSON file that `EDGE_CONFIG` names.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use rillrelay::setup::{self, Names, SetupError};
+use rillrelay::Settings;
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::discovery::Listing;
+
+/// Why the daemon can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// The environment names no file.
+    #[error("EDGE_CONFIG is not set: it names the configuration file")]
+    NoFile,
+    /// The file can't be read.
+    #[error("{0}: {1}")]
+    Unreadable(PathBuf, std::io::Error),
+    /// It is not what it should be.
+    #[error("{0}: {1}")]
+    Malformed(PathBuf, serde_json::Error),
+    /// The seed is no hexadecimal number.
+    #[error("{0}: seed: not a hexadecimal number of at most 16 digits")]
+    Seed(PathBuf),
+    /// The settings lack something.
+    #[error("{0}: settings: {1}")]
+    Settings(PathBuf, SetupError),
+    /// Too few descriptors to serve anything.
+    #[error("{0}: limits.sockets: {1} are too few, {MIN_SOCKETS} are needed")]
+    Sockets(PathBuf, usize),
+}
+
+/// Fewer descriptors than this leave nothing for clients.
+const MIN_SOCKETS: usize = 64;
+
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    limits: Limits,
+    known: Listing,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+/// A conductor's configuration.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery's agent is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors that it may hold.
+    pub sockets: usize,
+    /// The list of members as it last had it.
+    pub known: Listing,
+    /// The settings.
+    pub settings: Settings,
+    /// What the settings' indices stand for.
+    pub names: Names,
+}
+
+impl Config {
+    /// Reads the file that the environment names.
+    pub fn from_env() -> Result<Self, ConfigError> {
+        let path = std::env::var_os("EDGE_CONFIG").ok_or(ConfigError::NoFile)?;
+        Config::read(Path::new(&path))
+    }
+
+    /// Reads a file.
+    pub fn read(path: &Path) -> Result<Self, ConfigError> {
+        let at = || path.to_path_buf();
+        let text = std::fs::read(path).map_err(|e| ConfigError::Unreadable(at(), e))?;
+        let file: File = serde_json::from_slice(&text).map_err(|e| ConfigError::Malformed(at(), e))?;
+        let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(at()))?;
+        let settings = |e| ConfigError::Settings(at(), e);
+        let names = Names::new(&file.settings).map_err(settings)?;
+        if file.limits.sockets < MIN_SOCKETS {
+            return Err(ConfigError::Sockets(at(), file.limits.sockets));
+        }
+        Ok(Config {
+            name: file.name,
+            listen: file.listen,
+            discovery: file.discovery,
+            seed,
+            sockets: file.limits.sockets,
+            known: file.known,
+            settings: setup::settings(&file.settings, &names).map_err(settings)?,
+            names,
+        })
+    }
+}
--- /dev/null
+++ b/daemon/src/discovery.rs
@@ -0,0 +1,253 @@
+//! The platform's discovery: the list as last known, then a watch that is asked for again whenever it
+//! ends or falls silent.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use rillrelay::setup::{index, Names, SetupError};
+use rillrelay::{Entry, Health, Id, ListForm};
+use rillrelay_core::{Clock, MemberList, News};
+use serde::Deserialize;
+use slog::{info, warn, Logger};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::upstream::Book;
+
+/// The agent sends an empty line every 2 s; this long without a byte means that the watch is dead.
+const SILENCE: Duration = Duration::from_secs(5);
+/// The agent is on this machine: a call to it succeeds at once or not at all.
+const CALL: Duration = Duration::from_secs(1);
+/// Waits between watches: a little, doubling up to the most.
+const BACKOFF: Duration = Duration::from_millis(50);
+const BACKOFF_MOST: Duration = Duration::from_millis(800);
+/// No line of a list is longer.
+const LINE_MOST: usize = 4 << 20;
+
+/// A list of members or a change to one, as discovery words it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Listing {
+    rev: u64,
+    all: bool,
+    targets: Vec<Target>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Target {
+    uid: String,
+    endpoint: SocketAddr,
+    az: String,
+    model: String,
+    pod_group: u64,
+    state: State,
+    #[serde(default)]
+    boot_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Active,
+    Leaving,
+    Left,
+}
+
+/// Why a watch ended.
+#[derive(Debug, thiserror::Error)]
+enum WatchError {
+    #[error("no connection: {0}")]
+    Connect(std::io::Error),
+    #[error("http: {0}")]
+    Http(#[from] hyper::Error),
+    #[error("no answer in time")]
+    Silent,
+    #[error("status {0}")]
+    Status(StatusCode),
+    #[error("a line is too long")]
+    TooLong,
+    #[error("a line can't be read: {0}")]
+    Malformed(#[from] serde_json::Error),
+    #[error("it ended")]
+    Ended,
+}
+
+/// The platform's list of members.
+pub struct Discovery {
+    agent: SocketAddr,
+    names: Names,
+    clock: Clock,
+    book: Arc<Book>,
+    log: Logger,
+    /// The version held.
+    rev: u64,
+    known: Option<Listing>,
+    watch: Option<Watch>,
+    /// Whether a watch has been asked for since the last line came.
+    backoff: Option<Duration>,
+}
+
+impl Discovery {
+    /// Starts from the list as last known.
+    pub fn new(
+        agent: SocketAddr,
+        known: Listing,
+        names: Names,
+        clock: Clock,
+        book: Arc<Book>,
+        log: Logger,
+    ) -> Self {
+        let rev = known.rev;
+        Discovery { agent, names, clock, book, log, rev, known: Some(known), watch: None, backoff: None }
+    }
+
+    fn news(&mut self, listing: Listing, form: ListForm) -> News {
+        self.rev = listing.rev;
+        let mut entries = Vec::with_capacity(listing.targets.len());
+        for target in listing.targets {
+            match entry(&target, &self.names, &self.clock) {
+                Ok(entry) => {
+                    self.book.set(entry.worker.clone(), target.endpoint);
+                    entries.push(entry);
+                }
+                Err(e) => warn!(self.log, "a member is passed over"; "uid" => target.uid, "why" => %e),
+            }
+        }
+        News { form, entries }
+    }
+
+    /// The next line of the watch, which is opened where there is none.
+    async fn line(&mut self) -> Result<Listing, WatchError> {
+        if self.watch.is_none() {
+            self.watch = Some(Watch::open(self.agent, self.rev).await?);
+        }
+        match &mut self.watch {
+            Some(watch) => watch.next().await,
+            None => Err(WatchError::Ended),
+        }
+    }
+}
+
+impl MemberList for Discovery {
+    async fn next(&mut self) -> Option<News> {
+        if let Some(known) = self.known.take() {
+            return Some(self.news(known, ListForm::WarmCopy));
+        }
+        loop {
+            match self.line().await {
+                Ok(listing) => {
+                    self.backoff = None;
+                    let form = if listing.all { ListForm::Full } else { ListForm::Changes };
+                    return Some(self.news(listing, form));
+                }
+                Err(e) => {
+                    self.watch = None;
+                    let wait = self.backoff.unwrap_or(BACKOFF);
+                    self.backoff = Some((wait * 2).min(BACKOFF_MOST));
+                    info!(self.log, "watch again"; "why" => %e, "rev" => self.rev);
+                    sleep(wait).await;
+                }
+            }
+        }
+    }
+}
+
+fn entry(target: &Target, names: &Names, clock: &Clock) -> Result<Entry, SetupError> {
+    Ok(Entry {
+        worker: Id::from(target.uid.as_str()),
+        cell: target.pod_group,
+        kind: index(names.kinds(), &target.model, "model")?,
+        zone: index(names.zones(), &target.az, "az")?,
+        started: match target.boot_ms {
+            0 => 0,
+            ms => clock.from_unix_ms(ms),
+        },
+        health: match target.state {
+            State::Active => Health::Up,
+            State::Leaving => Health::Draining,
+            State::Left => Health::Gone,
+        },
+    })
+}
+
+/// An open watch.
+struct Watch {
+    body: Incoming,
+    lines: Lines,
+    _driver: AbortOnDropHandle<()>,
+}
+
+impl Watch {
+    async fn open(agent: SocketAddr, rev: u64) -> Result<Self, WatchError> {
+        let connect = timeout(CALL, TcpStream::connect(agent)).await.map_err(|_| WatchError::Silent)?;
+        let io = TokioIo::new(connect.map_err(WatchError::Connect)?);
+        let (mut sender, connection) = http1::handshake(io).await?;
+        let driver = AbortOnDropHandle::new(tokio::spawn(async move {
+            // How it ended shows in the body.
+            let _ = connection.await;
+        }));
+        let request = Request::get(format!("/catalog/members?stream=1&index={rev}"))
+            .header(hyper::header::HOST, agent.to_string())
+            .body(Empty::<Bytes>::new());
+        let request = match request {
+            Ok(request) => request,
+            Err(_) => return Err(WatchError::Ended),
+        };
+        let answer =
+            timeout(SILENCE, sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
+        match answer.status() {
+            StatusCode::OK => {
+                Ok(Watch { body: answer.into_body(), lines: Lines::default(), _driver: driver })
+            }
+            status => Err(WatchError::Status(status)),
+        }
+    }
+
+    async fn next(&mut self) -> Result<Listing, WatchError> {
+        loop {
+            if let Some(line) = self.lines.pop() {
+                return Ok(serde_json::from_slice(&line)?);
+            }
+            let frame = timeout(SILENCE, self.body.frame()).await.map_err(|_| WatchError::Silent)?;
+            let Some(frame) = frame else { return Err(WatchError::Ended) };
+            if let Ok(data) = frame?.into_data() {
+                self.lines.push(&data)?;
+            }
+        }
+    }
+}
+
+/// Bytes into lines that are not empty.
+#[derive(Default)]
+struct Lines {
+    part: BytesMut,
+    whole: VecDeque<Bytes>,
+}
+
+impl Lines {
+    fn push(&mut self, data: &[u8]) -> Result<(), WatchError> {
+        self.part.extend_from_slice(data);
+        while let Some(at) = self.part.iter().position(|b| *b == b'\n') {
+            let line = self.part.split_to(at + 1).freeze();
+            if !line.trim_ascii().is_empty() {
+                self.whole.push_back(line);
+            }
+        }
+        if self.part.len() > LINE_MOST {
+            return Err(WatchError::TooLong);
+        }
+        Ok(())
+    }
+
+    fn pop(&mut self) -> Option<Bytes> {
+        self.whole.pop_front()
+    }
+}
--- /dev/null
+++ b/daemon/src/front/body.rs
@@ -0,0 +1,78 @@
+//! What a front sends back: a short text, or a box's events.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use rillrelay_core::{AnswerStream, Broken, Events};
+
+/// The body of an answer.
+pub enum FrontBody<E: Events> {
+    /// All of it at once.
+    Whole(Option<Bytes>),
+    /// Events as they come. A break is an error, on which the library ends the connection without the
+    /// last chunk.
+    Events(AnswerStream<E>),
+}
+
+impl<E: Events> Body for FrontBody<E> {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match self.get_mut() {
+            FrontBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            FrontBody::Events(events) => events.poll_next(cx).map(|next| next.map(|r| r.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            FrontBody::Whole(bytes) => bytes.is_none(),
+            FrontBody::Events(events) => events.is_over(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            FrontBody::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
+            FrontBody::Events(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// A front's answer.
+pub type FrontResponse<E> = Result<Response<FrontBody<E>>, Infallible>;
+
+/// A short answer.
+pub(super) fn whole<E: Events>(
+    status: StatusCode,
+    content_type: &'static str,
+    text: impl Into<Bytes>,
+) -> Response<FrontBody<E>> {
+    let mut response = Response::new(FrontBody::Whole(Some(text.into())));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
+
+/// A stream of events.
+pub(super) fn events<E: Events>(stream: AnswerStream<E>) -> Response<FrontBody<E>> {
+    let mut response = Response::new(FrontBody::Events(stream));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    response
+}
+
+/// Tells the client when to come back, in seconds with their decimals; nothing where there is no advice.
+pub(super) fn advise<E: Events>(response: &mut Response<FrontBody<E>>, retry_after: std::time::Duration) {
+    if retry_after.is_zero() {
+        return;
+    }
+    if let Ok(value) = HeaderValue::try_from(format!("{:.3}", retry_after.as_secs_f64())) {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+}
--- /dev/null
+++ b/daemon/src/front/mod.rs
@@ -0,0 +1,9 @@
+//! Fronts: they translate a client's wire into requests for the core, and answers back.
+
+mod body;
+mod input;
+mod listener;
+pub mod platform;
+
+pub use body::FrontBody;
+pub use listener::{Listener, Service};
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,10 @@
+//! The conductor's daemon: configuration, fronts, the way to the boxes, and discovery. Fronts only
+//! translate; what becomes of a request is settled in `rillrelay-core`.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod config;
+pub mod discovery;
+pub mod front;
+pub mod upstream;
--- /dev/null
+++ b/daemon/src/upstream/attempt.rs
@@ -0,0 +1,182 @@
+//! One attempt at one box: PROTOCOL's table of what comes back and whether it has run.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::Body;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use rillrelay::{Id, Load, Outcome};
+use rillrelay_core::{Events, Reply, Step};
+use serde::Deserialize;
+
+use super::link::Link;
+use super::pool::{Pool, BODY_MOST};
+use super::Call;
+
+/// The time that the conductor will wait.
+pub(crate) const REMAINING: HeaderName = HeaderName::from_static("x-remaining");
+/// Says that a request was turned away and never ran.
+const TURNED_AWAY: HeaderName = HeaderName::from_static("x-turned-away");
+/// A load report.
+const PRESSURE: HeaderName = HeaderName::from_static("x-pressure");
+
+/// Makes one attempt. A kept connection that turns out to have closed before the request was written is
+/// replaced by a new one: the box has not seen the request, so this is still the first copy.
+pub(super) async fn attempt(pool: &Arc<Pool>, worker: &Id, call: &Call, wait: Duration) -> Reply<BoxEvents> {
+    if let Some(link) = pool.kept(worker).await {
+        match send(link, call, wait).await {
+            Err(Unanswered::NeverWritten) => {}
+            sent => return outcome(pool, worker, sent).await,
+        }
+    }
+    match pool.fresh(worker).await {
+        Some(link) => outcome(pool, worker, send(link, call, wait).await).await,
+        None => Reply::Ended(Outcome::NoConnection, None),
+    }
+}
+
+/// Why there is no answer.
+enum Unanswered {
+    /// The connection broke before the request's last byte was written.
+    NeverWritten,
+    /// It broke after that.
+    Reset,
+}
+
+async fn send(mut link: Link, call: &Call, wait: Duration) -> Result<(Link, Response<Incoming>), Unanswered> {
+    let mut request = Request::new(call.body.clone());
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.target.clone();
+    *request.headers_mut() = call.headers.clone();
+    request.headers_mut().insert(REMAINING, remaining(wait));
+    request.headers_mut().entry(HOST).or_insert(HeaderValue::from_static("box"));
+    match link.send(request).await {
+        Ok(answer) => Ok((link, answer)),
+        Err(_) if link.all_written() => Err(Unanswered::Reset),
+        Err(_) => Err(Unanswered::NeverWritten),
+    }
+}
+
+/// Microseconds, with their unit.
+fn remaining(wait: Duration) -> HeaderValue {
+    HeaderValue::try_from(format!("{}u", wait.as_micros().max(1)))
+        .unwrap_or_else(|_| HeaderValue::from_static("1u"))
+}
+
+async fn outcome(
+    pool: &Arc<Pool>,
+    worker: &Id,
+    sent: Result<(Link, Response<Incoming>), Unanswered>,
+) -> Reply<BoxEvents> {
+    let (link, answer) = match sent {
+        Ok(sent) => sent,
+        Err(Unanswered::NeverWritten) => return Reply::Ended(Outcome::NoConnection, None),
+        Err(Unanswered::Reset) => return Reply::Ended(Outcome::ConnectionLost, None),
+    };
+    let (head, body) = answer.into_parts();
+    let turned_away = head.headers.get(TURNED_AWAY).is_some_and(|v| v == "1");
+    let load = pressure(&head.headers);
+    let ended = match head.status {
+        StatusCode::OK => {
+            let framed =
+                [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| head.headers.contains_key(name));
+            let events = BoxEvents::new(pool.clone(), worker.clone(), link, body, framed);
+            return events.begun(load).await;
+        }
+        StatusCode::ACCEPTED => return read_done(pool, worker, link, body, load).await,
+        StatusCode::GONE if turned_away => Outcome::StateLost,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => Outcome::TurnedAway,
+        _ => Outcome::Failed,
+    };
+    pool.keep_after(worker, link, body);
+    Reply::Ended(ended, load)
+}
+
+fn pressure(headers: &HeaderMap) -> Option<Load> {
+    let report = serde_json::from_slice(headers.get(PRESSURE)?.as_bytes()).ok()?;
+    rillrelay::setup::load(&report).ok()
+}
+
+#[derive(Deserialize)]
+struct Found {
+    cached_tokens: u64,
+}
+
+/// A reader's answer. One that breaks off has left a state all the same; the decisions let go of it.
+async fn read_done(
+    pool: &Arc<Pool>,
+    worker: &Id,
+    link: Link,
+    body: Incoming,
+    load: Option<Load>,
+) -> Reply<BoxEvents> {
+    let Ok(body) = Limited::new(body, BODY_MOST).collect().await else {
+        return Reply::Ended(Outcome::ConnectionLost, load);
+    };
+    pool.keep(worker, link);
+    // How much was kept is a hint; without it the read is as good.
+    let found = serde_json::from_slice(&body.to_bytes()).unwrap_or(Found { cached_tokens: 0 });
+    Reply::Read { kept_tokens: found.cached_tokens, load }
+}
+
+/// The events of a box's answer as they come.
+pub struct BoxEvents {
+    pool: Arc<Pool>,
+    worker: Id,
+    link: Option<Link>,
+    body: Incoming,
+    first: Option<Bytes>,
+    /// The answer says itself where it ends; one that ends with its connection can't be told from one
+    /// that broke off.
+    framed: bool,
+}
+
+impl BoxEvents {
+    fn new(pool: Arc<Pool>, worker: Id, link: Link, body: Incoming, framed: bool) -> Self {
+        BoxEvents { pool, worker, link: Some(link), body, first: None, framed }
+    }
+
+    /// Waits for the first event: until it is there, nothing has gone to the client and the request can
+    /// still take another way.
+    async fn begun(mut self, load: Option<Load>) -> Reply<Self> {
+        match std::future::poll_fn(|cx| self.poll_step(cx)).await {
+            Step::Data(first) => {
+                self.first = Some(first);
+                Reply::Stream(self)
+            }
+            Step::End | Step::Broken => Reply::Ended(Outcome::ConnectionLost, load),
+        }
+    }
+}
+
+impl Events for BoxEvents {
+    fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Step::Data(first));
+        }
+        loop {
+            let frame = match Pin::new(&mut self.body).poll_frame(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Some(Ok(frame))) => frame,
+                Poll::Ready(Some(Err(_))) => return Poll::Ready(Step::Broken),
+                Poll::Ready(None) if !self.framed => return Poll::Ready(Step::Broken),
+                Poll::Ready(None) => {
+                    if let Some(link) = self.link.take() {
+                        self.pool.keep(&self.worker, link);
+                    }
+                    return Poll::Ready(Step::End);
+                }
+            };
+            match frame.into_data() {
+                Ok(data) if !data.is_empty() => return Poll::Ready(Step::Data(data)),
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/upstream/calls.rs
@@ -0,0 +1,65 @@
+//! The two calls beside requests: letting go of state, and the probe.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::{Method, Request, Response, StatusCode};
+use rillrelay::{Id, Load, Outcome};
+use tokio::time::timeout;
+
+use super::link::Link;
+use super::pool::{Pool, BODY_MOST};
+
+/// A probe that has not come back by then tells that the box does not answer.
+const PROBE: Duration = Duration::from_millis(250);
+
+fn request(method: Method, target: String) -> Option<Request<Bytes>> {
+    Request::builder().method(method).uri(target).header(HOST, "box").body(Bytes::new()).ok()
+}
+
+/// Sends a call that may be repeated at will: on a kept connection, then on a new one.
+async fn call(pool: &Pool, worker: &Id, method: &Method, target: &str) -> Option<(Link, Response<Incoming>)> {
+    if let Some(mut link) = pool.kept(worker).await {
+        if let Ok(answer) = link.send(request(method.clone(), target.into())?).await {
+            return Some((link, answer));
+        }
+    }
+    let mut link = pool.fresh(worker).await?;
+    let answer = link.send(request(method.clone(), target.into())?).await.ok()?;
+    Some((link, answer))
+}
+
+/// True once the box has taken the call.
+pub(super) async fn release(pool: &Arc<Pool>, worker: &Id, id: &Id) -> bool {
+    let Some((link, answer)) = call(pool, worker, &Method::DELETE, &format!("/state/{id}")).await else {
+        return false;
+    };
+    let taken = answer.status().is_success();
+    pool.keep_after(worker, link, answer.into_body());
+    taken
+}
+
+/// Asks for a box's load.
+pub(super) async fn probe(pool: &Arc<Pool>, worker: &Id) -> (Outcome, Option<Load>) {
+    let asked = async {
+        let (link, answer) = call(pool, worker, &Method::GET, "/_load").await?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), BODY_MOST).collect().await.ok()?.to_bytes();
+        pool.keep(worker, link);
+        Some((status, body))
+    };
+    match timeout(PROBE, asked).await {
+        Err(_) => (Outcome::NoAnswer, None),
+        Ok(None) => (Outcome::NoConnection, None),
+        Ok(Some((StatusCode::OK, body))) => {
+            let report = serde_json::from_slice(&body).ok();
+            (Outcome::Served, report.and_then(|r| rillrelay::setup::load(&r).ok()))
+        }
+        Ok(Some((StatusCode::SERVICE_UNAVAILABLE, _))) => (Outcome::TurnedAway, None),
+        Ok(Some(_)) => (Outcome::Failed, None),
+    }
+}
--- /dev/null
+++ b/daemon/src/upstream/mod.rs
@@ -0,0 +1,83 @@
+//! The way to the boxes: where they are, connections to them, and the three calls.
+
+mod attempt;
+mod calls;
+mod link;
+mod pool;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+use rillrelay::{Id, Load, Outcome};
+use rillrelay_core::{Boxes, Reply};
+
+pub use attempt::BoxEvents;
+pub use pool::{Limits, Pool};
+
+/// Where each box is. Filled by discovery; a box that has gone keeps its last address, as calls that let
+/// go of state may still want it.
+#[derive(Default)]
+pub struct Book(Mutex<HashMap<Id, SocketAddr>>);
+
+impl Book {
+    /// Notes where a box is.
+    pub fn set(&self, worker: Id, address: SocketAddr) {
+        lock(&self.0).insert(worker, address);
+    }
+
+    /// Where it is.
+    pub fn get(&self, worker: &Id) -> Option<SocketAddr> {
+        lock(&self.0).get(worker).copied()
+    }
+}
+
+/// What these locks guard is whole between any two statements, so a panic elsewhere does no harm to it.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A request as it goes to a box.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Its method,
+    pub method: Method,
+    /// path and query,
+    pub target: Uri,
+    /// headers (the time to wait is added for each attempt)
+    pub headers: HeaderMap,
+    /// and body.
+    pub body: Bytes,
+}
+
+/// The boxes, as the core sees them.
+pub struct Upstream {
+    pool: Arc<Pool>,
+}
+
+impl Upstream {
+    /// The boxes that the book knows.
+    pub fn new(book: Arc<Book>, limits: Limits) -> Self {
+        Upstream { pool: Arc::new(Pool::new(book, limits)) }
+    }
+}
+
+impl Boxes for Upstream {
+    type Call = Call;
+    type Events = BoxEvents;
+
+    async fn attempt(&self, worker: &Id, _: &Id, call: &Call, wait: Duration) -> Reply<BoxEvents> {
+        attempt::attempt(&self.pool, worker, call, wait).await
+    }
+
+    async fn release(&self, worker: &Id, request: &Id) -> bool {
+        calls::release(&self.pool, worker, request).await
+    }
+
+    async fn probe(&self, worker: &Id) -> (Outcome, Option<Load>) {
+        calls::probe(&self.pool, worker).await
+    }
+}
--- /dev/null
+++ b/daemon/src/upstream/pool.rs
@@ -0,0 +1,106 @@
+//! Connections that are kept for the next request, and the bound on all there are.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use rillrelay::Id;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{timeout, Instant};
+
+use super::link::Link;
+use super::{lock, Book};
+
+/// Answers' bodies that are read to their end only to keep the connection.
+const TAIL: Duration = Duration::from_millis(500);
+/// No body on this wire is larger.
+pub(super) const BODY_MOST: usize = 256 << 10;
+
+/// Bounds on connections to boxes.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections in all.
+    pub connections: usize,
+    /// One that has not come up within this time never will.
+    pub connect_timeout: Duration,
+    /// Boxes close one that has been idle this long.
+    pub conn_idle: Duration,
+}
+
+/// Idle connections by box, and permits for all.
+pub struct Pool {
+    book: Arc<Book>,
+    limits: Limits,
+    permits: Arc<Semaphore>,
+    idle: Mutex<HashMap<Id, Vec<Link>>>,
+}
+
+impl Pool {
+    pub(super) fn new(book: Arc<Book>, limits: Limits) -> Self {
+        let permits = Arc::new(Semaphore::new(limits.connections));
+        Pool { book, limits, permits, idle: Mutex::default() }
+    }
+
+    /// A connection that was kept, if one is fit for use: open, and far from the age at which the box
+    /// may close it, as a request that crosses the close may have run.
+    pub(super) async fn kept(&self, worker: &Id) -> Option<Link> {
+        if !lock(&self.idle).contains_key(worker) {
+            return None;
+        }
+        // Lets a close that lies in the socket reach the connection's task before it is judged.
+        tokio::task::yield_now().await;
+        let mut idle = lock(&self.idle);
+        let links = idle.get_mut(worker)?;
+        let fresh = |link: &Link| link.is_ready() && link.idle_since.elapsed() < self.limits.conn_idle / 2;
+        links.retain(fresh);
+        let link = links.pop();
+        if links.is_empty() {
+            idle.remove(worker);
+        }
+        link
+    }
+
+    /// A new connection; `None` if it does not come up in time.
+    pub(super) async fn fresh(&self, worker: &Id) -> Option<Link> {
+        let address = self.book.get(worker)?;
+        let permit = self.permit()?;
+        timeout(self.limits.connect_timeout, Link::open(address, permit)).await.ok()?.ok()
+    }
+
+    /// A permit for one more connection, if need be in place of the one that has been idle longest.
+    fn permit(&self) -> Option<OwnedSemaphorePermit> {
+        let permit = || self.permits.clone().try_acquire_owned().ok();
+        permit().or_else(|| {
+            self.drop_oldest();
+            permit()
+        })
+    }
+
+    fn drop_oldest(&self) {
+        let mut idle = lock(&self.idle);
+        let oldest = |links: &Vec<Link>| links.first().map(|link| link.idle_since);
+        let worker = idle.iter().filter_map(|(w, links)| Some((oldest(links)?, w.clone()))).min();
+        if let Some((_, worker)) = worker {
+            idle.entry(worker).and_modify(|links| drop(links.remove(0)));
+        }
+    }
+
+    /// Keeps a connection whose answer has come whole.
+    pub(super) fn keep(&self, worker: &Id, mut link: Link) {
+        link.idle_since = Instant::now();
+        lock(&self.idle).entry(worker.clone()).or_default().push(link);
+    }
+
+    /// Reads an answer that nobody waits for to its end, to keep the connection.
+    pub(super) fn keep_after(self: &Arc<Self>, worker: &Id, link: Link, body: Incoming) {
+        let (pool, worker) = (self.clone(), worker.clone());
+        tokio::spawn(async move {
+            let tail = Limited::new(body, BODY_MOST).collect();
+            if matches!(timeout(TAIL, tail).await, Ok(Ok(_))) {
+                pool.keep(&worker, link);
+            }
+        });
+    }
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -45,8 +45,6 @@
     pub watch: bool,
     /// Lines for the operators.
     pub log: Vec<String>,
-    /// When [`Facade::tick`] is due.
-    pub wake_at: Option<Micros>,
 }
 
 /// What became of a request.
@@ -124,6 +122,11 @@
         self.handle(now, Event::Probed { worker, outcome, load })
     }
 
+    /// When [`Facade::tick`] is due.
+    pub fn wake_at(&self) -> Option<Micros> {
+        self.bells.first().map(|(at, _)| *at)
+    }
+
     /// Rings every timer that is due.
     pub fn tick(&mut self, now: Micros) -> Verdicts {
         let mut verdicts = Verdicts::default();
@@ -134,12 +137,12 @@
             self.bells.pop_first();
             self.feed(now, Event::Bell { token }, &mut verdicts);
         }
-        self.close(verdicts)
+        verdicts
     }
 
     fn started(&mut self, now: Micros, id: &Id) -> Verdicts {
-        let Some(open) = self.open.get_mut(id) else { return self.close(Verdicts::default()) };
-        let Some((_, sent)) = &open.out else { return self.close(Verdicts::default()) };
+        let Some(open) = self.open.get_mut(id) else { return Verdicts::default() };
+        let Some((_, sent)) = &open.out else { return Verdicts::default() };
         open.started = true;
         let (attempt, elapsed) = (open.attempts - 1, now.saturating_sub(*sent));
         self.handle(now, Event::Headers { id: id.clone(), attempt, elapsed })
@@ -153,8 +156,8 @@
         kept_tokens: u64,
         load: Option<Load>,
     ) -> Verdicts {
-        let Some(open) = self.open.get_mut(id) else { return self.close(Verdicts::default()) };
-        let Some((worker, sent)) = open.out.take() else { return self.close(Verdicts::default()) };
+        let Some(open) = self.open.get_mut(id) else { return Verdicts::default() };
+        let Some((worker, sent)) = open.out.take() else { return Verdicts::default() };
         let event = Event::Result {
             id: id.clone(),
             attempt: open.attempts - 1,
@@ -169,24 +172,17 @@
     }
 
     fn left(&mut self, now: Micros, id: &Id) -> Verdicts {
-        let mut verdicts = Verdicts::default();
-        self.feed(now, Event::ClientGone { id: id.clone() }, &mut verdicts);
+        let mut verdicts = self.handle(now, Event::ClientGone { id: id.clone() });
         let called_off = self.ended(now, id, Outcome::CalledOff, 0, None);
         self.open.remove(id);
         verdicts.requests.extend(called_off.requests);
         verdicts.log.extend(called_off.log);
-        verdicts.wake_at = called_off.wake_at;
         verdicts
     }
 
     fn handle(&mut self, now: Micros, event: Event) -> Verdicts {
         let mut verdicts = Verdicts::default();
         self.feed(now, event, &mut verdicts);
-        self.close(verdicts)
-    }
-
-    fn close(&self, mut verdicts: Verdicts) -> Verdicts {
-        verdicts.wake_at = self.bells.first().map(|(at, _)| *at);
         verdicts
     }
 
