--- a/core/src/clock.rs
+++ b/core/src/clock.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use rillrelay::Micros;
+use frosttrail::Micros;
 use tokio::time::Instant;
 
 /// What the clock shows when the program starts, so that a box that started earlier has a time too.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,7 +4,7 @@
 //! ([`MemberList`]), and gives a [`Conductor`]: a cheap handle that any front can call, and a
 //! [`tower_service::Service`] for use as a client-side plug-in within an RPC library.
 //!
-//! Who owns what: one task owns the decisions ([`rillrelay::Facade`]); each request is one future
+//! Who owns what: one task owns the decisions ([`frosttrail::Facade`]); each request is one future
 //! that owns its single final answer, its attempt and its seat at the owner. Dropping that future, as
 //! a front does when its client has gone, drops the attempt, and the seat tells the owner.
 
--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rillrelay::{Facade, Health, Id, ListForm, Load, Outcome, Query, Report, Settings, Verdict, Verdicts};
+use frosttrail::{Facade, Health, Id, ListForm, Load, Outcome, Query, Report, Settings, Verdict, Verdicts};
 use slog::{debug, info, Logger};
 use tokio::sync::{mpsc, watch};
 use tokio_util::task::TaskTracker;
--- a/core/src/release.rs
+++ b/core/src/release.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rillrelay::Id;
+use frosttrail::Id;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use crate::traits::Boxes;
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use rillrelay::{Id, Load, Micros, Outcome, Query, Report, Verdict};
+use frosttrail::{Id, Load, Micros, Outcome, Query, Report, Verdict};
 use tokio::sync::mpsc;
 use tokio::time::timeout_at;
 
--- a/core/src/traits.rs
+++ b/core/src/traits.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use rillrelay::{Entry, Id, ListForm, Load, Outcome};
+use frosttrail::{Entry, Id, ListForm, Load, Outcome};
 
 /// What came of an attempt, up to the first event of a stream.
 #[derive(Debug)]
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use rillrelay::setup::{self, Names, SetupError};
-use rillrelay::Settings;
+use frosttrail::setup::{self, Names, SetupError};
+use frosttrail::Settings;
 use serde::Deserialize;
 use serde_json::Value;
 
--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery.rs
@@ -7,14 +7,14 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use frosttrail::setup::{index, Names, SetupError};
+use frosttrail::{Entry, Health, Id, ListForm};
+use frosttrail_core::{Clock, MemberList, News};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use rillrelay::setup::{index, Names, SetupError};
-use rillrelay::{Entry, Health, Id, ListForm};
-use rillrelay_core::{Clock, MemberList, News};
 use serde::Deserialize;
 use slog::{info, warn, Logger};
 use tokio::net::TcpStream;
--- a/daemon/src/front/body.rs
+++ b/daemon/src/front/body.rs
@@ -5,10 +5,10 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use frosttrail_core::{AnswerStream, Broken, Events};
 use http_body::{Body, Frame, SizeHint};
 use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
-use rillrelay_core::{AnswerStream, Broken, Events};
 
 /// The body of an answer.
 pub enum FrontBody<E: Events> {
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -6,12 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use frosttrail_core::Events;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::Request;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use rillrelay_core::Events;
 use slog::{debug, warn, Logger};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
--- a/daemon/src/front/platform.rs
+++ b/daemon/src/front/platform.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use frosttrail::setup::{index, Names};
+use frosttrail::{Id, Query};
+use frosttrail_core::{Answer, Boxes, CallError, Conductor};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use rillrelay::setup::{index, Names};
-use rillrelay::{Id, Query};
-use rillrelay_core::{Answer, Boxes, CallError, Conductor};
 
 use super::body::{advise, events, whole, FrontBody, FrontResponse};
 use super::input::{body, end_to_end, is_id, text, InputError};
@@ -57,7 +57,7 @@
         }
         end_to_end(&mut head.headers);
         let call = Call { method: head.method, target: head.uri, headers: head.headers, body };
-        let answer = self.conductor.call(rillrelay_core::Request { query, call }).await;
+        let answer = self.conductor.call(frosttrail_core::Request { query, call }).await;
         Ok(match answer {
             Ok(Answer::Served(stream)) => events(stream),
             Ok(Answer::Refused { retry_after }) => {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,5 +1,5 @@
 //! The conductor's daemon: configuration, fronts, the way to the boxes, and discovery. Fronts only
-//! translate; what becomes of a request is settled in `rillrelay-core`.
+//! translate; what becomes of a request is settled in `frosttrail-core`.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -6,12 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rillrelay_core::{start, Clock, Conductor, Parts};
-use rillrelay_daemon::config::Config;
-use rillrelay_daemon::discovery::Discovery;
-use rillrelay_daemon::front::platform::Platform;
-use rillrelay_daemon::front::Listener;
-use rillrelay_daemon::upstream::{Book, Limits, Upstream};
+use frosttrail_core::{start, Clock, Conductor, Parts};
+use frosttrail_daemon::config::Config;
+use frosttrail_daemon::discovery::Discovery;
+use frosttrail_daemon::front::platform::Platform;
+use frosttrail_daemon::front::Listener;
+use frosttrail_daemon::upstream::{Book, Limits, Upstream};
 use slog::{info, o, Drain, Logger};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::Semaphore;
--- a/daemon/src/upstream/attempt.rs
+++ b/daemon/src/upstream/attempt.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use frosttrail::{Id, Load, Outcome};
+use frosttrail_core::{Events, Reply, Step};
 use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, StatusCode};
-use rillrelay::{Id, Load, Outcome};
-use rillrelay_core::{Events, Reply, Step};
 use serde::Deserialize;
 
 use super::link::Link;
@@ -100,7 +100,7 @@
 
 fn pressure(headers: &HeaderMap) -> Option<Load> {
     let report = serde_json::from_slice(headers.get(PRESSURE)?.as_bytes()).ok()?;
-    rillrelay::setup::load(&report).ok()
+    frosttrail::setup::load(&report).ok()
 }
 
 #[derive(Deserialize)]
--- a/daemon/src/upstream/calls.rs
+++ b/daemon/src/upstream/calls.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use frosttrail::{Id, Load, Outcome};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
-use rillrelay::{Id, Load, Outcome};
 use tokio::time::timeout;
 
 use super::link::Link;
@@ -57,7 +57,7 @@
         Ok(None) => (Outcome::NoConnection, None),
         Ok(Some((StatusCode::OK, body))) => {
             let report = serde_json::from_slice(&body).ok();
-            (Outcome::Served, report.and_then(|r| rillrelay::setup::load(&r).ok()))
+            (Outcome::Served, report.and_then(|r| frosttrail::setup::load(&r).ok()))
         }
         Ok(Some((StatusCode::SERVICE_UNAVAILABLE, _))) => (Outcome::TurnedAway, None),
         Ok(Some(_)) => (Outcome::Failed, None),
--- a/daemon/src/upstream/mod.rs
+++ b/daemon/src/upstream/mod.rs
@@ -11,9 +11,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use frosttrail::{Id, Load, Outcome};
+use frosttrail_core::{Boxes, Reply};
 use hyper::{HeaderMap, Method, Uri};
-use rillrelay::{Id, Load, Outcome};
-use rillrelay_core::{Boxes, Reply};
 
 pub use attempt::BoxEvents;
 pub use pool::{Limits, Pool};
--- a/daemon/src/upstream/pool.rs
+++ b/daemon/src/upstream/pool.rs
@@ -4,9 +4,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use frosttrail::Id;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use rillrelay::Id;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{timeout, Instant};
 
--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -1,4 +1,4 @@
-//! Drives the rillrelay decision module over a line protocol: batches of JSON events on standard
+//! Drives the frosttrail decision module over a line protocol: batches of JSON events on standard
 //! input, actions on standard output. It decides nothing.
 
 mod wire;
@@ -8,8 +8,8 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
 
-use rillrelay::setup::{settings, Names};
-use rillrelay::Router;
+use frosttrail::setup::{settings, Names};
+use frosttrail::Router;
 use serde_json::{json, Value};
 use wire::Line;
 
@@ -22,7 +22,7 @@
     match run(stdin, stdout) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("rillrelay-drill: {message}");
+            eprintln!("frosttrail-drill: {message}");
             ExitCode::FAILURE
         }
     }
@@ -77,7 +77,7 @@
     name: &str,
     instance: &str,
     rest: &[Value],
-    actions: &mut Vec<rillrelay::Action>,
+    actions: &mut Vec<frosttrail::Action>,
 ) -> Result<Vec<Value>, String> {
     match name {
         "provision" => {
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -1,7 +1,7 @@
 //! The words of the wire, to and from the types of the library.
 
-use rillrelay::setup::{index, load, number, want, Names};
-use rillrelay::{Action, Entry, Event, Health, Id, ListForm, Load, Outcome, Query};
+use frosttrail::setup::{index, load, number, want, Names};
+use frosttrail::{Action, Entry, Event, Health, Id, ListForm, Load, Outcome, Query};
 use serde_json::{json, Value};
 
 /// One line of input.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! back, in order. It keeps no clock: time is what the caller says.
 //!
 //! ```
-//! use rillrelay::{Action, Entry, Event, Health, ListForm, Query, Role, Router, Settings};
+//! use frosttrail::{Action, Entry, Event, Health, ListForm, Query, Role, Router, Settings};
 //!
 //! let settings = Settings {
 //!     roles: vec![Role::Read, Role::Write],
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -1,7 +1,7 @@
 //! The ordinary path and the failures found, one small test each.
 
 mod support;
-use rillrelay::*;
+use frosttrail::*;
 use std::collections::BTreeMap;
 use support::*;
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,7 +1,7 @@
 //! The five rules: each at its edge, and a checker of its own over random orders of events.
 
 mod support;
-use rillrelay::*;
+use frosttrail::*;
 use std::collections::BTreeMap;
 use support::*;
 
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -1,7 +1,7 @@
 //! Many routers beside one another: what a part of less than one request must still keep.
 
 mod support;
-use rillrelay::*;
+use frosttrail::*;
 use std::collections::BTreeMap;
 use support::*;
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! What the tests share: a small fleet and short ways to say events.
 #![allow(dead_code)]
 
-use rillrelay::*;
+use frosttrail::*;
 
 pub const MS: Micros = 1_000;
 pub const SEC: Micros = 1_000_000;
