--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -28,6 +28,9 @@
     /// The settings lack something.
     #[error("{0}: settings: {1}")]
     Settings(PathBuf, SetupError),
+    /// The chat front's file is not what it should be.
+    #[error("{0}: {1}")]
+    Chat(PathBuf, String),
     /// Too few descriptors to serve anything.
     #[error("{0}: limits.sockets: {1} are too few, {MIN_SOCKETS} are needed")]
     Sockets(PathBuf, usize),
@@ -103,3 +106,44 @@
         })
     }
 }
+
+/// Where the chat front listens, and what it assumes of requests that do not say.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ChatFile {
+    listen: SocketAddr,
+    models: Vec<String>,
+    class: String,
+    max_tokens: u64,
+}
+
+/// The chat front's configuration.
+#[derive(Debug)]
+pub struct ChatConfig {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Models that clients may name.
+    pub models: Vec<String>,
+    /// The class of a request that names none.
+    pub class: usize,
+    /// The answer's limit where none is named.
+    pub max_tokens: u64,
+}
+
+impl ChatConfig {
+    /// Reads the file; its class is one of the settings' own.
+    pub fn read(path: &Path, names: &Names) -> Result<Self, ConfigError> {
+        let at = || path.to_path_buf();
+        let text = std::fs::read_to_string(path).map_err(|e| ConfigError::Unreadable(at(), e))?;
+        // One line for whoever started it: the message without the excerpt that goes with it.
+        let wrong = |e: toml::de::Error| ConfigError::Chat(at(), e.message().replace('\n', " "));
+        let file: ChatFile = toml::from_str(&text).map_err(wrong)?;
+        let class = setup::index(names.classes(), &file.class, "class");
+        Ok(ChatConfig {
+            listen: file.listen,
+            models: file.models,
+            class: class.map_err(|e| ConfigError::Chat(at(), e.to_string()))?,
+            max_tokens: file.max_tokens,
+        })
+    }
+}
--- a/daemon/src/front/body.rs
+++ b/daemon/src/front/body.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 use frosttrail_core::{AnswerStream, Broken, Events};
+
+use super::chat::ChatStream;
 use http_body::{Body, Frame, SizeHint};
 use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
@@ -17,6 +19,8 @@
     /// Events as they come. A break is an error, on which the library ends the connection without the
     /// last chunk.
     Events(AnswerStream<E>),
+    /// The same for a chat client.
+    Chat(ChatStream<E>),
 }
 
 impl<E: Events> Body for FrontBody<E> {
@@ -27,6 +31,7 @@
         match self.get_mut() {
             FrontBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             FrontBody::Events(events) => events.poll_next(cx).map(|next| next.map(|r| r.map(Frame::data))),
+            FrontBody::Chat(events) => events.poll_next(cx).map(|next| next.map(|r| r.map(Frame::data))),
         }
     }
 
@@ -34,13 +39,15 @@
         match self {
             FrontBody::Whole(bytes) => bytes.is_none(),
             FrontBody::Events(events) => events.is_over(),
+            // Its end is known only once it has been asked for.
+            FrontBody::Chat(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             FrontBody::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
-            FrontBody::Events(_) => SizeHint::default(),
+            FrontBody::Events(_) | FrontBody::Chat(_) => SizeHint::default(),
         }
     }
 }
@@ -61,8 +68,8 @@
 }
 
 /// A stream of events.
-pub(super) fn events<E: Events>(stream: AnswerStream<E>) -> Response<FrontBody<E>> {
-    let mut response = Response::new(FrontBody::Events(stream));
+pub(super) fn events<E: Events>(stream: FrontBody<E>) -> Response<FrontBody<E>> {
+    let mut response = Response::new(stream);
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
     response
 }
--- /dev/null
+++ b/daemon/src/front/chat/error.rs
@@ -0,0 +1,68 @@
+//! The API's error object and its statuses.
+
+use frosttrail_core::Events;
+use hyper::header::HeaderValue;
+use hyper::{Response, StatusCode};
+use serde_json::json;
+
+use super::{JSON, SHOULD_RETRY};
+use crate::front::body::{whole, FrontBody};
+use crate::front::input::InputError;
+
+/// What a client is told instead of an answer.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum ApiError {
+    #[error("{0}")]
+    Input(#[from] InputError),
+    #[error("`{param}` {why}")]
+    Field { param: &'static str, why: &'static str },
+    #[error("Too many requests wait already; try again after the time given.")]
+    Busy,
+    #[error("No model server is known at the moment; try again after the time given.")]
+    NoServer,
+    #[error("The model server failed. The request may have taken effect.")]
+    Upstream,
+    #[error("No answer came in time. The request may have taken effect.")]
+    TimedOut,
+}
+
+impl ApiError {
+    /// Why a request that never ran was refused.
+    pub(super) fn refused(able: bool) -> Self {
+        match able {
+            true => ApiError::Busy,
+            false => ApiError::NoServer,
+        }
+    }
+
+    /// Status, type, parameter and code.
+    fn words(&self) -> (StatusCode, &'static str, Option<&'static str>, Option<&'static str>) {
+        const INVALID: &str = "invalid_request_error";
+        match self {
+            ApiError::Input(e @ InputError::Model(_)) => {
+                (e.status(), INVALID, Some("model"), Some("model_not_found"))
+            }
+            ApiError::Input(e) => (e.status(), INVALID, None, None),
+            ApiError::Field { param, .. } => (StatusCode::BAD_REQUEST, INVALID, Some(param), None),
+            ApiError::Busy => {
+                (StatusCode::TOO_MANY_REQUESTS, "rate_limit_error", None, Some("rate_limit_exceeded"))
+            }
+            ApiError::NoServer => {
+                (StatusCode::SERVICE_UNAVAILABLE, "server_error", None, Some("service_unavailable"))
+            }
+            ApiError::Upstream => (StatusCode::BAD_GATEWAY, "server_error", None, Some("bad_gateway")),
+            ApiError::TimedOut => (StatusCode::GATEWAY_TIMEOUT, "server_error", None, Some("timeout")),
+        }
+    }
+
+    /// The answer that says so.
+    pub(super) fn response<E: Events>(self) -> Response<FrontBody<E>> {
+        let (status, kind, param, code) = self.words();
+        let object = json!({"message": self.to_string(), "type": kind, "param": param, "code": code});
+        let mut response = whole(status, JSON, json!({ "error": object }).to_string());
+        if matches!(self, ApiError::Upstream | ApiError::TimedOut) {
+            response.headers_mut().insert(SHOULD_RETRY, HeaderValue::from_static("false"));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/daemon/src/front/chat/gather.rs
@@ -0,0 +1,171 @@
+//! A stream of events into the one object that a client gets who does not stream.
+
+use std::collections::BTreeMap;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use serde::Deserialize;
+use serde_json::{json, Map, Value};
+
+use super::error::ApiError;
+use super::sse::{data, is_done, Splitter};
+
+/// No answer is longer.
+const ANSWER_MOST: usize = 4 << 20;
+
+#[derive(Deserialize)]
+struct Chunk {
+    id: Option<String>,
+    created: Option<u64>,
+    model: Option<String>,
+    #[serde(default)]
+    choices: Vec<Delta>,
+    usage: Option<Value>,
+    error: Option<Value>,
+}
+
+#[derive(Deserialize)]
+struct Delta {
+    #[serde(default)]
+    index: u64,
+    #[serde(default)]
+    delta: Map<String, Value>,
+    finish_reason: Option<String>,
+}
+
+#[derive(Default)]
+struct Choice {
+    message: Map<String, Value>,
+    finish_reason: Option<String>,
+}
+
+/// The answer so far.
+pub(super) struct Gather {
+    id: String,
+    created: u64,
+    model: String,
+    choices: BTreeMap<u64, Choice>,
+    usage: Option<Value>,
+    splitter: Splitter,
+    size: usize,
+    done: bool,
+}
+
+impl Gather {
+    /// Nothing yet; id and model as they are where the box names none.
+    pub(super) fn new(id: String, model: String) -> Self {
+        let created = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
+        Gather {
+            id,
+            created,
+            model,
+            choices: BTreeMap::new(),
+            usage: None,
+            splitter: Splitter::default(),
+            size: 0,
+            done: false,
+        }
+    }
+
+    /// More of the stream.
+    pub(super) fn push(&mut self, bytes: &[u8]) -> Result<(), ApiError> {
+        self.size += bytes.len();
+        if self.size > ANSWER_MOST {
+            return Err(ApiError::Upstream);
+        }
+        self.splitter.push(bytes).map_err(|_| ApiError::Upstream)?;
+        while let Some(event) = self.splitter.next() {
+            self.event(&event)?;
+        }
+        Ok(())
+    }
+
+    /// The whole answer, if its final event has come.
+    pub(super) fn finish(mut self) -> Result<String, ApiError> {
+        if let Some(rest) = self.splitter.rest() {
+            self.event(&rest)?;
+        }
+        if !self.done {
+            return Err(ApiError::Upstream);
+        }
+        let choice = |(index, choice): (u64, Choice)| {
+            let mut message = choice.message;
+            message.entry("role").or_insert_with(|| json!("assistant"));
+            message.entry("content").or_insert(Value::Null);
+            json!({"index": index, "message": message, "logprobs": null, "finish_reason": choice.finish_reason})
+        };
+        let choices: Vec<Value> = self.choices.into_iter().map(choice).collect();
+        Ok(json!({
+            "id": self.id,
+            "object": "chat.completion",
+            "created": self.created,
+            "model": self.model,
+            "choices": choices,
+            "usage": self.usage,
+        })
+        .to_string())
+    }
+
+    fn event(&mut self, event: &[u8]) -> Result<(), ApiError> {
+        let data = data(event);
+        if data.is_empty() {
+            return Ok(());
+        }
+        if is_done(&data) {
+            self.done = true;
+            return Ok(());
+        }
+        let chunk: Chunk = serde_json::from_slice(&data).map_err(|_| ApiError::Upstream)?;
+        if chunk.error.is_some() {
+            return Err(ApiError::Upstream);
+        }
+        self.id = chunk.id.unwrap_or(std::mem::take(&mut self.id));
+        self.created = chunk.created.unwrap_or(self.created);
+        self.model = chunk.model.unwrap_or(std::mem::take(&mut self.model));
+        self.usage = chunk.usage.or(self.usage.take());
+        for delta in chunk.choices {
+            let choice = self.choices.entry(delta.index).or_default();
+            merge(&mut choice.message, delta.delta);
+            choice.finish_reason = delta.finish_reason.or(choice.finish_reason.take());
+        }
+        Ok(())
+    }
+}
+
+/// Adds a delta to what came before: texts grow, lists merge by their items' `index`, the rest is set.
+fn merge(message: &mut Map<String, Value>, delta: Map<String, Value>) {
+    for (key, value) in delta {
+        match (message.get_mut(&key), value) {
+            (_, Value::Null) => {}
+            (Some(Value::String(text)), Value::String(more)) if !is_name(&key) => text.push_str(&more),
+            (Some(Value::Object(object)), Value::Object(more)) => merge(object, more),
+            (Some(Value::Array(items)), Value::Array(more)) => merge_items(items, more),
+            (_, Value::Array(more)) => {
+                let mut items = Vec::new();
+                merge_items(&mut items, more);
+                message.insert(key, Value::Array(items));
+            }
+            (_, value) => {
+                message.insert(key, value);
+            }
+        }
+    }
+}
+
+/// Texts that name something come whole each time.
+fn is_name(key: &str) -> bool {
+    matches!(key, "role" | "id" | "type")
+}
+
+fn merge_items(items: &mut Vec<Value>, more: Vec<Value>) {
+    for item in more {
+        let Value::Object(mut object) = item else {
+            items.push(item);
+            continue;
+        };
+        let at = object.remove("index").and_then(|at| at.as_u64()).map_or(items.len(), |at| at as usize);
+        match items.get_mut(at) {
+            Some(Value::Object(known)) => merge(known, object),
+            _ => items.push(Value::Object(object)),
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/front/chat/request.rs
@@ -0,0 +1,269 @@
+//! From a chat request to a query. What the request does not name is derived by the rules in the README.
+
+use std::hash::{BuildHasher, RandomState};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use frosttrail::setup::{index, Names};
+use frosttrail::{Class, Id, Query};
+use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
+use hyper::{HeaderMap, Method, Uri};
+use serde::Deserialize;
+use serde_json::{json, Map, Value};
+
+use super::error::ApiError;
+use crate::front::input::{is_id, platform_labels, span, text, InputError, TOKEN_BYTES};
+use crate::upstream::Call;
+
+/// What the front needs of a request's body; the rest is the box's concern.
+#[derive(Deserialize)]
+struct Body {
+    model: String,
+    messages: Vec<Message>,
+    #[serde(default)]
+    stream: Option<bool>,
+    #[serde(default)]
+    stream_options: Option<StreamOptions>,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    max_completion_tokens: Option<u64>,
+    #[serde(default)]
+    user: Option<String>,
+    #[serde(default)]
+    metadata: Option<Map<String, Value>>,
+}
+
+#[derive(Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: bool,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    role: String,
+    #[serde(default)]
+    content: Option<Content>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Content {
+    Text(String),
+    Parts(Vec<Part>),
+}
+
+#[derive(Deserialize)]
+struct Part {
+    #[serde(default)]
+    text: String,
+}
+
+impl Message {
+    fn texts(&self) -> impl Iterator<Item = &str> {
+        let (whole, parts) = match &self.content {
+            Some(Content::Text(text)) => (Some(text.as_str()), [].as_slice()),
+            Some(Content::Parts(parts)) => (None, parts.as_slice()),
+            None => (None, [].as_slice()),
+        };
+        whole.into_iter().chain(parts.iter().map(|p| p.text.as_str()))
+    }
+
+    fn characters(&self) -> u64 {
+        self.texts().map(|t| t.chars().count() as u64).sum()
+    }
+}
+
+/// A request as understood.
+pub(super) struct Asked {
+    pub(super) query: Query,
+    pub(super) call: Call,
+    pub(super) stream: bool,
+    pub(super) include_usage: bool,
+    pub(super) model: String,
+}
+
+/// Reads requests.
+pub(super) struct Reader {
+    classes: Vec<Class>,
+    names: Arc<Names>,
+    models: Vec<String>,
+    class: usize,
+    max_tokens: u64,
+    /// Ids of requests that bring none: a count under keys that are new with each start.
+    ids: RandomState,
+    count: std::sync::atomic::AtomicU64,
+}
+
+impl Reader {
+    pub(super) fn new(
+        classes: Vec<Class>,
+        names: Arc<Names>,
+        models: Vec<String>,
+        class: usize,
+        max_tokens: u64,
+    ) -> Self {
+        Reader { classes, names, models, class, max_tokens, ids: RandomState::new(), count: 0.into() }
+    }
+
+    /// The query, and the request as a box gets it.
+    pub(super) fn read(&self, headers: &HeaderMap, bytes: Bytes) -> Result<Asked, ApiError> {
+        let body: Body =
+            serde_json::from_slice(&bytes).map_err(|e| InputError::Body(format!("the body: {e}")))?;
+        self.check(&body)?;
+        let query = self.query(headers, &body)?;
+        let stream = body.stream.unwrap_or(false);
+        let bytes = if stream { bytes } else { streamed(&bytes)? };
+        let call = Call {
+            method: Method::POST,
+            target: Uri::from_static("/v1/chat/completions"),
+            headers: self.headers(&query)?,
+            body: bytes,
+        };
+        let include_usage = body.stream_options.is_some_and(|o| o.include_usage);
+        Ok(Asked { query, call, stream, include_usage, model: body.model })
+    }
+
+    fn check(&self, body: &Body) -> Result<(), ApiError> {
+        if !self.models.contains(&body.model) {
+            return Err(InputError::Model(body.model.clone()).into());
+        }
+        if body.messages.is_empty() {
+            return Err(ApiError::Field { param: "messages", why: "must hold at least one message" });
+        }
+        if body.messages.iter().any(|m| m.role.is_empty()) {
+            return Err(ApiError::Field { param: "messages", why: "must each name a role" });
+        }
+        if limit(body) == Some(0) {
+            return Err(ApiError::Field { param: "max_tokens", why: "must be at least 1" });
+        }
+        if body.stream_options.is_some() && body.stream != Some(true) {
+            return Err(ApiError::Field { param: "stream_options", why: "goes with `stream` only" });
+        }
+        Ok(())
+    }
+
+    fn query(&self, headers: &HeaderMap, body: &Body) -> Result<Query, ApiError> {
+        let labels = platform_labels(text(headers, "x-labels").unwrap_or_default())?;
+        let class = self.class(headers, body)?;
+        let prompt_tokens = match labels.prompt_tokens {
+            0 => tokens(body.messages.iter().map(Message::characters).sum()),
+            named => named,
+        };
+        let (prefix, prefix_tokens) = match labels.prefix {
+            Some(prefix) => (Some(prefix), labels.prefix_tokens),
+            None => opening(&body.messages),
+        };
+        let max_tokens = if labels.max_tokens > 0 { Some(labels.max_tokens) } else { limit(body) };
+        let resent = text(headers, "x-resent");
+        Ok(Query {
+            id: self.id(headers)?,
+            session: session(headers, body),
+            prefix,
+            prefix_tokens: prefix_tokens.min(prompt_tokens),
+            prompt_tokens,
+            max_tokens: max_tokens.unwrap_or(self.max_tokens),
+            class,
+            tenant: text(headers, "x-org").and_then(|t| index(self.names.tenants(), t, "X-Org").ok()),
+            budget: self.budget(headers, class, prompt_tokens)?,
+            resent: resent == Some("1"),
+            came_back: resent == Some("again"),
+        })
+    }
+
+    fn id(&self, headers: &HeaderMap) -> Result<Id, InputError> {
+        match text(headers, "x-txn") {
+            Some(id) if is_id(id) => Ok(id.into()),
+            Some(_) => Err(InputError::Header("X-Txn")),
+            None => {
+                let count = self.count.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                Ok(format!("{:016x}", self.ids.hash_one(count)).as_str().into())
+            }
+        }
+    }
+
+    fn class(&self, headers: &HeaderMap, body: &Body) -> Result<usize, InputError> {
+        let in_body = || body.metadata.as_ref()?.get("class")?.as_str();
+        match text(headers, "x-lane").or_else(in_body) {
+            None => Ok(self.class),
+            Some(name) => {
+                index(self.names.classes(), name, "class").map_err(|_| InputError::Unknown("class"))
+            }
+        }
+    }
+
+    /// What the client will wait: as it says, or else as long as the class's clients do.
+    fn budget(&self, headers: &HeaderMap, class: usize, prompt: u64) -> Result<u64, InputError> {
+        if let Some(named) = text(headers, "x-remaining") {
+            return span(named).ok_or(InputError::Header("X-Remaining"));
+        }
+        let class = &self.classes[class];
+        Ok(class.deadline + 2 * class.aim_per_ktoken.saturating_mul(prompt) / 1_000)
+    }
+
+    /// The platform's headers, so that boxes see what they see behind the other front. A client's
+    /// credentials end here.
+    fn headers(&self, query: &Query) -> Result<HeaderMap, InputError> {
+        let prefix = query.prefix.as_ref().map(|p| format!("prefix={p},")).unwrap_or_default();
+        let labels = format!(
+            "{prefix}prompt_len={},prefix_len={},max_out={}",
+            query.prompt_tokens, query.prefix_tokens, query.max_tokens
+        );
+        let class = self.names.classes().get(query.class).map_or("", String::as_str);
+        let mut headers = HeaderMap::new();
+        for (name, value) in
+            [("x-txn", &*query.id), ("x-lane", class), ("x-entity", &query.session), ("x-labels", &labels)]
+        {
+            let value = HeaderValue::from_str(value).map_err(|_| InputError::Header("X-Labels"))?;
+            headers.insert(HeaderName::from_static(name), value);
+        }
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        Ok(headers)
+    }
+}
+
+fn limit(body: &Body) -> Option<u64> {
+    body.max_completion_tokens.or(body.max_tokens)
+}
+
+fn tokens(characters: u64) -> u64 {
+    characters.div_ceil(TOKEN_BYTES)
+}
+
+/// The conversation: as named, or else the user and all up to the first user's message, which is the
+/// same at every turn.
+fn session(headers: &HeaderMap, body: &Body) -> Id {
+    if let Some(named) = text(headers, "x-entity") {
+        return named.into();
+    }
+    let first = body.messages.iter().position(|m| m.role == "user").map_or(body.messages.len(), |at| at + 1);
+    let opening = body.messages[..first].iter().flat_map(Message::texts);
+    digest(body.user.as_deref().into_iter().chain(opening))
+}
+
+/// The opening that it shares with other conversations: its first message where that is the operator's.
+fn opening(messages: &[Message]) -> (Option<Id>, u64) {
+    match messages.first() {
+        Some(first) if matches!(first.role.as_str(), "system" | "developer") && messages.len() > 1 => {
+            (Some(digest(first.texts())), first.characters() / TOKEN_BYTES)
+        }
+        _ => (None, 0),
+    }
+}
+
+/// A key of some texts: the same at every conductor and after every restart, as FNV-1a has no seed.
+fn digest<'a>(texts: impl Iterator<Item = &'a str>) -> Id {
+    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
+    let bytes = texts.flat_map(|t| t.bytes().chain([0xff]));
+    format!("{:016x}", bytes.fold(0xcbf2_9ce4_8422_2325, step)).as_str().into()
+}
+
+/// Boxes only stream: the same request, asked for as a stream with its usage.
+fn streamed(bytes: &Bytes) -> Result<Bytes, InputError> {
+    let malformed = |e: serde_json::Error| InputError::Body(format!("the body: {e}"));
+    let mut body: Map<String, Value> = serde_json::from_slice(bytes).map_err(malformed)?;
+    body.insert("stream".into(), json!(true));
+    body.insert("stream_options".into(), json!({"include_usage": true}));
+    serde_json::to_vec(&body).map(Bytes::from).map_err(malformed)
+}
--- a/daemon/src/front/input.rs
+++ b/daemon/src/front/input.rs
@@ -1,8 +1,10 @@
 //! What every front checks of what comes in.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use bytes::Bytes;
+use frosttrail::{Id, Micros};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{
@@ -15,6 +17,8 @@
 const BODY_MOST: usize = 256 << 10;
 /// A body must be here within this time from its head.
 const BODY_WAIT: Duration = Duration::from_secs(10);
+/// Four characters make a token.
+pub(super) const TOKEN_BYTES: u64 = 4;
 /// The longest id.
 const ID_MOST: usize = 128;
 
@@ -110,3 +114,39 @@
         headers.remove(name);
     }
 }
+
+/// What `X-Labels` says of a prompt; what it does not name is 0.
+#[derive(Debug, PartialEq)]
+pub(super) struct Labels {
+    pub(super) prefix: Option<Id>,
+    pub(super) prefix_tokens: u64,
+    pub(super) prompt_tokens: u64,
+    pub(super) max_tokens: u64,
+}
+
+/// `name=value,name=value`.
+pub(super) fn platform_labels(text: &str) -> Result<Labels, InputError> {
+    const BAD: InputError = InputError::Header("X-Labels");
+    let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+    let pairs: HashMap<&str, &str> = parts.map(|p| p.split_once('=').ok_or(BAD)).collect::<Result<_, _>>()?;
+    let count = |name| pairs.get(name).map_or(Ok(0), |text| text.parse().map_err(|_| BAD));
+    Ok(Labels {
+        prefix: pairs.get("prefix").filter(|p| !p.is_empty()).map(|p| Id::from(*p)),
+        prefix_tokens: count("prefix_len")?,
+        prompt_tokens: count("prompt_len")?,
+        max_tokens: count("max_out")?,
+    })
+}
+
+/// A number and its unit: `m` for milliseconds, `u` for microseconds.
+pub(super) fn span(text: &str) -> Option<Micros> {
+    /// No client waits longer than a day; more would only overflow.
+    const MOST: f64 = 86_400e6;
+    let text = text.trim();
+    let (number, micros) = match text.strip_suffix('m') {
+        Some(number) => (number, 1_000.0),
+        None => (text.strip_suffix('u')?, 1.0),
+    };
+    let number: f64 = number.parse().ok()?;
+    (number.is_finite() && number >= 0.0).then(|| (number * micros).min(MOST) as Micros)
+}
--- a/daemon/src/front/mod.rs
+++ b/daemon/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! Fronts: they translate a client's wire into requests for the core, and answers back.
 
 mod body;
+pub mod chat;
 mod input;
 mod listener;
 pub mod platform;
--- a/daemon/src/front/platform.rs
+++ b/daemon/src/front/platform.rs
@@ -1,23 +1,19 @@
 //! The platform's front: headers to queries, answers to statuses.
 
-use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use frosttrail::setup::{index, Names};
-use frosttrail::{Id, Query};
+use frosttrail::Query;
 use frosttrail_core::{Answer, Boxes, CallError, Conductor};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 
 use super::body::{advise, events, whole, FrontBody, FrontResponse};
-use super::input::{body, end_to_end, is_id, text, InputError};
+use super::input::{body, end_to_end, is_id, platform_labels, span, text, InputError, TOKEN_BYTES};
 use super::listener::Service;
 use crate::upstream::Call;
 
 const PLAIN: &str = "text/plain; charset=utf-8";
-/// Four characters make a token.
-const TOKEN_BYTES: u64 = 4;
 
 /// Translates the platform's protocol.
 pub struct Platform<B> {
@@ -59,7 +55,7 @@
         let call = Call { method: head.method, target: head.uri, headers: head.headers, body };
         let answer = self.conductor.call(frosttrail_core::Request { query, call }).await;
         Ok(match answer {
-            Ok(Answer::Served(stream)) => events(stream),
+            Ok(Answer::Served(stream)) => events(FrontBody::Events(stream)),
             Ok(Answer::Refused { retry_after }) => {
                 let mut refused = whole(StatusCode::SERVICE_UNAVAILABLE, PLAIN, "refused: try again\n");
                 advise(&mut refused, retry_after);
@@ -83,43 +79,19 @@
 fn query(headers: &HeaderMap, names: &Names) -> Result<Query, InputError> {
     let id = text(headers, "x-txn").filter(|id| is_id(id)).ok_or(InputError::Header("X-Txn"))?;
     let lane = text(headers, "x-lane").ok_or(InputError::Header("X-Lane"))?;
-    let left = text(headers, "x-remaining").and_then(span).ok_or(InputError::Header("X-Remaining"))?;
-    let labels = labels(text(headers, "x-labels").unwrap_or_default())?;
-    let count = |name| match labels.get(name) {
-        None => Ok(0),
-        Some(text) => text.parse::<u64>().map_err(|_| InputError::Header("X-Labels")),
-    };
+    let labels = platform_labels(text(headers, "x-labels").unwrap_or_default())?;
     let resent = text(headers, "x-resent");
     Ok(Query {
         id: id.into(),
         session: text(headers, "x-entity").unwrap_or_default().into(),
-        prefix: labels.get("prefix").filter(|p| !p.is_empty()).map(|p| Id::from(*p)),
-        prefix_tokens: count("prefix_len")?,
-        prompt_tokens: count("prompt_len")?,
-        max_tokens: count("max_out")?,
+        prefix: labels.prefix,
+        prefix_tokens: labels.prefix_tokens,
+        prompt_tokens: labels.prompt_tokens,
+        max_tokens: labels.max_tokens,
         class: index(names.classes(), lane, "X-Lane").map_err(|_| InputError::Unknown("X-Lane"))?,
         tenant: text(headers, "x-org").and_then(|t| index(names.tenants(), t, "X-Org").ok()),
-        budget: left.as_micros().min(u128::from(u64::MAX / 4)) as u64,
+        budget: text(headers, "x-remaining").and_then(span).ok_or(InputError::Header("X-Remaining"))?,
         resent: resent == Some("1"),
         came_back: resent == Some("again"),
     })
 }
-
-/// `name=value,name=value`.
-fn labels(text: &str) -> Result<HashMap<&str, &str>, InputError> {
-    text.split(',')
-        .filter(|part| !part.trim().is_empty())
-        .map(|part| part.trim().split_once('=').ok_or(InputError::Header("X-Labels")))
-        .collect()
-}
-
-/// A number and its unit: `m` for milliseconds, `u` for microseconds.
-fn span(text: &str) -> Option<Duration> {
-    let text = text.trim();
-    let (number, micros) = match text.strip_suffix('m') {
-        Some(number) => (number, 1_000.0),
-        None => (text.strip_suffix('u')?, 1.0),
-    };
-    let number: f64 = number.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)?;
-    Duration::try_from_secs_f64(number * micros / 1e6).ok()
-}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -2,15 +2,19 @@
 
 #![forbid(unsafe_code)]
 
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
 use frosttrail_core::{start, Clock, Conductor, Parts};
-use frosttrail_daemon::config::Config;
+use frosttrail_daemon::config::{ChatConfig, Config, ConfigError};
 use frosttrail_daemon::discovery::Discovery;
+use frosttrail_daemon::front::chat::Chat;
 use frosttrail_daemon::front::platform::Platform;
-use frosttrail_daemon::front::Listener;
+use frosttrail_daemon::front::{Listener, Service};
 use frosttrail_daemon::upstream::{Book, Limits, Upstream};
 use slog::{info, o, Drain, Logger};
 use tokio::signal::unix::{signal, SignalKind};
@@ -25,31 +29,59 @@
 /// Descriptors for all that is neither a client nor a box: log, timers, discovery, listeners.
 const SPARE_SOCKETS: usize = 48;
 
-fn main() -> ExitCode {
-    let config = match Config::from_env() {
-        Ok(config) => config,
-        Err(e) => {
-            eprintln!("frosttrail: {e}");
-            return ExitCode::from(2);
-        }
-    };
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(e) => {
-            eprintln!("frosttrail: {e}");
-            return ExitCode::FAILURE;
+const USAGE: &str = "usage: frosttrail [--chat FILE]";
+
+/// Why the daemon ends otherwise than well.
+#[derive(Debug, thiserror::Error)]
+enum Fault {
+    #[error("{USAGE}")]
+    Usage,
+    #[error("{0}")]
+    Config(#[from] ConfigError),
+    #[error("{0}: {1}")]
+    Bind(SocketAddr, std::io::Error),
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+}
+
+impl Fault {
+    /// 2 for whoever started it to mend, 1 for the rest.
+    fn code(&self) -> ExitCode {
+        match self {
+            Fault::Usage | Fault::Config(_) => ExitCode::from(2),
+            Fault::Bind(..) | Fault::Io(_) => ExitCode::FAILURE,
         }
-    };
-    let (log, _guard) = logger(&config.name);
-    match runtime.block_on(run(config, log)) {
+    }
+}
+
+fn main() -> ExitCode {
+    match begin() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("frosttrail: {e}");
-            ExitCode::FAILURE
+        Err(fault) => {
+            eprintln!("frosttrail: {fault}");
+            fault.code()
         }
     }
 }
 
+/// The file that switches the chat front on, if one is named.
+fn chat_file(mut args: impl Iterator<Item = OsString>) -> Result<Option<PathBuf>, Fault> {
+    match (args.next(), args.next(), args.next()) {
+        (None, ..) => Ok(None),
+        (Some(flag), Some(file), None) if flag == "--chat" => Ok(Some(file.into())),
+        _ => Err(Fault::Usage),
+    }
+}
+
+fn begin() -> Result<(), Fault> {
+    let chat = chat_file(std::env::args_os().skip(1))?;
+    let config = Config::from_env()?;
+    let chat = chat.map(|file| ChatConfig::read(&file, &config.names)).transpose()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let (log, _guard) = logger(&config.name);
+    runtime.block_on(run(config, chat, log))
+}
+
 /// A log that never holds the program up: lines that find no room are counted and dropped.
 fn logger(name: &str) -> (Logger, slog_async::AsyncGuard) {
     let decorator = slog_term::PlainDecorator::new(std::io::stderr());
@@ -62,30 +94,61 @@
     (Logger::root(drain.fuse(), o!("name" => name.to_string())), guard)
 }
 
-async fn run(config: Config, log: Logger) -> std::io::Result<()> {
+/// The listeners' common ground.
+struct Doors {
+    clients: Arc<Semaphore>,
+    closing: CancellationToken,
+    connections: TaskTracker,
+    accepting: TaskTracker,
+    log: Logger,
+}
+
+impl Doors {
+    fn open<S: Service>(&self, address: SocketAddr, service: S) -> Result<(), Fault> {
+        let (clients, closing) = (self.clients.clone(), self.closing.clone());
+        let listener = Listener::bind(address, clients, closing, self.connections.clone(), self.log.clone())
+            .map_err(|e| Fault::Bind(address, e))?;
+        info!(self.log, "listening"; "at" => %address);
+        self.accepting.spawn(listener.run(Arc::new(service)));
+        Ok(())
+    }
+
+    /// Each request that has been taken is answered before this resolves.
+    async fn close(&self) {
+        self.closing.cancel();
+        for tasks in [&self.accepting, &self.connections] {
+            tasks.close();
+            tasks.wait().await;
+        }
+    }
+}
+
+async fn run(config: Config, chat: Option<ChatConfig>, log: Logger) -> Result<(), Fault> {
     let mut terminate = signal(SignalKind::terminate())?;
     let each = (config.sockets - SPARE_SOCKETS) / 2;
-    let closing = CancellationToken::new();
-    let connections = TaskTracker::new();
-    let clients = Arc::new(Semaphore::new(each));
-    let listener = Listener::bind(config.listen, clients, closing.clone(), connections.clone(), log.clone())?;
-    info!(log, "listening"; "at" => %config.listen, "connections" => each);
-    let names = Arc::new(config.names.clone());
+    let doors = Doors {
+        clients: Arc::new(Semaphore::new(each)),
+        closing: CancellationToken::new(),
+        connections: TaskTracker::new(),
+        accepting: TaskTracker::new(),
+        log: log.clone(),
+    };
+    let (listen, settings, names) = (config.listen, config.settings.clone(), Arc::new(config.names.clone()));
     let conductor = conductor(config, each, &log);
-    let accepting = tokio::spawn(listener.run(Arc::new(Platform::new(conductor.clone(), names))));
+    doors.open(listen, Platform::new(conductor.clone(), names.clone()))?;
+    if let Some(chat) = chat {
+        doors.open(chat.listen, Chat::new(conductor.clone(), &settings, names, chat))?;
+    }
     terminate.recv().await;
     info!(log, "SIGTERM: closing");
-    tokio::time::timeout(LAST, async {
+    let orderly = async {
         tokio::time::sleep(NOTICE).await;
-        closing.cancel();
-        // It has been told to end; it can't panic.
-        let _ = accepting.await;
-        connections.close();
-        connections.wait().await;
+        doors.close().await;
         conductor.released().await;
-    })
-    .await
-    .unwrap_or_else(|_| info!(log, "closed with requests open"; "connections" => connections.len()));
+    };
+    if tokio::time::timeout(LAST, orderly).await.is_err() {
+        info!(log, "closed with requests open"; "connections" => doors.connections.len());
+    }
     Ok(())
 }
 
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -81,8 +81,8 @@
     let v = want(value.as_array(), "elements")?;
     Ok(Entry {
         cell: whole(v, 0, "cohort")?,
-        kind: index(&names.kinds(), text(v, 2, "flavor")?, "flavor")?,
-        zone: index(&names.zones(), text(v, 3, "az")?, "az")?,
+        kind: index(names.kinds(), text(v, 2, "flavor")?, "flavor")?,
+        zone: index(names.zones(), text(v, 3, "az")?, "az")?,
         worker: text(v, 4, "worker")?.into(),
         started: maybe(v, 5, "started-at")?,
         health: match text(v, 6, "health")? {
@@ -122,9 +122,9 @@
         max_tokens: maybe(v, 6, "n-max")?,
         came_back: flag(v, 7, "came-back")?,
         session: v.get(8).and_then(Value::as_str).unwrap_or_default().into(),
-        class: index(&names.classes(), text(v, 9, "category")?, "category")?,
+        class: index(names.classes(), text(v, 9, "category")?, "category")?,
         budget: whole(v, 10, "budget")?,
-        tenant: v.get(11).and_then(Value::as_str).and_then(|t| index(&names.tenants(), t, "customer").ok()),
+        tenant: v.get(11).and_then(Value::as_str).and_then(|t| index(names.tenants(), t, "customer").ok()),
     }))
 }
 
