Test connections and requests against models, and the chat front against stand-ins

The connection model found no fault in the code; it was wrong itself once, where a stream without events ends its connection well.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# What people do with this repository. CI runs the same commands (.ci/run).
+
+.PHONY: build test lint run chat
+
+build:
+	cargo build --release --locked
+
+test:
+	cargo test --workspace --locked
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets --locked -- -D warnings
+
+# Both want EDGE_CONFIG to name a conductor's configuration; see README.md.
+run: build
+	exec target/release/frosttrail
+
+chat: build
+	exec target/release/frosttrail --chat deploy/chat.toml
--- /dev/null
+++ b/daemon/tests/chat.rs
@@ -0,0 +1,202 @@
+//! The chat front on loopback, between stand-in clients and boxes of our own: every request gets exactly
+//! one final answer, and no `book` runs twice.
+
+mod support;
+
+use serde_json::{json, Value};
+use support::*;
+use tokio::io::AsyncReadExt;
+
+const PATH: &str = "/v1/chat/completions";
+
+fn body(stream: bool) -> Value {
+    json!({"model": "chat", "stream": stream, "messages": [
+        {"role": "system", "content": "You book tables at restaurants."},
+        {"role": "user", "content": "Two at eight."}]})
+}
+
+fn ask(headers: &str, stream: bool) -> String {
+    post(PATH, headers, &body(stream).to_string())
+}
+
+#[tokio::test]
+async fn events_pass_unchanged_to_a_client_that_streams() {
+    let site = Site::start().await;
+    let mut body = body(true);
+    body["stream_options"] = json!({"include_usage": true});
+    let answer = exchange(site.chat, &post(PATH, "x-txn: t-1\r\n", &body.to_string())).await;
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert_eq!(answer.body, [EVENT, LAST, USAGE, DONE].concat());
+    assert_eq!(answer.header("x-request-id"), Some("t-1"));
+    let (read, wrote) = (site.reader.posts(), site.writer.posts());
+    assert_eq!((read.len(), wrote.len()), (1, 1));
+    assert_eq!(wrote[0].body, body.to_string(), "the body passes unchanged");
+}
+
+#[tokio::test]
+async fn usage_is_left_out_where_it_was_not_asked_for() {
+    let site = Site::start().await;
+    let answer = exchange(site.chat, &ask("", true)).await;
+    assert_eq!(answer.body, [EVENT, LAST, DONE].concat());
+}
+
+#[tokio::test]
+async fn a_client_that_does_not_stream_gets_one_object() {
+    let site = Site::start().await;
+    let answer = exchange(site.chat, &ask("", false)).await;
+    let object = answer.json();
+    assert_eq!(answer.status, 200);
+    assert_eq!(object["object"], "chat.completion");
+    assert_eq!(object["choices"][0]["message"], json!({"role": "assistant", "content": "Table booked"}));
+    assert_eq!(object["choices"][0]["finish_reason"], "stop");
+    assert_eq!(object["usage"]["total_tokens"], 14);
+    let sent: Value = serde_json::from_str(&site.writer.posts()[0].body).unwrap();
+    assert_eq!((&sent["stream"], &sent["stream_options"]["include_usage"]), (&json!(true), &json!(true)));
+}
+
+#[tokio::test]
+async fn what_a_request_does_not_name_is_derived() {
+    let site = Site::start().await;
+    exchange(site.chat, &ask("authorization: Bearer secret\r\n", true)).await;
+    exchange(site.chat, &ask("x-lane: ask\r\nx-remaining: 4000m\r\n", true)).await;
+    let got = site.reader.posts();
+    let value = |n: usize, name: &str| {
+        let line = got[n].head.lines().find_map(|l| l.strip_prefix(name)).unwrap();
+        line.trim_start_matches(": ").to_string()
+    };
+    assert_eq!((value(0, "x-lane"), value(1, "x-lane")), ("book".into(), "ask".into()));
+    assert_eq!(value(0, "x-entity"), value(1, "x-entity"), "the same opening is the same session");
+    assert_ne!(value(0, "x-txn"), value(1, "x-txn"));
+    // 31 and 13 characters make 11 tokens, 7 of them in the system's message.
+    assert!(
+        value(0, "x-labels").ends_with(",prompt_len=11,prefix_len=7,max_out=400"),
+        "{}",
+        value(0, "x-labels")
+    );
+    assert!(!got[0].head.contains("secret"), "credentials end at the front");
+}
+
+#[tokio::test]
+async fn a_client_that_drops_while_a_book_is_written_ends_the_one_attempt() {
+    let mut site = Site::start().await;
+    site.writer.next(Does::StallsAfter(&[EVENT]));
+    let mut client = send(site.chat, &ask("x-lane: book\r\n", true)).await;
+    let mut seen = Vec::new();
+    while !String::from_utf8_lossy(&seen).contains("Table") {
+        assert!(client.read_buf(&mut seen).await.unwrap() > 0);
+    }
+    drop(client);
+    site.writer.given_up.recv().await.unwrap();
+    // The conductor is as able as before, and the book went to the writer once.
+    assert_eq!(exchange(site.chat, &ask("x-lane: ask\r\n", true)).await.status, 200);
+    let books = site.writer.posts().iter().filter(|g| g.head.contains("x-lane: book")).count();
+    assert_eq!(books, 1);
+}
+
+#[tokio::test]
+async fn a_client_that_drops_before_the_answer_begins_lets_go_of_the_state() {
+    let mut site = Site::start().await;
+    site.writer.next(Does::Silent);
+    let client = send(site.chat, &ask("x-lane: book\r\nx-txn: t-9\r\n", true)).await;
+    while site.writer.posts().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    drop(client);
+    site.writer.given_up.recv().await.unwrap();
+    // The writer took it last, so it is asked first; any box lets go of state wherever it is.
+    site.writer.released.recv().await.unwrap();
+    let deletes = |g: &Got| g.line == "DELETE /state/t-9 HTTP/1.1";
+    assert!(site.writer.got.lock().unwrap().iter().any(deletes));
+    assert_eq!(site.writer.posts().len(), 1);
+}
+
+#[tokio::test]
+async fn a_stream_without_a_final_event_is_never_completed() {
+    for does in [Does::Streams(&[EVENT, LAST]), Does::BreaksAfter(&[EVENT])] {
+        let site = Site::start().await;
+        site.writer.next(does.clone());
+        let answer = exchange(site.chat, &ask("x-lane: book\r\n", true)).await;
+        assert_eq!((answer.status, answer.whole), (200, false), "{does:?}");
+        assert!(answer.body.starts_with(EVENT) && !answer.body.contains("[DONE]"));
+        assert_eq!(site.writer.posts().len(), 1, "{does:?}");
+
+        site.writer.next(does.clone());
+        let answer = exchange(site.chat, &ask("x-lane: book\r\n", false)).await;
+        assert_eq!((answer.status, &answer.json()["error"]["type"]), (502, &json!("server_error")));
+        assert_eq!(answer.header("x-should-retry"), Some("false"));
+        assert_eq!(site.writer.posts().len(), 2, "{does:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_book_that_may_have_run_fails_and_an_ask_is_tried_again() {
+    for does in [Does::Resets, Does::Says(500, false, "{}"), Does::Streams(&[])] {
+        let site = Site::start().await;
+        site.writer.next(does.clone());
+        let answer = exchange(site.chat, &ask("x-lane: book\r\n", true)).await;
+        assert_eq!((answer.status, answer.header("retry-after")), (502, None), "{does:?}");
+        assert_eq!(site.writer.posts().len(), 1, "{does:?}");
+
+        site.writer.next(does.clone());
+        assert_eq!(exchange(site.chat, &ask("x-lane: ask\r\n", true)).await.status, 200, "{does:?}");
+        assert_eq!(site.writer.posts().len(), 3, "{does:?}");
+    }
+}
+
+#[tokio::test]
+async fn deadlines_bring_the_one_answer_that_the_class_allows() {
+    let mut site = Site::start().await;
+    site.writer.next(Does::Silent);
+    let book = exchange(site.chat, &ask("x-lane: book\r\nx-remaining: 200m\r\n", true)).await;
+    assert_eq!((book.status, &book.json()["error"]["code"]), (504, &json!("timeout")));
+    assert_eq!(site.writer.posts().len(), 1);
+    site.writer.given_up.recv().await.unwrap();
+
+    site.reader.next(Does::Silent);
+    let ask = exchange(site.chat, &ask("x-lane: ask\r\nx-remaining: 200m\r\n", true)).await;
+    assert_eq!((ask.status, &ask.json()["error"]["code"]), (429, &json!("rate_limit_exceeded")));
+    let seconds: f64 = ask.header("retry-after").unwrap().parse().unwrap();
+    assert!(seconds > 0.0 && seconds <= 2.0);
+}
+
+#[tokio::test]
+async fn a_request_that_was_turned_away_everywhere_is_refused_with_advice() {
+    let site = Site::start().await;
+    for _ in 0..4 {
+        site.writer.next(Does::Says(503, true, ""));
+    }
+    let answer = exchange(site.chat, &ask("x-lane: book\r\n", true)).await;
+    assert_eq!((answer.status, answer.header("x-should-retry")), (429, Some("true")));
+    assert!(answer.header("retry-after").is_some());
+}
+
+#[tokio::test]
+async fn bad_input_gets_the_apis_error_object() {
+    let site = Site::start().await;
+    let with = |key: &str, value: Value| {
+        let mut body = body(true);
+        body[key] = value;
+        post(PATH, "", &body.to_string())
+    };
+    let large = "x".repeat(300 << 10);
+    let cases = [
+        (post(PATH, "", "not json"), 400, Value::Null),
+        (with("messages", json!([])), 400, json!("messages")),
+        (with("max_tokens", json!(0)), 400, json!("max_tokens")),
+        (with("model", json!("other")), 404, json!("model")),
+        (post(PATH, "x-lane: nobody\r\n", &body(true).to_string()), 400, Value::Null),
+        (post(PATH, "x-txn: a/b\r\n", &body(true).to_string()), 400, Value::Null),
+        (post(PATH, "x-remaining: soon\r\n", &body(true).to_string()), 400, Value::Null),
+        (post("/v1/other", "", "{}"), 404, Value::Null),
+        (format!("GET {PATH} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"), 405, Value::Null),
+        (with("user", json!(large)), 413, Value::Null),
+    ];
+    for (text, status, param) in cases {
+        let answer = exchange(site.chat, &text).await;
+        let error = &answer.json()["error"];
+        assert_eq!((answer.status, &error["param"]), (status, &param), "{answer:?}");
+        assert_eq!(error["type"], "invalid_request_error");
+        assert!(!error["message"].as_str().unwrap().is_empty());
+    }
+    assert!(site.reader.posts().is_empty(), "nothing of this reaches a box");
+}
--- /dev/null
+++ b/daemon/tests/connection.rs
@@ -0,0 +1,178 @@
+//! A model of the connections to one box, against which random steps are checked: each attempt has the
+//! outcome that the protocol's table gives it, reaches the box exactly once, and goes out on a kept
+//! connection exactly where one is fit for use.
+
+mod support;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use frosttrail::{Id, Outcome};
+use frosttrail_core::{Boxes, Events, Reply, Step};
+use frosttrail_daemon::upstream::{Call, Upstream};
+use hyper::{HeaderMap, Method, Uri};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use support::*;
+
+/// What happens to the connections next.
+#[derive(Clone, Copy, Debug)]
+enum Happens {
+    Read,
+    Served,
+    TurnedAway,
+    StateGone,
+    GoneUnmarked,
+    Unmarked,
+    Error,
+    Resets,
+    NoEvents,
+    BreaksOff,
+    GivenUp,
+    BoxClosesIdle,
+}
+
+use Happens::*;
+
+impl Arbitrary for Happens {
+    fn arbitrary(g: &mut Gen) -> Self {
+        *g.choose(&[
+            Read,
+            Served,
+            TurnedAway,
+            StateGone,
+            GoneUnmarked,
+            Unmarked,
+            Error,
+            Resets,
+            NoEvents,
+            BreaksOff,
+            GivenUp,
+            BoxClosesIdle,
+        ])
+        .unwrap()
+    }
+}
+
+impl Happens {
+    fn does(self) -> Does {
+        match self {
+            Read => READ,
+            Served => WHOLE,
+            TurnedAway => Does::Says(503, true, ""),
+            StateGone => Does::Says(410, true, "gone"),
+            GoneUnmarked => Does::Says(410, false, ""),
+            Unmarked => Does::Says(504, false, ""),
+            Error => Does::Says(500, false, "{}"),
+            Resets => Does::Resets,
+            NoEvents => Does::Streams(&[]),
+            BreaksOff => Does::BreaksAfter(&[EVENT]),
+            GivenUp | BoxClosesIdle => Does::Silent,
+        }
+    }
+
+    /// The table's word for it.
+    fn outcome(self) -> Option<Outcome> {
+        Some(match self {
+            Read => Outcome::ReadDone,
+            Served => Outcome::Served,
+            TurnedAway => Outcome::TurnedAway,
+            StateGone => Outcome::StateLost,
+            GoneUnmarked | Unmarked | Error => Outcome::Failed,
+            Resets | NoEvents | BreaksOff => Outcome::ConnectionLost,
+            GivenUp | BoxClosesIdle => return None,
+        })
+    }
+}
+
+/// How many connections wait for the next request, at least and at most: an answer's tail may still be
+/// read beside the walk.
+#[derive(Clone, Copy, Debug, Default)]
+struct Kept {
+    least: u32,
+    most: u32,
+}
+
+impl Kept {
+    /// An attempt that opened so many new connections, and what it leaves.
+    fn after(self, opened: u32, what: Happens) -> Self {
+        let used = 1 - opened;
+        let (least, most) = match what {
+            // A stream without an event is no answer, but its connection has ended well.
+            Read | Served | NoEvents => (1, 1),
+            TurnedAway | StateGone | GoneUnmarked | Unmarked | Error => (0, 1),
+            Resets | BreaksOff | GivenUp | BoxClosesIdle => (0, 0),
+        };
+        Kept { least: self.least.saturating_sub(used) + least, most: self.most.saturating_sub(used) + most }
+    }
+}
+
+fn call() -> Call {
+    let target = Uri::from_static("/v1/chat/completions");
+    Call { method: Method::POST, target, headers: HeaderMap::new(), body: Bytes::from_static(b"{}") }
+}
+
+/// The attempt's whole way: up to the end of its stream, if it became one.
+async fn attempt(upstream: &Upstream) -> Outcome {
+    let reply = upstream.attempt(&Id::from("box"), &Id::from("id"), &call(), Duration::from_secs(5)).await;
+    match reply {
+        Reply::Read { .. } => Outcome::ReadDone,
+        Reply::Ended(outcome, _) => outcome,
+        Reply::Stream(mut events) => loop {
+            match std::future::poll_fn(|cx| events.poll_step(cx)).await {
+                Step::Data(_) => {}
+                Step::End => return Outcome::Served,
+                Step::Broken => return Outcome::ConnectionLost,
+            }
+        },
+    }
+}
+
+async fn walk(steps: Vec<Happens>) {
+    let mut stand_in = StandIn::start(READ).await;
+    let upstream = upstream(&[("box", 0, stand_in.address)]);
+    let (mut kept, mut attempts) = (Kept::default(), 0);
+    for what in steps {
+        if let BoxClosesIdle = what {
+            stand_in.close_all().await;
+            kept = Kept::default();
+            continue;
+        }
+        let accepted = *stand_in.accepted.lock().unwrap();
+        stand_in.next(what.does());
+        attempts += 1;
+        match what.outcome() {
+            Some(outcome) => assert_eq!(attempt(&upstream).await, outcome, "{what:?}"),
+            None => {
+                let waited = tokio::time::timeout(Duration::from_millis(20), attempt(&upstream)).await;
+                assert!(waited.is_err(), "{what:?}");
+                stand_in.given_up.recv().await.unwrap();
+            }
+        }
+        assert_eq!(stand_in.posts().len(), attempts, "every attempt reaches the box once: {what:?}");
+        let opened = *stand_in.accepted.lock().unwrap() - accepted;
+        assert!(opened <= 1, "{what:?}");
+        assert!(opened == 0 || kept.least == 0, "{what:?}: a kept connection was not used: {kept:?}");
+        assert!(opened == 1 || kept.most > 0, "{what:?}: no connection was opened: {kept:?}");
+        kept = kept.after(opened, what);
+    }
+}
+
+#[test]
+fn random_steps_follow_the_protocols_table() {
+    fn follows(steps: Vec<Happens>) -> bool {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(walk(steps));
+        true
+    }
+    let gen = Gen::from_size_and_seed(16, 0xb0c5);
+    QuickCheck::new().rng(gen).tests(60).quickcheck(follows as fn(Vec<Happens>) -> bool);
+}
+
+#[tokio::test]
+async fn a_connection_that_never_comes_up_is_no_attempt() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    assert_eq!(attempt(&upstream(&[("box", 0, address)])).await, Outcome::NoConnection);
+    assert_eq!(attempt(&upstream(&[])).await, Outcome::NoConnection, "an address that was never told");
+}
--- /dev/null
+++ b/daemon/tests/support/mod.rs
@@ -0,0 +1,371 @@
+//! What the socket tests share: stand-in boxes, clients and a conductor between them, all on loopback.
+#![allow(dead_code)]
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use frosttrail::setup::{settings, Names};
+use frosttrail::{Entry, Health, Id, ListForm, Settings};
+use frosttrail_core::{start, Clock, Conductor, MemberList, News, Parts};
+use frosttrail_daemon::config::ChatConfig;
+use frosttrail_daemon::front::chat::Chat;
+use frosttrail_daemon::front::platform::Platform;
+use frosttrail_daemon::front::{Listener, Service};
+use frosttrail_daemon::upstream::{Book, Limits, Upstream};
+use serde_json::{json, Value};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, Semaphore};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+pub const EVENT: &str =
+    "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"Table \"},\"finish_reason\":null}]}\n\n";
+pub const LAST: &str =
+    "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"booked\"},\"finish_reason\":\"stop\"}]}\n\n";
+pub const USAGE: &str =
+    "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":12,\"completion_tokens\":2,\"total_tokens\":14}}\n\n";
+pub const DONE: &str = "data: [DONE]\n\n";
+
+/// What a stand-in box does with the next request.
+#[derive(Clone, Debug)]
+pub enum Does {
+    /// Answers with this status, marked as turned away or not, and a body.
+    Says(u16, bool, &'static str),
+    /// Streams these events and the last chunk.
+    Streams(&'static [&'static str]),
+    /// Streams these events, then ends the connection without the last chunk.
+    BreaksAfter(&'static [&'static str]),
+    /// Streams these events, then says nothing more until the other side has closed.
+    StallsAfter(&'static [&'static str]),
+    /// Ends the connection once it has all of the request.
+    Resets,
+    /// Says nothing until the other side has closed.
+    Silent,
+}
+
+pub const READ: Does = Does::Says(202, false, "{\"cached_tokens\":0}");
+pub const WHOLE: Does = Does::Streams(&[EVENT, LAST, USAGE, DONE]);
+
+/// A request as a box got it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Got {
+    pub line: String,
+    pub head: String,
+    pub body: String,
+}
+
+/// A box whose answers are told beforehand; past them it repeats its usual one.
+pub struct StandIn {
+    pub address: SocketAddr,
+    pub got: Arc<Mutex<Vec<Got>>>,
+    pub accepted: Arc<Mutex<u32>>,
+    script: Arc<Mutex<VecDeque<Does>>>,
+    /// One message for each connection that the conductor closed in the midst of an answer.
+    pub given_up: mpsc::UnboundedReceiver<()>,
+    /// One message for each state that was let go of.
+    pub released: mpsc::UnboundedReceiver<()>,
+    closing: Arc<Mutex<CancellationToken>>,
+    connections: TaskTracker,
+}
+
+impl StandIn {
+    pub async fn start(usual: Does) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (gave_up, given_up) = mpsc::unbounded_channel();
+        let (release, released) = mpsc::unbounded_channel();
+        let (got, accepted, script) = <(Arc<Mutex<Vec<Got>>>, Arc<Mutex<u32>>, Arc<_>)>::default();
+        let (closing, connections) = (Arc::new(Mutex::new(CancellationToken::new())), TaskTracker::new());
+        let shared = Shared { usual, got, script, gave_up, release };
+        let stand_in = StandIn {
+            address,
+            got: shared.got.clone(),
+            accepted: accepted.clone(),
+            script: shared.script.clone(),
+            given_up,
+            released,
+            closing: closing.clone(),
+            connections: connections.clone(),
+        };
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                *accepted.lock().unwrap() += 1;
+                let (shared, closing) = (shared.clone(), closing.lock().unwrap().clone());
+                connections.spawn(async move {
+                    tokio::select! {
+                        () = closing.cancelled() => {}
+                        _ = shared.serve(stream) => {}
+                    }
+                });
+            }
+        });
+        stand_in
+    }
+
+    pub fn next(&self, does: Does) {
+        self.script.lock().unwrap().push_back(does);
+    }
+
+    /// Closes every connection there is.
+    pub async fn close_all(&self) {
+        std::mem::take(&mut *self.closing.lock().unwrap()).cancel();
+        self.connections.close();
+        self.connections.wait().await;
+        self.connections.reopen();
+    }
+
+    /// Requests, releases not counted.
+    pub fn posts(&self) -> Vec<Got> {
+        self.got.lock().unwrap().iter().filter(|g| g.line.starts_with("POST")).cloned().collect()
+    }
+}
+
+#[derive(Clone)]
+struct Shared {
+    usual: Does,
+    got: Arc<Mutex<Vec<Got>>>,
+    script: Arc<Mutex<VecDeque<Does>>>,
+    gave_up: mpsc::UnboundedSender<()>,
+    release: mpsc::UnboundedSender<()>,
+}
+
+impl Shared {
+    async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        let mut held = Vec::new();
+        while let Some(got) = request(&mut stream, &mut held).await? {
+            let deletes = got.line.starts_with("DELETE");
+            self.got.lock().unwrap().push(got);
+            if deletes {
+                stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await?;
+                let _ = self.release.send(());
+                continue;
+            }
+            let does = self.script.lock().unwrap().pop_front().unwrap_or_else(|| self.usual.clone());
+            match does {
+                Does::Says(status, turned_away, body) => {
+                    let mark = if turned_away { "x-turned-away: 1\r\n" } else { "" };
+                    let length = body.len();
+                    let text = format!("HTTP/1.1 {status} -\r\n{mark}content-length: {length}\r\n\r\n{body}");
+                    stream.write_all(text.as_bytes()).await?;
+                }
+                Does::Streams(events) => {
+                    chunks(&mut stream, events).await?;
+                    stream.write_all(b"0\r\n\r\n").await?;
+                }
+                Does::BreaksAfter(events) => return chunks(&mut stream, events).await,
+                Does::StallsAfter(events) => {
+                    chunks(&mut stream, events).await?;
+                    return self.until_closed(stream).await;
+                }
+                Does::Resets => return Ok(()),
+                Does::Silent => return self.until_closed(stream).await,
+            }
+        }
+        Ok(())
+    }
+
+    async fn until_closed(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        let mut byte = [0];
+        let _ = stream.read(&mut byte).await;
+        let _ = self.gave_up.send(());
+        Ok(())
+    }
+}
+
+async fn chunks(stream: &mut TcpStream, events: &[&str]) -> std::io::Result<()> {
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+    stream.write_all(head.as_bytes()).await?;
+    for event in events {
+        stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await?;
+    }
+    Ok(())
+}
+
+/// Reads one request; `None` at the connection's end.
+async fn request(stream: &mut TcpStream, held: &mut Vec<u8>) -> std::io::Result<Option<Got>> {
+    loop {
+        if let Some(end) = held.windows(4).position(|w| w == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&held[..end]).into_owned();
+            let length =
+                head.lines().find_map(|l| l.strip_prefix("content-length: ")?.parse().ok()).unwrap_or(0);
+            if held.len() >= end + 4 + length {
+                let rest = held.split_off(end + 4 + length);
+                let body = String::from_utf8_lossy(&held[end + 4..]).into_owned();
+                *held = rest;
+                let (line, head) = head.split_once("\r\n").unwrap_or((&head, ""));
+                return Ok(Some(Got { line: line.into(), head: head.into(), body }));
+            }
+        }
+        if stream.read_buf(held).await? == 0 {
+            return Ok(None);
+        }
+    }
+}
+
+struct Fixed(Option<News>);
+
+impl MemberList for Fixed {
+    async fn next(&mut self) -> Option<News> {
+        match self.0.take() {
+            Some(news) => Some(news),
+            None => std::future::pending().await,
+        }
+    }
+}
+
+/// The settings of a site with a repeatable class and one that must never run twice.
+pub fn setup() -> Value {
+    let grade = |name: &str, effect: &str| {
+        json!({"name": name, "slo": 3_000_000, "deadline": 8_000_000, "effect": effect, "late-share": 0.2,
+            "points": 1.0, "dedup-scope": "all", "dedup-window": 0})
+    };
+    json!({"balancers": 1, "grades": [grade("ask", "retryable"), grade("book", "fragile")],
+        "kinds": ["prefill", "decode"], "zones": ["z"], "zone": "z", "tenants": [], "tick": 2_000,
+        "limits": {"cancel": true, "max-attempts": 4, "parallel-tries": false, "may-probe": true,
+            "retry-after": true, "max-retry-after": 2_000_000, "connect-timeout": 250_000},
+        "membership-mode": "push", "over-share-worth": 0.1,
+        "rules": {"cold-from": 0.25, "drain-grace": 1_000_000, "fall": 2_000_000, "fall-multiple": 3.0,
+            "grace-to-answer": 8_000, "warm-within": 10_000_000},
+        "specifics": {"aim-us-per-1000-prompt-tokens": [40_000.0, 40_000.0], "holds-allowed": false,
+            "kind-role": ["read", "write"], "kv-tokens": [200_000, 150_000], "release": 1_000_000,
+            "resume": true, "self-prefill": false, "token-aim": [60_000.0, 80_000.0]}})
+}
+
+/// A conductor between stand-ins, with both fronts open.
+pub struct Site {
+    pub platform: SocketAddr,
+    pub chat: SocketAddr,
+    pub reader: StandIn,
+    pub writer: StandIn,
+    pub conductor: Conductor<Upstream>,
+    pub closing: CancellationToken,
+    pub connections: TaskTracker,
+}
+
+impl Site {
+    pub async fn start() -> Self {
+        let names = Arc::new(Names::new(&setup()).unwrap());
+        let settings = settings(&setup(), &names).unwrap();
+        let (reader, writer) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
+        let boxes = [("reader", 0, reader.address), ("writer", 1, writer.address)];
+        let conductor = conductor(&settings, &boxes);
+        let (closing, connections) = (CancellationToken::new(), TaskTracker::new());
+        let config = ChatConfig { listen: any(), models: vec!["chat".into()], class: 1, max_tokens: 400 };
+        Site {
+            platform: bind(Platform::new(conductor.clone(), names.clone()), &closing, &connections),
+            chat: bind(Chat::new(conductor.clone(), &settings, names, config), &closing, &connections),
+            reader,
+            writer,
+            conductor,
+            closing,
+            connections,
+        }
+    }
+}
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn bind(service: impl Service, closing: &CancellationToken, connections: &TaskTracker) -> SocketAddr {
+    let permits = Arc::new(Semaphore::new(16));
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let listener = Listener::bind(any(), permits, closing.clone(), connections.clone(), log).unwrap();
+    let address = listener.address().unwrap();
+    tokio::spawn(listener.run(Arc::new(service)));
+    address
+}
+
+pub fn upstream(boxes: &[(&str, usize, SocketAddr)]) -> Upstream {
+    let book = Arc::new(Book::default());
+    for (name, _, address) in boxes {
+        book.set(Id::from(*name), *address);
+    }
+    let connect_timeout = Duration::from_millis(250);
+    Upstream::new(book, Limits { connections: 16, connect_timeout, conn_idle: Duration::from_secs(30) })
+}
+
+fn conductor(settings: &Settings, boxes: &[(&str, usize, SocketAddr)]) -> Conductor<Upstream> {
+    let entry = |(name, kind, _): &(&str, usize, SocketAddr)| Entry {
+        worker: Id::from(*name),
+        cell: 0,
+        kind: *kind,
+        zone: 0,
+        started: 0,
+        health: Health::Up,
+    };
+    let entries = boxes.iter().map(entry).collect();
+    start(Parts {
+        settings: settings.clone(),
+        seed: 7,
+        clock: Clock::new(),
+        boxes: Arc::new(upstream(boxes)),
+        members: Fixed(Some(News { form: ListForm::Full, entries })),
+        log: slog::Logger::root(slog::Discard, slog::o!()),
+    })
+}
+
+/// What a client got: status, head, body, and whether the answer was whole.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(": "))
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap()
+    }
+}
+
+pub async fn send(to: SocketAddr, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    stream
+}
+
+pub fn post(path: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!("POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{headers}content-length: {length}\r\n\r\n{body}")
+}
+
+/// Sends a request and reads all that comes back.
+pub async fn exchange(to: SocketAddr, text: &str) -> Answer {
+    let mut stream = send(to, text).await;
+    let mut bytes = Vec::new();
+    // A break is a reset or an end; what came before it counts.
+    let _ = stream.read_to_end(&mut bytes).await;
+    answer(&String::from_utf8(bytes).unwrap())
+}
+
+fn answer(text: &str) -> Answer {
+    let (head, raw) = text.split_once("\r\n\r\n").unwrap_or_else(|| panic!("no head in {text:?}"));
+    let head = head.to_ascii_lowercase();
+    let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+    let chunked = head.contains("transfer-encoding: chunked");
+    let (body, whole) = if chunked { unchunk(raw) } else { (raw.to_string(), true) };
+    Answer { status, head, body, whole }
+}
+
+fn unchunk(mut raw: &str) -> (String, bool) {
+    let mut body = String::new();
+    while let Some((size, rest)) = raw.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).unwrap();
+        if size == 0 {
+            return (body, true);
+        }
+        let Some(chunk) = rest.get(..size) else { break };
+        body.push_str(chunk);
+        raw = rest.get(size + 2..).unwrap_or_default();
+    }
+    (body, false)
+}
