Answer all at SIGTERM, make room among idle clients, time attempts where writing is known

The module gets an event Closing: it answers what has not begun to stream, and what is out at a writer may have run, so a book fails. At 2.9 s the daemon says so; releases are waited for after that. - With all places taken by idle keep-alive connections, new clients waited until one timed out (90 s). Now those on which no request has come for longest are closed (daemon/src/front/clients.rs). - The core timed attempts and called each overdue one 'no answer', also one that was never written. The upstream now keeps that time, as it knows whether the last byte was written. Each has a test in daemon/tests/platform.rs or the models.

--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -7,7 +7,7 @@
 
 use frosttrail::{Facade, Health, Id, ListForm, Load, Outcome, Query, Report, Settings, Verdict, Verdicts};
 use slog::{debug, info, Logger};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
@@ -29,6 +29,10 @@
     Report(Id, Ticket, Report),
     News(News),
     Probed(Id, Outcome, Option<Load>),
+    /// The conductor is about to stop.
+    Close,
+    /// Dropped once all that was told before has been seen to.
+    Seen(oneshot::Sender<()>),
 }
 
 /// What a conductor is made of.
@@ -80,11 +84,18 @@
         *self.able.borrow()
     }
 
+    /// Answers every request that has not begun to stream: the conductor is about to stop.
+    pub fn close(&self) {
+        let _ = self.tell.send(Message::Close);
+    }
+
     /// Resolves once every release that was asked for has arrived or been given up. Requests must have
     /// ended before.
     pub async fn released(&self) {
         // What the last requests reported lies before this in the owner's inbox.
-        tokio::task::yield_now().await;
+        let (seen, all_seen) = oneshot::channel();
+        let _ = self.tell.send(Message::Seen(seen));
+        let _ = all_seen.await;
         self.releases.close();
         self.releases.wait().await;
         self.releases.reopen();
@@ -191,6 +202,11 @@
             }
             Message::Probed(worker, outcome, load) => self.facade.probed(now, worker, outcome, load),
             Message::News(news) => self.news(news),
+            Message::Close => self.facade.close(now),
+            Message::Seen(seen) => {
+                let _ = seen.send(());
+                return;
+            }
         };
         self.carry_out(verdicts);
     }
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use frosttrail::{Id, Load, Micros, Outcome, Query, Report, Verdict};
 use tokio::sync::mpsc;
-use tokio::time::timeout_at;
 
 use crate::owner::{Conductor, Message, Ticket};
 use crate::traits::{Boxes, Events, Reply, Step};
@@ -129,7 +128,7 @@
         Ok(Answer::Failed { last })
     }
 
-    /// One attempt, until it ends, its time is up, or the decisions end it.
+    /// One attempt, until it ends, by its time at the latest, or the decisions end it.
     async fn attempt(
         &self,
         seat: &mut Seat,
@@ -140,11 +139,9 @@
         let wait = Duration::from_micros(stop_at.saturating_sub(self.clock.now()));
         let reply = {
             let id = seat.id.clone();
-            let attempt = self.boxes.attempt(worker, &id, call, wait);
-            let attempt = timeout_at(self.clock.instant(stop_at), attempt);
             tokio::select! {
                 biased;
-                reply = attempt => reply.unwrap_or(Reply::Ended(Outcome::NoAnswer, None)),
+                reply = self.boxes.attempt(worker, &id, call, wait) => reply,
                 verdict = seat.verdicts.recv() => match verdict {
                     None | Some(Verdict::Cancel) => Reply::Ended(Outcome::CalledOff, None),
                     Some(verdict) => return Next::Verdict(verdict),
--- a/core/src/traits.rs
+++ b/core/src/traits.rs
@@ -48,8 +48,9 @@
     /// Answers.
     type Events: Events;
 
-    /// One attempt, never repeated: it resolves with the read's end, the first event or the outcome.
-    /// `wait` is how long the conductor will wait; keeping to it is the caller's part.
+    /// One attempt, never repeated: it resolves with the read's end, the first event or the outcome, and
+    /// after `wait` at the latest. Only the way to a box knows whether a request that was given up by then
+    /// had been written, and so whether it may run, so this clock is kept there.
     fn attempt(
         &self,
         worker: &Id,
--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -14,7 +14,7 @@
 use frosttrail_core::{CallError, Request, Step};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 type Answered = Result<Answer<Stream>, CallError>;
 
@@ -86,14 +86,14 @@
     type Call = ();
     type Events = Stream;
 
-    async fn attempt(&self, worker: &Id, id: &Id, _: &(), _: Duration) -> Reply<Stream> {
+    async fn attempt(&self, worker: &Id, id: &Id, _: &(), wait: Duration) -> Reply<Stream> {
         let out = Out::new(self, id);
         let (reply, replied) = oneshot::channel();
         self.with(|w| {
             w.sends.push(worker.clone());
             w.attempts.push(Attempt { worker: worker.clone(), reply });
         });
-        match replied.await {
+        match timeout(wait, replied).await.unwrap_or(Ok(Reply::Ended(Outcome::NoAnswer, None))) {
             Ok(Reply::Stream(mut stream)) => {
                 stream._out = Some(out);
                 Reply::Stream(stream)
--- a/daemon/src/front/chat/gather.rs
+++ b/daemon/src/front/chat/gather.rs
@@ -91,7 +91,8 @@
             let mut message = choice.message;
             message.entry("role").or_insert_with(|| json!("assistant"));
             message.entry("content").or_insert(Value::Null);
-            json!({"index": index, "message": message, "logprobs": null, "finish_reason": choice.finish_reason})
+            let finish = choice.finish_reason;
+            json!({"index": index, "message": message, "logprobs": null, "finish_reason": finish})
         };
         let choices: Vec<Value> = self.choices.into_iter().map(choice).collect();
         Ok(json!({
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -14,11 +14,11 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{debug, warn, Logger};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::body::FrontResponse;
+use super::clients::{Clients, Place};
 
 /// Connections that the kernel holds until they are accepted.
 const BACKLOG: u32 = 1_024;
@@ -41,7 +41,7 @@
 /// A bound socket whose connections are counted together with those of other listeners.
 pub struct Listener {
     socket: TcpListener,
-    permits: Arc<Semaphore>,
+    clients: Clients,
     closing: CancellationToken,
     connections: TaskTracker,
     log: Logger,
@@ -51,7 +51,7 @@
     /// Binds the address.
     pub fn bind(
         address: SocketAddr,
-        permits: Arc<Semaphore>,
+        clients: Clients,
         closing: CancellationToken,
         connections: TaskTracker,
         log: Logger,
@@ -60,7 +60,7 @@
         // A conductor that is started anew takes its address over from connections that linger.
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
-        Ok(Listener { socket: socket.listen(BACKLOG)?, permits, closing, connections, log })
+        Ok(Listener { socket: socket.listen(BACKLOG)?, clients, closing, connections, log })
     }
 
     /// Where it listens.
@@ -74,10 +74,10 @@
             let accepted = tokio::select! {
                 biased;
                 () = self.closing.cancelled() => return,
-                accepted = accept(&self.socket, self.permits.clone()) => accepted,
+                accepted = accept(&self.socket, &self.clients) => accepted,
             };
             match accepted {
-                Ok((stream, permit)) => self.serve(stream, permit, service.clone()),
+                Ok((stream, place)) => self.serve(stream, place, service.clone()),
                 Err(e) => {
                     warn!(self.log, "accept"; "why" => %e);
                     tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -86,14 +86,16 @@
         }
     }
 
-    fn serve<S: Service>(&self, stream: TcpStream, permit: OwnedSemaphorePermit, service: Arc<S>) {
+    fn serve<S: Service>(&self, stream: TcpStream, place: Place, service: Arc<S>) {
         let (closing, log) = (self.closing.clone(), self.log.clone());
         self.connections.spawn(async move {
-            let _permit = permit;
+            let (leave, place) = (place.leave(), Arc::new(place));
+            let used = place.clone();
             // Without it events would wait for the client's acknowledgement; it can only fail on a
             // connection that is no more.
             let _ = stream.set_nodelay(true);
             let answer = service_fn(move |request| {
+                used.used();
                 let service = service.clone();
                 async move { service.answer(request).await }
             });
@@ -106,11 +108,13 @@
             let mut connection = pin!(connection);
             let ended = tokio::select! {
                 ended = connection.as_mut() => ended,
-                () = closing.cancelled() => {
+                () = either(&closing, &leave) => {
+                    // Ends it at once, or after the answer under way.
                     connection.as_mut().graceful_shutdown();
                     connection.await
                 }
             };
+            drop(place);
             if let Err(e) = ended {
                 debug!(log, "connection"; "why" => %e);
             }
@@ -118,12 +122,15 @@
     }
 }
 
-/// The bound comes first: a connection that can't be served stays with the kernel.
-async fn accept(
-    socket: &TcpListener,
-    permits: Arc<Semaphore>,
-) -> std::io::Result<(TcpStream, OwnedSemaphorePermit)> {
-    let permit = permits.acquire_owned().await.map_err(std::io::Error::other)?;
+/// The next connection, once there is a place for it.
+async fn accept(socket: &TcpListener, clients: &Clients) -> std::io::Result<(TcpStream, Place)> {
     let (stream, _) = socket.accept().await?;
-    Ok((stream, permit))
+    Ok((stream, clients.place().await))
+}
+
+async fn either(one: &CancellationToken, other: &CancellationToken) {
+    tokio::select! {
+        () = one.cancelled() => {}
+        () = other.cancelled() => {}
+    }
 }
--- a/daemon/src/front/mod.rs
+++ b/daemon/src/front/mod.rs
@@ -2,9 +2,11 @@
 
 mod body;
 pub mod chat;
+mod clients;
 mod input;
 mod listener;
 pub mod platform;
 
 pub use body::FrontBody;
+pub use clients::Clients;
 pub use listener::{Listener, Service};
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -14,17 +14,19 @@
 use frosttrail_daemon::discovery::Discovery;
 use frosttrail_daemon::front::chat::Chat;
 use frosttrail_daemon::front::platform::Platform;
-use frosttrail_daemon::front::{Listener, Service};
+use frosttrail_daemon::front::{Clients, Listener, Service};
 use frosttrail_daemon::upstream::{Book, Limits, Upstream};
 use slog::{info, o, Drain, Logger};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::Semaphore;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 /// Clients and the front notice a planned end within this time, in which new ones are still taken.
 const NOTICE: Duration = Duration::from_millis(900);
-/// What has not ended this long after SIGTERM is given up: SIGKILL comes at 3.7 s or later.
+/// What has not begun to stream this long after SIGTERM gets its final answer,
+const ANSWER_ALL: Duration = Duration::from_millis(2_900);
+/// and streams are cut this long after it: SIGKILL comes at 3.7 s or later.
 const LAST: Duration = Duration::from_millis(3_400);
 /// Descriptors for all that is neither a client nor a box: log, timers, discovery, listeners.
 const SPARE_SOCKETS: usize = 48;
@@ -96,7 +98,7 @@
 
 /// The listeners' common ground.
 struct Doors {
-    clients: Arc<Semaphore>,
+    clients: Clients,
     closing: CancellationToken,
     connections: TaskTracker,
     accepting: TaskTracker,
@@ -108,7 +110,7 @@
         let (clients, closing) = (self.clients.clone(), self.closing.clone());
         let listener = Listener::bind(address, clients, closing, self.connections.clone(), self.log.clone())
             .map_err(|e| Fault::Bind(address, e))?;
-        info!(self.log, "listening"; "at" => %address);
+        info!(self.log, "listening"; "at" => %listener.address()?);
         self.accepting.spawn(listener.run(Arc::new(service)));
         Ok(())
     }
@@ -127,7 +129,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let each = (config.sockets - SPARE_SOCKETS) / 2;
     let doors = Doors {
-        clients: Arc::new(Semaphore::new(each)),
+        clients: Clients::new(each),
         closing: CancellationToken::new(),
         connections: TaskTracker::new(),
         accepting: TaskTracker::new(),
@@ -142,11 +144,22 @@
     terminate.recv().await;
     info!(log, "SIGTERM: closing");
     let orderly = async {
-        tokio::time::sleep(NOTICE).await;
+        sleep(NOTICE).await;
         doors.close().await;
         conductor.released().await;
     };
-    if tokio::time::timeout(LAST, orderly).await.is_err() {
+    let answer_all = async {
+        sleep(ANSWER_ALL).await;
+        conductor.close();
+        std::future::pending::<()>().await;
+    };
+    let in_time = timeout(LAST, async {
+        tokio::select! {
+            () = orderly => {}
+            () = answer_all => {}
+        }
+    });
+    if in_time.await.is_err() {
         info!(log, "closed with requests open"; "connections" => doors.connections.len());
     }
     Ok(())
--- a/daemon/src/upstream/attempt.rs
+++ b/daemon/src/upstream/attempt.rs
@@ -14,8 +14,9 @@
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use serde::Deserialize;
+use tokio::time::timeout;
 
-use super::link::Link;
+use super::link::{Link, Written};
 use super::pool::{Pool, BODY_MOST};
 use super::Call;
 
@@ -26,17 +27,33 @@
 /// A load report.
 const PRESSURE: HeaderName = HeaderName::from_static("x-pressure");
 
-/// Makes one attempt. A kept connection that turns out to have closed before the request was written is
-/// replaced by a new one: the box has not seen the request, so this is still the first copy.
+/// Makes one attempt. Given up before the last byte was written, it never ran.
 pub(super) async fn attempt(pool: &Arc<Pool>, worker: &Id, call: &Call, wait: Duration) -> Reply<BoxEvents> {
+    let written = Written::default();
+    match timeout(wait, run(pool, worker, call, wait, &written)).await {
+        Ok(reply) => reply,
+        Err(_) if written.is_whole() => Reply::Ended(Outcome::NoAnswer, None),
+        Err(_) => Reply::Ended(Outcome::NoConnection, None),
+    }
+}
+
+/// A kept connection that turns out to have closed before the request was written is replaced by a new
+/// one: the box has not seen the request, so this is still the first copy.
+async fn run(
+    pool: &Arc<Pool>,
+    worker: &Id,
+    call: &Call,
+    wait: Duration,
+    written: &Written,
+) -> Reply<BoxEvents> {
     if let Some(link) = pool.kept(worker).await {
-        match send(link, call, wait).await {
+        match send(link, call, wait, written).await {
             Err(Unanswered::NeverWritten) => {}
             sent => return outcome(pool, worker, sent).await,
         }
     }
     match pool.fresh(worker).await {
-        Some(link) => outcome(pool, worker, send(link, call, wait).await).await,
+        Some(link) => outcome(pool, worker, send(link, call, wait, written).await).await,
         None => Reply::Ended(Outcome::NoConnection, None),
     }
 }
@@ -49,16 +66,21 @@
     Reset,
 }
 
-async fn send(mut link: Link, call: &Call, wait: Duration) -> Result<(Link, Response<Incoming>), Unanswered> {
+async fn send(
+    mut link: Link,
+    call: &Call,
+    wait: Duration,
+    written: &Written,
+) -> Result<(Link, Response<Incoming>), Unanswered> {
     let mut request = Request::new(call.body.clone());
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.target.clone();
     *request.headers_mut() = call.headers.clone();
     request.headers_mut().insert(REMAINING, remaining(wait));
     request.headers_mut().entry(HOST).or_insert(HeaderValue::from_static("box"));
-    match link.send(request).await {
+    match link.send(request, written).await {
         Ok(answer) => Ok((link, answer)),
-        Err(_) if link.all_written() => Err(Unanswered::Reset),
+        Err(_) if written.is_whole() => Err(Unanswered::Reset),
         Err(_) => Err(Unanswered::NeverWritten),
     }
 }
--- a/daemon/src/upstream/calls.rs
+++ b/daemon/src/upstream/calls.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::time::timeout;
 
-use super::link::Link;
+use super::link::{Link, Written};
 use super::pool::{Pool, BODY_MOST};
 
 /// A probe that has not come back by then tells that the box does not answer.
@@ -24,12 +24,12 @@
 /// Sends a call that may be repeated at will: on a kept connection, then on a new one.
 async fn call(pool: &Pool, worker: &Id, method: &Method, target: &str) -> Option<(Link, Response<Incoming>)> {
     if let Some(mut link) = pool.kept(worker).await {
-        if let Ok(answer) = link.send(request(method.clone(), target.into())?).await {
+        if let Ok(answer) = link.send(request(method.clone(), target.into())?, &Written::default()).await {
             return Some((link, answer));
         }
     }
     let mut link = pool.fresh(worker).await?;
-    let answer = link.send(request(method.clone(), target.into())?).await.ok()?;
+    let answer = link.send(request(method.clone(), target.into())?, &Written::default()).await.ok()?;
     Some((link, answer))
 }
 
--- a/daemon/src/upstream/link.rs
+++ b/daemon/src/upstream/link.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::task::{ready, Context, Poll};
 
 use bytes::Bytes;
@@ -18,43 +18,54 @@
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
-/// How far the request that is out has got. A box starts on a request with its last byte, so this tells
-/// a request that never ran from one that may have.
+use super::lock;
+
+/// How far one request has got. A box starts on a request with its last byte, so this tells a request
+/// that never ran from one that may have.
+#[derive(Clone, Default)]
+pub(super) struct Written(Arc<Progress>);
+
 #[derive(Default)]
 struct Progress {
     /// The library has taken all of the body.
     taken: AtomicBool,
-    /// Bytes have gone to the socket since.
+    /// Bytes have gone to the socket since the request was handed over.
     wrote: AtomicBool,
     /// Nothing was left to write after both.
-    done: AtomicBool,
+    whole: AtomicBool,
 }
 
-impl Progress {
-    fn arm(&self, empty: bool) {
-        self.taken.store(empty, Ordering::Relaxed);
-        self.wrote.store(false, Ordering::Relaxed);
-        self.done.store(false, Ordering::Relaxed);
+impl Written {
+    /// Whether the last byte has been written.
+    pub(super) fn is_whole(&self) -> bool {
+        self.0.whole.load(Ordering::Relaxed)
+    }
+
+    fn taken(&self) {
+        self.0.taken.store(true, Ordering::Relaxed);
     }
 
     fn wrote(&self, bytes: usize) {
         if bytes > 0 {
-            self.wrote.store(true, Ordering::Relaxed);
+            self.0.wrote.store(true, Ordering::Relaxed);
         }
     }
 
     /// The library flushes only what it has written whole.
     fn flushed(&self) {
-        if self.taken.load(Ordering::Relaxed) && self.wrote.load(Ordering::Relaxed) {
-            self.done.store(true, Ordering::Relaxed);
+        if self.0.taken.load(Ordering::Relaxed) && self.0.wrote.load(Ordering::Relaxed) {
+            self.0.whole.store(true, Ordering::Relaxed);
         }
     }
 }
 
+/// The request that a connection carries at the moment.
+type Carried = Arc<Mutex<Written>>;
+
 /// A request's body that notes when it has been taken.
 pub(super) struct Outgoing {
     bytes: Option<Bytes>,
-    progress: Arc<Progress>,
+    written: Written,
 }
 
 impl Body for Outgoing {
@@ -68,7 +79,7 @@
         let this = self.get_mut();
         let bytes = this.bytes.take();
         if bytes.is_some() {
-            this.progress.taken.store(true, Ordering::Relaxed);
+            this.written.taken();
         }
         Poll::Ready(bytes.map(|b| Ok(Frame::data(b))))
     }
@@ -85,7 +96,7 @@
 /// The socket, which notes what is written.
 struct Wire {
     io: TokioIo<TcpStream>,
-    progress: Arc<Progress>,
+    carried: Carried,
 }
 
 impl Read for Wire {
@@ -105,7 +116,7 @@
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
         let bytes = ready!(Pin::new(&mut self.io).poll_write(cx, buf))?;
-        self.progress.wrote(bytes);
+        lock(&self.carried).wrote(bytes);
         Poll::Ready(Ok(bytes))
     }
 
@@ -115,7 +126,7 @@
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
         let bytes = ready!(Pin::new(&mut self.io).poll_write_vectored(cx, bufs))?;
-        self.progress.wrote(bytes);
+        lock(&self.carried).wrote(bytes);
         Poll::Ready(Ok(bytes))
     }
 
@@ -125,7 +136,7 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
         ready!(Pin::new(&mut self.io).poll_flush(cx))?;
-        self.progress.flushed();
+        lock(&self.carried).flushed();
         Poll::Ready(Ok(()))
     }
 
@@ -146,7 +157,7 @@
 /// A connection. Dropping it closes the socket, which gives up whatever is out on it.
 pub(super) struct Link {
     sender: SendRequest<Outgoing>,
-    progress: Arc<Progress>,
+    carried: Carried,
     _driver: AbortOnDropHandle<()>,
     _permit: OwnedSemaphorePermit,
     pub(super) idle_since: Instant,
@@ -157,8 +168,8 @@
     pub(super) async fn open(address: SocketAddr, permit: OwnedSemaphorePermit) -> Result<Self, LinkError> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let progress = Arc::new(Progress::default());
-        let wire = Wire { io: TokioIo::new(stream), progress: progress.clone() };
+        let carried = Carried::default();
+        let wire = Wire { io: TokioIo::new(stream), carried: carried.clone() };
         let (sender, connection) = handshake(wire).await?;
         let driver = tokio::spawn(async move {
             // How it ended shows in the answer that is out, or in the sender.
@@ -166,7 +177,7 @@
         });
         Ok(Link {
             sender,
-            progress,
+            carried,
             _driver: AbortOnDropHandle::new(driver),
             _permit: permit,
             idle_since: Instant::now(),
@@ -178,17 +189,20 @@
         self.sender.is_ready()
     }
 
-    /// Sends a request, once. On an error [`Link::all_written`] tells whether it may have run.
-    pub(super) async fn send(&mut self, request: Request<Bytes>) -> Result<Response<Incoming>, hyper::Error> {
-        let progress = self.progress.clone();
-        let request =
-            request.map(|bytes| Outgoing { bytes: Some(bytes).filter(|b| !b.is_empty()), progress });
-        self.progress.arm(request.body().is_end_stream());
-        self.sender.send_request(request).await
-    }
-
-    /// Whether the last byte of the request that was sent has been written.
-    pub(super) fn all_written(&self) -> bool {
-        self.progress.done.load(Ordering::Relaxed)
+    /// Sends a request, once, and notes how far it gets.
+    pub(super) async fn send(
+        &mut self,
+        request: Request<Bytes>,
+        written: &Written,
+    ) -> Result<Response<Incoming>, hyper::Error> {
+        let (head, bytes) = request.into_parts();
+        let bytes = Some(bytes).filter(|b| !b.is_empty());
+        if bytes.is_none() {
+            written.taken();
+        }
+        *lock(&self.carried) = written.clone();
+        self.sender
+            .send_request(Request::from_parts(head, Outgoing { bytes, written: written.clone() }))
+            .await
     }
 }
--- /dev/null
+++ b/daemon/tests/platform.rs
@@ -0,0 +1,166 @@
+//! The platform's front, connections of clients, and the program itself, on loopback.
+
+mod support;
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::process::{Command, Stdio};
+
+use serde_json::{json, Value};
+use support::*;
+use tokio::io::AsyncReadExt;
+
+const PATH: &str = "/v1/chat/completions";
+const HEADERS: &str = "x-txn: t-1\r\nx-lane: book\r\nx-entity: s-1\r\nx-remaining: 4800m\r\n\
+    x-labels: prefix=5c0f,prompt_len=5120,prefix_len=2048,max_out=800\r\n";
+
+#[tokio::test]
+async fn method_path_query_body_and_id_pass_unchanged() {
+    let site = Site::start().await;
+    let answer = exchange(site.platform, &post(&format!("{PATH}?a=b%20c"), HEADERS, "{\"x\": 1}")).await;
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert_eq!(answer.body, [EVENT, LAST, USAGE, DONE].concat(), "all events, those of usage too");
+    for got in [site.reader.posts(), site.writer.posts()].concat() {
+        assert_eq!(got.line, format!("POST {PATH}?a=b%20c HTTP/1.1"));
+        assert_eq!(got.body, "{\"x\": 1}");
+        assert!(got.head.contains("x-txn: t-1") && got.head.contains("x-labels: prefix=5c0f"));
+        assert!(!got.head.contains("connection:") && !got.head.contains("4800m"), "{}", got.head);
+    }
+}
+
+#[tokio::test]
+async fn bad_input_gets_a_plain_message() {
+    let site = Site::start().await;
+    let without = |name: &str| {
+        let kept = HEADERS.split_inclusive("\r\n").filter(|h| !h.starts_with(name));
+        post(PATH, &kept.collect::<String>(), "{}")
+    };
+    let with = |from: &str, to: &str| post(PATH, &HEADERS.replace(from, to), "{}");
+    let cases = [
+        (without("x-txn"), 400, "X-Txn"),
+        (without("x-lane"), 400, "X-Lane"),
+        (with("4800m", "4800"), 400, "X-Remaining"),
+        (with("book", "nobody"), 400, "X-Lane"),
+        (with("prompt_len=5120", "prompt_len=many"), 400, "X-Labels"),
+        (post("/other", HEADERS, "{}"), 404, "path"),
+        (format!("PUT {PATH} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"), 405, "POST"),
+        (post(PATH, HEADERS, &"x".repeat(257 << 10)), 413, "256 KiB"),
+    ];
+    for (text, status, word) in cases {
+        let answer = exchange(site.platform, &text).await;
+        assert!(answer.status == status && answer.body.contains(word), "{answer:?}");
+    }
+    assert!(site.reader.posts().is_empty());
+}
+
+#[tokio::test]
+async fn an_id_that_is_in_use_is_turned_down_and_the_first_goes_on() {
+    let mut site = Site::start().await;
+    site.writer.next(Does::Silent);
+    let first = send(site.platform, &post(PATH, HEADERS, "{}")).await;
+    while site.writer.posts().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(exchange(site.platform, &post(PATH, HEADERS, "{}")).await.status, 400);
+    assert!(site.writer.given_up.try_recv().is_err(), "the first attempt is still out");
+    drop(first);
+    site.writer.given_up.recv().await.unwrap();
+}
+
+#[tokio::test]
+async fn idle_connections_make_room_for_new_ones() {
+    let site = Site::start().await;
+    let ready = "GET /_health HTTP/1.1\r\nhost: x\r\n\r\n";
+    let mut idle = Vec::new();
+    // More than there is room for.
+    for _ in 0..12 {
+        let mut stream = send(site.platform, ready).await;
+        let mut byte = [0];
+        assert_eq!(stream.read(&mut byte).await.unwrap(), 1);
+        idle.push(stream);
+    }
+    let mut rest = Vec::new();
+    idle[0].read_to_end(&mut rest).await.unwrap();
+    assert!(rest.ends_with(b"ready\n"), "the oldest was closed after its answer");
+}
+
+#[tokio::test]
+async fn closing_answers_what_has_not_begun_and_refuses_nothing_that_may_have_run() {
+    let mut site = Site::start().await;
+    site.writer.next(Does::Silent);
+    let book = tokio::spawn({
+        let (to, text) = (site.platform, post(PATH, HEADERS, "{}"));
+        async move { exchange(to, &text).await }
+    });
+    while site.writer.posts().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    site.closing.cancel();
+    site.conductor.close();
+    assert_eq!(book.await.unwrap().status, 502);
+    site.writer.given_up.recv().await.unwrap();
+    site.connections.close();
+    site.connections.wait().await;
+    site.conductor.released().await;
+    site.writer.released.recv().await.unwrap();
+}
+
+/// The program with this configuration, which waits in a folder of its own.
+fn program(name: &str, config: &str) -> Command {
+    let file = std::env::temp_dir().join(format!("frosttrail-{name}-{}.json", std::process::id()));
+    std::fs::File::create(&file).unwrap().write_all(config.as_bytes()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_frosttrail"));
+    command.env("EDGE_CONFIG", file).stderr(Stdio::piped());
+    command
+}
+
+fn config(listen: &str, discovery: &str) -> Value {
+    let target = json!({"uid": "s-1", "endpoint": "127.0.0.1:9", "az": "z", "model": "prefill",
+        "pod_group": 0, "state": "active", "capacity_hint": 1.0, "boot_ms": 0});
+    json!({"name": "n1", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"rev": 1, "all": true, "targets": [target]}, "settings": setup()})
+}
+
+#[test]
+fn bad_configuration_is_one_line_and_exit_2() {
+    let good = config("127.0.0.1:1", "127.0.0.1:9");
+    let without = |key: &str| {
+        let mut config = good.clone();
+        config.as_object_mut().unwrap().remove(key);
+        config
+    };
+    let mut few = good.clone();
+    few["limits"]["sockets"] = json!(10);
+    let mut unset = good.clone();
+    unset["settings"]["rules"].as_object_mut().unwrap().remove("fall");
+    let cases =
+        [(without("listen"), "listen"), (few, "limits.sockets"), (unset, "rules.fall"), (json!(7), "struct")];
+    for (at, (config, word)) in cases.into_iter().enumerate() {
+        let output = program(&format!("bad-{at}"), &config.to_string()).output().unwrap();
+        let text = String::from_utf8(output.stderr).unwrap();
+        assert_eq!((output.status.code(), text.lines().count()), (Some(2), 1), "{text}");
+        assert!(text.starts_with("frosttrail: ") && text.contains(word), "{text}");
+    }
+    let usage = program("usage", "{}").arg("--what").output().unwrap();
+    assert_eq!(usage.status.code(), Some(2));
+}
+
+#[tokio::test]
+async fn sigterm_is_followed_by_new_connections_served_and_a_clean_end() {
+    // Any free port; its log tells which. The discovery that it names answers nothing.
+    let config = config("127.0.0.1:0", "127.0.0.1:9").to_string();
+    let mut child = program("term", &config).spawn().unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
+    let listen = log.find_map(|line| {
+        let at = line.unwrap().split_once("listening, at: ")?.1.to_string();
+        at.split(',').next()?.trim().parse().ok()
+    });
+    let listen: SocketAddr = listen.unwrap();
+    let ready = "GET /_health HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    assert_eq!(exchange(listen, ready).await.status, 200);
+    assert!(Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap().success());
+    assert_eq!(exchange(listen, ready).await.status, 200, "new connections are served for a while");
+    let status = tokio::task::spawn_blocking(move || child.wait()).await.unwrap().unwrap();
+    assert_eq!(status.code(), Some(0));
+}
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -12,12 +12,12 @@
 use frosttrail_daemon::config::ChatConfig;
 use frosttrail_daemon::front::chat::Chat;
 use frosttrail_daemon::front::platform::Platform;
-use frosttrail_daemon::front::{Listener, Service};
+use frosttrail_daemon::front::{Clients, Listener, Service};
 use frosttrail_daemon::upstream::{Book, Limits, Upstream};
 use serde_json::{json, Value};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, Semaphore};
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -271,9 +271,8 @@
 }
 
 fn bind(service: impl Service, closing: &CancellationToken, connections: &TaskTracker) -> SocketAddr {
-    let permits = Arc::new(Semaphore::new(16));
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let listener = Listener::bind(any(), permits, closing.clone(), connections.clone(), log).unwrap();
+    let listener = Listener::bind(any(), Clients::new(8), closing.clone(), connections.clone(), log).unwrap();
     let address = listener.address().unwrap();
     tokio::spawn(listener.run(Arc::new(service)));
     address
@@ -335,7 +334,8 @@
 
 pub fn post(path: &str, headers: &str, body: &str) -> String {
     let length = body.len();
-    format!("POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{headers}content-length: {length}\r\n\r\n{body}")
+    let head = format!("POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{headers}");
+    format!("{head}content-length: {length}\r\n\r\n{body}")
 }
 
 /// Sends a request and reads all that comes back.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -244,6 +244,7 @@
                 self.result(&id, attempt, outcome, elapsed, kept_tokens, finished, out);
             }
             Event::ClientGone { id } => self.end(&id, false, out),
+            Event::Closing => self.close(out),
             Event::Bell { token } if token == self.bell => {
                 self.sweep(out);
                 self.ring(out);
@@ -540,6 +541,21 @@
         request.phase = Phase::Done;
     }
 
+    /// Answers all that has not begun to stream; what is out at a writer may have run.
+    fn close(&mut self, out: &mut Vec<Action>) {
+        let open = |r: &&mut Request| !matches!(r.phase, Phase::Streaming | Phase::Done);
+        let mut ids = Vec::new();
+        for request in self.requests.values_mut().filter(open) {
+            if request.phase == Phase::Writing {
+                request.ran = request.ran.or(request.out.map(|(w, sent, _)| (w, sent)));
+            }
+            ids.push(request.query.id.clone());
+        }
+        for id in ids {
+            self.end(&id, true, out);
+        }
+    }
+
     fn class(&self, request: &Request) -> &Class {
         &self.settings.classes[request.query.class]
     }
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -117,6 +117,11 @@
         self.handle(now, Event::Members { form, entries })
     }
 
+    /// The caller is about to stop: answers every request that has not begun to stream.
+    pub fn close(&mut self, now: Micros) -> Verdicts {
+        self.handle(now, Event::Closing)
+    }
+
     /// A probe came back.
     pub fn probed(&mut self, now: Micros, worker: Id, outcome: Outcome, load: Option<Load>) -> Verdicts {
         self.handle(now, Event::Probed { worker, outcome, load })
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -300,6 +300,8 @@
         /// The worker's load report, if one came along.
         load: Option<Load>,
     },
+    /// The router is about to stop: each request that has not begun to stream is owed its answer now.
+    Closing,
     /// A timer that was asked for.
     Bell {
         /// Its token.
