--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -382,3 +382,33 @@
     let gen = Gen::from_size_and_seed(24, 0x5eed);
     QuickCheck::new().rng(gen).tests(400).quickcheck(keeps as fn(bool, Vec<Happens>) -> bool);
 }
+
+#[test]
+fn the_handle_serves_as_a_plug_in_of_an_rpc_library() {
+    /// What such a library asks of a client.
+    async fn through<S>(mut service: S) -> S::Response
+    where
+        S: tower_service::Service<Request<()>, Error = CallError>,
+    {
+        poll_fn(|cx| service.poll_ready(cx)).await.unwrap();
+        service.call(Request { query: query("id-1", 1), call: () }).await.unwrap()
+    }
+    paused(async {
+        let table = Table::default();
+        let answer = tokio::spawn(through(conductor(&table)));
+        let mut model = Model::default();
+        for what in [Happens::ReadDone, Happens::First] {
+            settle().await;
+            model.step(&table, what);
+        }
+        let Answer::Served(mut events) = answer.await.unwrap() else { panic!("not served") };
+        model.step(&table, Happens::More);
+        model.step(&table, Happens::End);
+        let first = poll_fn(|cx| events.poll_next(cx)).await.unwrap().unwrap();
+        assert_eq!(&first[..], b"data: x\n\n");
+        assert!(poll_fn(|cx| events.poll_next(cx)).await.is_none());
+        drop(events);
+        settle().await;
+        assert_eq!(table.with(|w| (w.sends.len(), w.out[&Id::from("id-1")], w.releases)), (2, 0, 0));
+    });
+}
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use frosttrail::setup::{self, Names, SetupError};
 use frosttrail::Settings;
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -28,9 +30,9 @@
     /// The settings lack something.
     #[error("{0}: settings: {1}")]
     Settings(PathBuf, SetupError),
-    /// The chat front's file is not what it should be.
+    /// A file of ours under `deploy/` is not what it should be.
     #[error("{0}: {1}")]
-    Chat(PathBuf, String),
+    Deploy(PathBuf, String),
     /// Too few descriptors to serve anything.
     #[error("{0}: limits.sockets: {1} are too few, {MIN_SOCKETS} are needed")]
     Sockets(PathBuf, usize),
@@ -130,20 +132,49 @@
     pub max_tokens: u64,
 }
 
+/// Reads a file of ours under `deploy/`.
+fn deploy_file<T: DeserializeOwned>(path: &Path) -> Result<T, ConfigError> {
+    let at = || path.to_path_buf();
+    let text = std::fs::read_to_string(path).map_err(|e| ConfigError::Unreadable(at(), e))?;
+    // One line for whoever started it: the message without the excerpt that goes with it.
+    let wrong = |e: toml::de::Error| ConfigError::Deploy(at(), e.message().replace('\n', " "));
+    toml::from_str(&text).map_err(wrong)
+}
+
 impl ChatConfig {
     /// Reads the file; its class is one of the settings' own.
     pub fn read(path: &Path, names: &Names) -> Result<Self, ConfigError> {
-        let at = || path.to_path_buf();
-        let text = std::fs::read_to_string(path).map_err(|e| ConfigError::Unreadable(at(), e))?;
-        // One line for whoever started it: the message without the excerpt that goes with it.
-        let wrong = |e: toml::de::Error| ConfigError::Chat(at(), e.message().replace('\n', " "));
-        let file: ChatFile = toml::from_str(&text).map_err(wrong)?;
+        let file: ChatFile = deploy_file(path)?;
         let class = setup::index(names.classes(), &file.class, "class");
         Ok(ChatConfig {
             listen: file.listen,
             models: file.models,
-            class: class.map_err(|e| ConfigError::Chat(at(), e.to_string()))?,
+            class: class.map_err(|e| ConfigError::Deploy(path.to_path_buf(), e.to_string()))?,
             max_tokens: file.max_tokens,
         })
     }
 }
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct XdsFile {
+    server: SocketAddr,
+    refresh_ms: u64,
+}
+
+/// Where members come from in place of the platform's discovery.
+#[derive(Clone, Debug)]
+pub struct XdsConfig {
+    /// The server.
+    pub server: SocketAddr,
+    /// How often it is asked.
+    pub refresh: Duration,
+}
+
+impl XdsConfig {
+    /// Reads the file.
+    pub fn read(path: &Path) -> Result<Self, ConfigError> {
+        let XdsFile { server, refresh_ms } = deploy_file(path)?;
+        Ok(XdsConfig { server, refresh: Duration::from_millis(refresh_ms.max(1)) })
+    }
+}
--- /dev/null
+++ b/daemon/src/discovery/mod.rs
@@ -0,0 +1,8 @@
+//! Where the list of members comes from: the platform's discovery, or a server that speaks Envoy's xDS.
+
+mod http;
+mod platform;
+mod xds;
+
+pub use platform::{Discovery, Listing};
+pub use xds::Xds;
--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery/platform.rs
@@ -10,23 +10,19 @@
 use frosttrail::setup::{index, Names, SetupError};
 use frosttrail::{Entry, Health, Id, ListForm};
 use frosttrail_core::{Clock, MemberList, News};
-use http_body_util::{BodyExt, Empty};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper::{Method, StatusCode, Uri};
 use serde::Deserialize;
 use slog::{info, warn, Logger};
-use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
+use super::http::{call, Called, ListError};
 use crate::upstream::Book;
 
 /// The agent sends an empty line every 2 s; this long without a byte means that the watch is dead.
 const SILENCE: Duration = Duration::from_secs(5);
-/// The agent is on this machine: a call to it succeeds at once or not at all.
-const CALL: Duration = Duration::from_secs(1);
 /// Waits between watches: a little, doubling up to the most.
 const BACKOFF: Duration = Duration::from_millis(50);
 const BACKOFF_MOST: Duration = Duration::from_millis(800);
@@ -61,25 +57,6 @@
     Left,
 }
 
-/// Why a watch ended.
-#[derive(Debug, thiserror::Error)]
-enum WatchError {
-    #[error("no connection: {0}")]
-    Connect(std::io::Error),
-    #[error("http: {0}")]
-    Http(#[from] hyper::Error),
-    #[error("no answer in time")]
-    Silent,
-    #[error("status {0}")]
-    Status(StatusCode),
-    #[error("a line is too long")]
-    TooLong,
-    #[error("a line can't be read: {0}")]
-    Malformed(#[from] serde_json::Error),
-    #[error("it ended")]
-    Ended,
-}
-
 /// The platform's list of members.
 pub struct Discovery {
     agent: SocketAddr,
@@ -91,7 +68,7 @@
     rev: u64,
     known: Option<Listing>,
     watch: Option<Watch>,
-    /// Whether a watch has been asked for since the last line came.
+    /// How long to wait before the next watch, if the last has brought no line.
     backoff: Option<Duration>,
 }
 
@@ -125,13 +102,13 @@
     }
 
     /// The next line of the watch, which is opened where there is none.
-    async fn line(&mut self) -> Result<Listing, WatchError> {
+    async fn line(&mut self) -> Result<Listing, ListError> {
         if self.watch.is_none() {
             self.watch = Some(Watch::open(self.agent, self.rev).await?);
         }
         match &mut self.watch {
             Some(watch) => watch.next().await,
-            None => Err(WatchError::Ended),
+            None => Err(ListError::Ended),
         }
     }
 }
@@ -186,38 +163,25 @@
 }
 
 impl Watch {
-    async fn open(agent: SocketAddr, rev: u64) -> Result<Self, WatchError> {
-        let connect = timeout(CALL, TcpStream::connect(agent)).await.map_err(|_| WatchError::Silent)?;
-        let io = TokioIo::new(connect.map_err(WatchError::Connect)?);
-        let (mut sender, connection) = http1::handshake(io).await?;
-        let driver = AbortOnDropHandle::new(tokio::spawn(async move {
-            // How it ended shows in the body.
-            let _ = connection.await;
-        }));
-        let request = Request::get(format!("/catalog/members?stream=1&index={rev}"))
-            .header(hyper::header::HOST, agent.to_string())
-            .body(Empty::<Bytes>::new());
-        let request = match request {
-            Ok(request) => request,
-            Err(_) => return Err(WatchError::Ended),
-        };
-        let answer =
-            timeout(SILENCE, sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
-        match answer.status() {
+    async fn open(agent: SocketAddr, rev: u64) -> Result<Self, ListError> {
+        let target = format!("/catalog/members?stream=1&index={rev}");
+        let target = Uri::try_from(target).map_err(|_| ListError::Ended)?;
+        let Called { response, driver } = call(agent, Method::GET, target, Bytes::new(), SILENCE).await?;
+        match response.status() {
             StatusCode::OK => {
-                Ok(Watch { body: answer.into_body(), lines: Lines::default(), _driver: driver })
+                Ok(Watch { body: response.into_body(), lines: Lines::default(), _driver: driver })
             }
-            status => Err(WatchError::Status(status)),
+            status => Err(ListError::Status(status)),
         }
     }
 
-    async fn next(&mut self) -> Result<Listing, WatchError> {
+    async fn next(&mut self) -> Result<Listing, ListError> {
         loop {
             if let Some(line) = self.lines.pop() {
                 return Ok(serde_json::from_slice(&line)?);
             }
-            let frame = timeout(SILENCE, self.body.frame()).await.map_err(|_| WatchError::Silent)?;
-            let Some(frame) = frame else { return Err(WatchError::Ended) };
+            let frame = timeout(SILENCE, self.body.frame()).await.map_err(|_| ListError::Silent)?;
+            let Some(frame) = frame else { return Err(ListError::Ended) };
             if let Ok(data) = frame?.into_data() {
                 self.lines.push(&data)?;
             }
@@ -233,7 +197,7 @@
 }
 
 impl Lines {
-    fn push(&mut self, data: &[u8]) -> Result<(), WatchError> {
+    fn push(&mut self, data: &[u8]) -> Result<(), ListError> {
         self.part.extend_from_slice(data);
         while let Some(at) = self.part.iter().position(|b| *b == b'\n') {
             let line = self.part.split_to(at + 1).freeze();
@@ -242,7 +206,7 @@
             }
         }
         if self.part.len() > LINE_MOST {
-            return Err(WatchError::TooLong);
+            return Err(ListError::TooLong);
         }
         Ok(())
     }
--- a/daemon/src/front/clients.rs
+++ b/daemon/src/front/clients.rs
@@ -13,7 +13,7 @@
 
 /// All clients' connections, of whichever front.
 #[derive(Clone)]
-pub struct Clients {
+pub(super) struct Clients {
     permits: Arc<Semaphore>,
     by_use: Arc<Mutex<ByUse>>,
 }
@@ -27,7 +27,7 @@
 
 impl Clients {
     /// Room for so many.
-    pub fn new(most: usize) -> Self {
+    pub(super) fn new(most: usize) -> Self {
         Clients { permits: Arc::new(Semaphore::new(most)), by_use: Arc::default() }
     }
 
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -8,11 +8,12 @@
 
 use frosttrail_core::Events;
 use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::Request;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use slog::{debug, warn, Logger};
+use slog::{debug, info, warn, Logger};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -38,46 +39,74 @@
     fn answer(&self, request: Request<Incoming>) -> impl Future<Output = FrontResponse<Self::Events>> + Send;
 }
 
-/// A bound socket whose connections are counted together with those of other listeners.
-pub struct Listener {
-    socket: TcpListener,
+/// What the listeners have in common: the bound on connections, and how far they are open.
+#[derive(Clone)]
+pub struct Doors {
     clients: Clients,
+    /// An end is planned: clients are told with each answer to come back on another connection.
+    leaving: CancellationToken,
+    /// Nothing more is accepted, and each connection ends once it has no request.
     closing: CancellationToken,
+    accepting: TaskTracker,
     connections: TaskTracker,
     log: Logger,
 }
 
-impl Listener {
-    /// Binds the address.
-    pub fn bind(
-        address: SocketAddr,
-        clients: Clients,
-        closing: CancellationToken,
-        connections: TaskTracker,
-        log: Logger,
-    ) -> std::io::Result<Self> {
+impl Doors {
+    /// Room for so many connections, on all listeners together.
+    pub fn new(most: usize, log: Logger) -> Self {
+        Doors {
+            clients: Clients::new(most),
+            leaving: CancellationToken::new(),
+            closing: CancellationToken::new(),
+            accepting: TaskTracker::new(),
+            connections: TaskTracker::new(),
+            log,
+        }
+    }
+
+    /// Listens, and serves what comes; the address is the one bound.
+    pub fn open<S: Service>(&self, address: SocketAddr, service: S) -> std::io::Result<SocketAddr> {
         let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         // A conductor that is started anew takes its address over from connections that linger.
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
-        Ok(Listener { socket: socket.listen(BACKLOG)?, clients, closing, connections, log })
+        let listener = socket.listen(BACKLOG)?;
+        let address = listener.local_addr()?;
+        info!(self.log, "listening"; "at" => %address);
+        self.accepting.spawn(self.clone().accept(listener, Arc::new(service)));
+        Ok(address)
     }
 
-    /// Where it listens.
-    pub fn address(&self) -> std::io::Result<SocketAddr> {
-        self.socket.local_addr()
+    /// The end is near: everything is served, but no connection beyond its next answer.
+    pub fn leave(&self) {
+        self.leaving.cancel();
+    }
+
+    /// Accepts nothing more; resolves once every request that has been taken is answered.
+    pub async fn close(&self) {
+        self.closing.cancel();
+        for tasks in [&self.accepting, &self.connections] {
+            tasks.close();
+            tasks.wait().await;
+        }
     }
 
-    /// Accepts until it is told to close; each connection then ends once it has no request.
-    pub async fn run<S: Service>(self, service: Arc<S>) {
+    /// Connections that have not ended.
+    pub fn connections(&self) -> usize {
+        self.connections.len()
+    }
+
+    async fn accept<S: Service>(self, listener: TcpListener, service: Arc<S>) {
         loop {
             let accepted = tokio::select! {
                 biased;
+                accepted = listener.accept() => accepted,
+                // Only once none is left with the kernel: what is written to those counts as taken.
                 () = self.closing.cancelled() => return,
-                accepted = accept(&self.socket, &self.clients) => accepted,
             };
             match accepted {
-                Ok((stream, place)) => self.serve(stream, place, service.clone()),
+                Ok((stream, _)) => self.serve(stream, self.clients.place().await, service.clone()),
                 Err(e) => {
                     warn!(self.log, "accept"; "why" => %e);
                     tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -87,7 +116,7 @@
     }
 
     fn serve<S: Service>(&self, stream: TcpStream, place: Place, service: Arc<S>) {
-        let (closing, log) = (self.closing.clone(), self.log.clone());
+        let (closing, leaving, log) = (self.closing.clone(), self.leaving.clone(), self.log.clone());
         self.connections.spawn(async move {
             let (leave, place) = (place.leave(), Arc::new(place));
             let used = place.clone();
@@ -96,8 +125,14 @@
             let _ = stream.set_nodelay(true);
             let answer = service_fn(move |request| {
                 used.used();
-                let service = service.clone();
-                async move { service.answer(request).await }
+                let (service, leaving) = (service.clone(), leaving.clone());
+                async move {
+                    let mut answer = service.answer(request).await?;
+                    if leaving.is_cancelled() {
+                        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                    }
+                    FrontResponse::Ok(answer)
+                }
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
@@ -122,12 +157,6 @@
     }
 }
 
-/// The next connection, once there is a place for it.
-async fn accept(socket: &TcpListener, clients: &Clients) -> std::io::Result<(TcpStream, Place)> {
-    let (stream, _) = socket.accept().await?;
-    Ok((stream, clients.place().await))
-}
-
 async fn either(one: &CancellationToken, other: &CancellationToken) {
     tokio::select! {
         () = one.cancelled() => {}
--- a/daemon/src/front/mod.rs
+++ b/daemon/src/front/mod.rs
@@ -8,5 +8,4 @@
 pub mod platform;
 
 pub use body::FrontBody;
-pub use clients::Clients;
-pub use listener::{Listener, Service};
+pub use listener::{Doors, Service};
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -10,17 +10,15 @@
 use std::time::Duration;
 
 use frosttrail_core::{start, Clock, Conductor, Parts};
-use frosttrail_daemon::config::{ChatConfig, Config, ConfigError};
-use frosttrail_daemon::discovery::Discovery;
+use frosttrail_daemon::config::{ChatConfig, Config, ConfigError, XdsConfig};
+use frosttrail_daemon::discovery::{Discovery, Xds};
 use frosttrail_daemon::front::chat::Chat;
 use frosttrail_daemon::front::platform::Platform;
-use frosttrail_daemon::front::{Clients, Listener, Service};
+use frosttrail_daemon::front::Doors;
 use frosttrail_daemon::upstream::{Book, Limits, Upstream};
 use slog::{info, o, Drain, Logger};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::time::{sleep, timeout};
-use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
 /// Clients and the front notice a planned end within this time, in which new ones are still taken.
 const NOTICE: Duration = Duration::from_millis(900);
@@ -31,7 +29,7 @@
 /// Descriptors for all that is neither a client nor a box: log, timers, discovery, listeners.
 const SPARE_SOCKETS: usize = 48;
 
-const USAGE: &str = "usage: frosttrail [--chat FILE]";
+const USAGE: &str = "usage: frosttrail [--chat FILE] [--xds FILE]";
 
 /// Why the daemon ends otherwise than well.
 #[derive(Debug, thiserror::Error)]
@@ -66,22 +64,36 @@
     }
 }
 
-/// The file that switches the chat front on, if one is named.
-fn chat_file(mut args: impl Iterator<Item = OsString>) -> Result<Option<PathBuf>, Fault> {
-    match (args.next(), args.next(), args.next()) {
-        (None, ..) => Ok(None),
-        (Some(flag), Some(file), None) if flag == "--chat" => Ok(Some(file.into())),
-        _ => Err(Fault::Usage),
+/// The files that switch parts on.
+#[derive(Default)]
+struct Options {
+    chat: Option<PathBuf>,
+    xds: Option<PathBuf>,
+}
+
+impl Options {
+    fn read(mut args: impl Iterator<Item = OsString>) -> Result<Self, Fault> {
+        let mut options = Options::default();
+        while let Some(flag) = args.next() {
+            let slot = match flag.to_str() {
+                Some("--chat") => &mut options.chat,
+                Some("--xds") => &mut options.xds,
+                _ => return Err(Fault::Usage),
+            };
+            *slot = Some(args.next().ok_or(Fault::Usage)?.into());
+        }
+        Ok(options)
     }
 }
 
 fn begin() -> Result<(), Fault> {
-    let chat = chat_file(std::env::args_os().skip(1))?;
+    let options = Options::read(std::env::args_os().skip(1))?;
     let config = Config::from_env()?;
-    let chat = chat.map(|file| ChatConfig::read(&file, &config.names)).transpose()?;
+    let chat = options.chat.map(|file| ChatConfig::read(&file, &config.names)).transpose()?;
+    let xds = options.xds.map(|file| XdsConfig::read(&file)).transpose()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let (log, _guard) = logger(&config.name);
-    runtime.block_on(run(config, chat, log))
+    runtime.block_on(run(config, chat, xds, log))
 }
 
 /// A log that never holds the program up: lines that find no room are counted and dropped.
@@ -96,53 +108,26 @@
     (Logger::root(drain.fuse(), o!("name" => name.to_string())), guard)
 }
 
-/// The listeners' common ground.
-struct Doors {
-    clients: Clients,
-    closing: CancellationToken,
-    connections: TaskTracker,
-    accepting: TaskTracker,
+async fn run(
+    config: Config,
+    chat: Option<ChatConfig>,
+    xds: Option<XdsConfig>,
     log: Logger,
-}
-
-impl Doors {
-    fn open<S: Service>(&self, address: SocketAddr, service: S) -> Result<(), Fault> {
-        let (clients, closing) = (self.clients.clone(), self.closing.clone());
-        let listener = Listener::bind(address, clients, closing, self.connections.clone(), self.log.clone())
-            .map_err(|e| Fault::Bind(address, e))?;
-        info!(self.log, "listening"; "at" => %listener.address()?);
-        self.accepting.spawn(listener.run(Arc::new(service)));
-        Ok(())
-    }
-
-    /// Each request that has been taken is answered before this resolves.
-    async fn close(&self) {
-        self.closing.cancel();
-        for tasks in [&self.accepting, &self.connections] {
-            tasks.close();
-            tasks.wait().await;
-        }
-    }
-}
-
-async fn run(config: Config, chat: Option<ChatConfig>, log: Logger) -> Result<(), Fault> {
+) -> Result<(), Fault> {
     let mut terminate = signal(SignalKind::terminate())?;
     let each = (config.sockets - SPARE_SOCKETS) / 2;
-    let doors = Doors {
-        clients: Clients::new(each),
-        closing: CancellationToken::new(),
-        connections: TaskTracker::new(),
-        accepting: TaskTracker::new(),
-        log: log.clone(),
-    };
+    let doors = Doors::new(each, log.clone());
     let (listen, settings, names) = (config.listen, config.settings.clone(), Arc::new(config.names.clone()));
-    let conductor = conductor(config, each, &log);
-    doors.open(listen, Platform::new(conductor.clone(), names.clone()))?;
+    let conductor = conductor(config, xds, each, &log);
+    let bind = |address| move |e| Fault::Bind(address, e);
+    doors.open(listen, Platform::new(conductor.clone(), names.clone())).map_err(bind(listen))?;
     if let Some(chat) = chat {
-        doors.open(chat.listen, Chat::new(conductor.clone(), &settings, names, chat))?;
+        let listen = chat.listen;
+        doors.open(listen, Chat::new(conductor.clone(), &settings, names, chat)).map_err(bind(listen))?;
     }
     terminate.recv().await;
     info!(log, "SIGTERM: closing");
+    doors.leave();
     let orderly = async {
         sleep(NOTICE).await;
         doors.close().await;
@@ -160,12 +145,17 @@
         }
     });
     if in_time.await.is_err() {
-        info!(log, "closed with requests open"; "connections" => doors.connections.len());
+        info!(log, "closed with requests open"; "connections" => doors.connections());
     }
     Ok(())
 }
 
-fn conductor(config: Config, connections: usize, log: &Logger) -> Conductor<Upstream> {
+fn conductor(
+    config: Config,
+    xds: Option<XdsConfig>,
+    connections: usize,
+    log: &Logger,
+) -> Conductor<Upstream> {
     let clock = Clock::new();
     let book = Arc::new(Book::default());
     let limits = Limits {
@@ -174,7 +164,16 @@
         conn_idle: Duration::from_micros(config.settings.conn_idle),
     };
     let boxes = Arc::new(Upstream::new(book.clone(), limits));
-    let Config { discovery, known, names, settings, seed, .. } = config;
-    let members = Discovery::new(discovery, known, names, clock, book, log.clone());
-    start(Parts { settings, seed, clock, boxes, members, log: log.clone() })
+    let Config { name, discovery, known, names, settings, seed, .. } = config;
+    let log = log.clone();
+    match xds {
+        Some(xds) => {
+            let members = Xds::new(xds, name, names, clock, book, log.clone());
+            start(Parts { settings, seed, clock, boxes, members, log })
+        }
+        None => {
+            let members = Discovery::new(discovery, known, names, clock, book, log.clone());
+            start(Parts { settings, seed, clock, boxes, members, log })
+        }
+    }
 }
--- /dev/null
+++ b/daemon/tests/discovery.rs
@@ -0,0 +1,140 @@
+//! Where members come from, against stand-in servers on loopback.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use frosttrail::setup::Names;
+use frosttrail::{Health, Id, ListForm};
+use frosttrail_core::{Clock, MemberList, News};
+use frosttrail_daemon::config::XdsConfig;
+use frosttrail_daemon::discovery::{Discovery, Listing, Xds};
+use frosttrail_daemon::upstream::Book;
+use serde_json::{json, Value};
+use support::*;
+
+const EMPTY: &str = "\n";
+const LEAVES: &str =
+    "{\"rev\":8,\"all\":false,\"targets\":[{\"uid\":\"a\",\"endpoint\":\"127.0.0.1:7\",\"az\":\"z\",\
+    \"model\":\"decode\",\"pod_group\":3,\"state\":\"leaving\",\"capacity_hint\":1.0,\"boot_ms\":0}]}\n";
+const WHOLE_LIST: &str = "{\"rev\":9,\"all\":true,\"targets\":[]}\n";
+const HALF: &str = "{\"rev\":10,\"all\":true,";
+
+fn log() -> slog::Logger {
+    slog::Logger::root(slog::Discard, slog::o!())
+}
+
+fn names() -> Names {
+    Names::new(&setup()).unwrap()
+}
+
+fn known(kind: &str, boot_ms: u64) -> Listing {
+    let target = |uid: &str, model: &str| {
+        json!({"uid": uid, "endpoint": "127.0.0.1:9", "az": "z", "model": model, "pod_group": 3,
+            "state": "active", "capacity_hint": 1.0, "boot_ms": boot_ms})
+    };
+    let listing =
+        json!({"rev": 7, "all": true, "targets": [target("a", kind), target("b", "of the future")]});
+    serde_json::from_value(listing).unwrap()
+}
+
+fn states(news: &News) -> Vec<(&str, Health)> {
+    news.entries.iter().map(|e| (&*e.worker, e.health)).collect()
+}
+
+#[tokio::test]
+async fn the_watch_goes_on_from_the_version_held() {
+    let agent = StandIn::start(Does::Silent).await;
+    // The first watch brings a change and ends; the second a line that can't be read; the third a list.
+    agent.next(Does::BreaksAfter(&[EMPTY, LEAVES, EMPTY]));
+    agent.next(Does::Streams(&[HALF, "\n"]));
+    agent.next(Does::StallsAfter(&[WHOLE_LIST_PARTS.0, WHOLE_LIST_PARTS.1]));
+    let book = Arc::new(Book::default());
+    let mut list =
+        Discovery::new(agent.address, known("decode", 0), names(), Clock::new(), book.clone(), log());
+    let first = list.next().await.unwrap();
+    assert_eq!((first.form, states(&first)), (ListForm::WarmCopy, vec![("a", Health::Up)]));
+    assert_eq!((first.entries[0].kind, first.entries[0].cell, first.entries[0].started), (1, 3, 0));
+    let second = list.next().await.unwrap();
+    assert_eq!((second.form, states(&second)), (ListForm::Changes, vec![("a", Health::Draining)]));
+    assert_eq!(book.get(&Id::from("a")), Some(([127, 0, 0, 1], 7).into()), "its address has moved");
+    let third = list.next().await.unwrap();
+    assert_eq!((third.form, third.entries.len()), (ListForm::Full, 0));
+    let watched = |rev: u32| format!("GET /catalog/members?stream=1&index={rev} HTTP/1.1");
+    let lines: Vec<String> = agent.got.lock().unwrap().iter().map(|g| g.line.clone()).collect();
+    assert_eq!(lines, [watched(7), watched(8), watched(8)]);
+}
+
+/// A line may come in pieces.
+const WHOLE_LIST_PARTS: (&str, &str) = WHOLE_LIST.split_at(13);
+
+#[tokio::test(start_paused = true)]
+async fn a_start_on_the_wall_clock_stays_where_it_is() {
+    let clock = Clock::new();
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as u64;
+    let five_s_ago = clock.from_unix_ms(now - 5_000);
+    assert!(clock.now() - five_s_ago >= 4_900_000 && clock.now() - five_s_ago <= 5_100_000);
+    tokio::time::advance(Duration::from_secs(30)).await;
+    assert_eq!(clock.from_unix_ms(now - 5_000), five_s_ago, "else each list would look like a restart");
+    assert_eq!(clock.from_unix_ms(1), 0, "long ago");
+}
+
+fn resources(version: &str, resources: Value) -> &'static str {
+    let answer = json!({"version_info": version, "nonce": version, "resources": resources});
+    Box::leak(answer.to_string().into_boxed_str())
+}
+
+fn endpoint(port: u16, status: Value) -> Value {
+    json!({"endpoint": {"address": {"socket_address": {"address": "127.0.0.1", "port_value": port}}},
+        "health_status": status})
+}
+
+#[tokio::test]
+async fn clusters_and_endpoints_become_members_and_draining_drains() {
+    let server = StandIn::start(Does::Says(304, false, "")).await;
+    let inline = json!({"clusterName": "decode", "endpoints": [{"locality": {"zone": "z", "subZone": "r1"},
+        "lbEndpoints": [{"endpoint": {"hostname": "w-1",
+            "address": {"socketAddress": {"address": "127.0.0.1", "portValue": 21}}},
+            "metadata": {"filterMetadata": {"frosttrail": {"uid": "w", "cell": 4, "boot_ms": 1}}}}]}]});
+    let clusters = json!([
+        {"@type": "type.googleapis.com/envoy.config.cluster.v3.Cluster", "name": "readers", "type": "EDS",
+            "eds_cluster_config": {"service_name": "pool"},
+            "metadata": {"filter_metadata": {"frosttrail": {"kind": "prefill"}}}},
+        {"name": "decode", "type": "STATIC", "loadAssignment": inline},
+        {"name": "unrelated"}]);
+    let pool = |members: Value| {
+        json!([{"cluster_name": "pool",
+            "endpoints": [{"locality": {"zone": "z", "sub_zone": "r1"}, "lb_endpoints": members}]}])
+    };
+    let two = pool(json!([endpoint(11, json!("HEALTHY")), endpoint(12, json!(1))]));
+    let drains = pool(json!([endpoint(11, json!("DRAINING")), endpoint(12, json!("UNHEALTHY"))]));
+    server.next(Does::Says(200, false, resources("c1", clusters)));
+    server.next(Does::Says(200, false, resources("e1", two)));
+    // Nothing new; then a failure; then a drain.
+    server.next(Does::Says(304, false, ""));
+    server.next(Does::Says(304, false, ""));
+    server.next(Does::Says(500, false, ""));
+    server.next(Does::Says(304, false, ""));
+    server.next(Does::Says(200, false, resources("e2", drains)));
+    let config = XdsConfig { server: server.address, refresh: Duration::from_millis(1) };
+    let book = Arc::new(Book::default());
+    let mut list = Xds::new(config, "n1".into(), names(), Clock::new(), book.clone(), log());
+    let first = list.next().await.unwrap();
+    let up = [("127.0.0.1:11", Health::Up), ("127.0.0.1:12", Health::Up), ("w", Health::Up)];
+    assert_eq!((first.form, states(&first)), (ListForm::Full, up.to_vec()));
+    let kinds: Vec<_> = first.entries.iter().map(|e| e.kind).collect();
+    assert_eq!((kinds, first.entries[2].cell), (vec![0, 0, 1], 4));
+    assert_eq!(first.entries[0].cell, first.entries[1].cell);
+    assert_eq!(book.get(&Id::from("w")), Some(([127, 0, 0, 1], 21).into()));
+    let second = list.next().await.unwrap();
+    assert_eq!(states(&second)[..2], [("127.0.0.1:11", Health::Draining), ("127.0.0.1:12", Health::Gone)]);
+    let asked = server.posts();
+    assert_eq!(asked[0].line, "POST /v3/discovery:clusters HTTP/1.1");
+    assert_eq!(asked[1].line, "POST /v3/discovery:endpoints HTTP/1.1");
+    let body: Value = serde_json::from_str(&asked[3].body).unwrap();
+    assert_eq!(
+        (&body["version_info"], &body["resource_names"]),
+        (&json!("e1"), &json!(["pool", "unrelated"]))
+    );
+}
--- a/daemon/tests/platform.rs
+++ b/daemon/tests/platform.rs
@@ -95,12 +95,14 @@
     while site.writer.posts().is_empty() {
         tokio::task::yield_now().await;
     }
-    site.closing.cancel();
+    site.doors.leave();
     site.conductor.close();
     assert_eq!(book.await.unwrap().status, 502);
     site.writer.given_up.recv().await.unwrap();
-    site.connections.close();
-    site.connections.wait().await;
+    let ready = "GET /_health HTTP/1.1\r\nhost: x\r\n\r\n";
+    let last = exchange(site.platform, ready).await;
+    assert_eq!((last.status, last.header("connection")), (200, Some("close")), "served, and told to go");
+    site.doors.close().await;
     site.conductor.released().await;
     site.writer.released.recv().await.unwrap();
 }
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use frosttrail_daemon::config::ChatConfig;
 use frosttrail_daemon::front::chat::Chat;
 use frosttrail_daemon::front::platform::Platform;
-use frosttrail_daemon::front::{Clients, Listener, Service};
+use frosttrail_daemon::front::Doors;
 use frosttrail_daemon::upstream::{Book, Limits, Upstream};
 use serde_json::{json, Value};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -241,8 +241,7 @@
     pub reader: StandIn,
     pub writer: StandIn,
     pub conductor: Conductor<Upstream>,
-    pub closing: CancellationToken,
-    pub connections: TaskTracker,
+    pub doors: Doors,
 }
 
 impl Site {
@@ -252,16 +251,17 @@
         let (reader, writer) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
         let boxes = [("reader", 0, reader.address), ("writer", 1, writer.address)];
         let conductor = conductor(&settings, &boxes);
-        let (closing, connections) = (CancellationToken::new(), TaskTracker::new());
+        let doors = Doors::new(8, slog::Logger::root(slog::Discard, slog::o!()));
         let config = ChatConfig { listen: any(), models: vec!["chat".into()], class: 1, max_tokens: 400 };
+        let platform = Platform::new(conductor.clone(), names.clone());
+        let chat = Chat::new(conductor.clone(), &settings, names, config);
         Site {
-            platform: bind(Platform::new(conductor.clone(), names.clone()), &closing, &connections),
-            chat: bind(Chat::new(conductor.clone(), &settings, names, config), &closing, &connections),
+            platform: doors.open(any(), platform).unwrap(),
+            chat: doors.open(any(), chat).unwrap(),
             reader,
             writer,
             conductor,
-            closing,
-            connections,
+            doors,
         }
     }
 }
@@ -270,14 +270,6 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-fn bind(service: impl Service, closing: &CancellationToken, connections: &TaskTracker) -> SocketAddr {
-    let log = slog::Logger::root(slog::Discard, slog::o!());
-    let listener = Listener::bind(any(), Clients::new(8), closing.clone(), connections.clone(), log).unwrap();
-    let address = listener.address().unwrap();
-    tokio::spawn(listener.run(Arc::new(service)));
-    address
-}
-
 pub fn upstream(boxes: &[(&str, usize, SocketAddr)]) -> Upstream {
     let book = Arc::new(Book::default());
     for (name, _, address) in boxes {
