Advise chat clients in whole seconds and in milliseconds; test the facade by itself

Retry-After holds whole seconds in HTTP; the chat front gave decimals, which a strict client drops. It now rounds up, and gives the exact advice in retry-after-ms, which OpenAI's libraries read first. The platform's front keeps decimals, as its protocol allows them. tests/facade.rs covers numbering, leaving, closing, timers.

--- a/daemon/src/front/body.rs
+++ b/daemon/src/front/body.rs
@@ -3,13 +3,14 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use frosttrail_core::{AnswerStream, Broken, Events};
 
 use super::chat::ChatStream;
 use http_body::{Body, Frame, SizeHint};
-use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
 use hyper::{Response, StatusCode};
 
 /// The body of an answer.
@@ -74,12 +75,16 @@
     response
 }
 
-/// Tells the client when to come back, in seconds with their decimals; nothing where there is no advice.
-pub(super) fn advise<E: Events>(response: &mut Response<FrontBody<E>>, retry_after: std::time::Duration) {
-    if retry_after.is_zero() {
-        return;
-    }
-    if let Ok(value) = HeaderValue::try_from(format!("{:.3}", retry_after.as_secs_f64())) {
-        response.headers_mut().insert(RETRY_AFTER, value);
+/// Tells the client when to come back, in the words of its wire; nothing where there is no advice.
+pub(super) fn advise<E: Events>(
+    response: &mut Response<FrontBody<E>>,
+    name: HeaderName,
+    retry_after: Duration,
+    words: impl FnOnce(Duration) -> String,
+) {
+    if let Ok(value) = HeaderValue::try_from(words(retry_after)) {
+        if !retry_after.is_zero() {
+            response.headers_mut().insert(name, value);
+        }
     }
 }
--- a/daemon/src/front/chat/mod.rs
+++ b/daemon/src/front/chat/mod.rs
@@ -13,7 +13,7 @@
 use frosttrail::{Outcome, Settings};
 use frosttrail_core::{Answer, AnswerStream, Boxes, Broken, CallError, Conductor, Events};
 use hyper::body::Incoming;
-use hyper::header::{HeaderName, HeaderValue};
+use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::json;
 
@@ -31,6 +31,8 @@
 pub(super) const JSON: &str = "application/json";
 /// Tells a client's library not to repeat by itself what may have run.
 const SHOULD_RETRY: HeaderName = HeaderName::from_static("x-should-retry");
+/// The same advice as `Retry-After`, which holds whole seconds only, for libraries that read this first.
+const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("retry-after-ms");
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
 /// Translates the chat API.
@@ -80,7 +82,8 @@
             },
             Ok(Answer::Refused { retry_after }) => {
                 let mut refused = ApiError::refused(self.conductor.able()).response();
-                advise(&mut refused, retry_after);
+                advise(&mut refused, RETRY_AFTER, retry_after, |t| t.as_secs_f64().ceil().to_string());
+                advise(&mut refused, RETRY_AFTER_MS, retry_after, |t| t.as_millis().to_string());
                 refused.headers_mut().insert(SHOULD_RETRY, HeaderValue::from_static("true"));
                 refused
             }
--- a/daemon/src/front/platform.rs
+++ b/daemon/src/front/platform.rs
@@ -6,6 +6,7 @@
 use frosttrail::Query;
 use frosttrail_core::{Answer, Boxes, CallError, Conductor};
 use hyper::body::Incoming;
+use hyper::header::RETRY_AFTER;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 
 use super::body::{advise, events, whole, FrontBody, FrontResponse};
@@ -58,7 +59,7 @@
             Ok(Answer::Served(stream)) => events(FrontBody::Events(stream)),
             Ok(Answer::Refused { retry_after }) => {
                 let mut refused = whole(StatusCode::SERVICE_UNAVAILABLE, PLAIN, "refused: try again\n");
-                advise(&mut refused, retry_after);
+                advise(&mut refused, RETRY_AFTER, retry_after, |t| format!("{:.3}", t.as_secs_f64()));
                 refused
             }
             Ok(Answer::Failed { .. }) => whole(StatusCode::BAD_GATEWAY, PLAIN, "failed\n"),
--- a/daemon/tests/chat.rs
+++ b/daemon/tests/chat.rs
@@ -155,8 +155,10 @@
     site.reader.next(Does::Silent);
     let ask = exchange(site.chat, &ask("x-lane: ask\r\nx-remaining: 200m\r\n", true)).await;
     assert_eq!((ask.status, &ask.json()["error"]["code"]), (429, &json!("rate_limit_exceeded")));
-    let seconds: f64 = ask.header("retry-after").unwrap().parse().unwrap();
-    assert!(seconds > 0.0 && seconds <= 2.0);
+    // The advice of the decisions: at most 2 s by the settings; whole seconds are rounded up.
+    let advice = |name| ask.header(name).unwrap().parse::<u64>().unwrap();
+    let (seconds, ms) = (advice("retry-after"), advice("retry-after-ms"));
+    assert!(ms > 0 && ms <= 2_000 && seconds == ms.div_ceil(1_000), "{ask:?}");
 }
 
 #[tokio::test]
--- /dev/null
+++ b/tests/facade.rs
@@ -0,0 +1,95 @@
+//! The facade in blocking style: verdicts in order, attempts numbered, timers kept.
+
+mod support;
+
+use frosttrail::*;
+use support::{entry, query, MS, SEC};
+
+const NOW: Micros = 100 * SEC;
+
+fn facade(effect: Effect) -> Facade {
+    let mut settings = Settings::example();
+    settings.classes[0].effect = effect;
+    let mut facade = Facade::new(settings, 7);
+    facade.members(NOW, ListForm::Full, vec![entry("reader", 0), entry("writer", 1)]);
+    facade
+}
+
+fn ended(outcome: Outcome) -> Report {
+    Report::Ended { outcome, kept_tokens: 0, load: None }
+}
+
+/// The verdicts' kinds; a send by its worker.
+fn kinds(verdicts: &Verdicts) -> Vec<String> {
+    let kind = |(_, verdict): &(Id, Verdict)| match verdict {
+        Verdict::Send { worker, .. } => worker.to_string(),
+        other => format!("{other:?}").split(' ').next().unwrap_or_default().to_string(),
+    };
+    verdicts.requests.iter().map(kind).collect()
+}
+
+#[test]
+fn a_request_goes_its_way_by_reports() {
+    let (mut facade, id) = (facade(Effect::Unsafe), Id::from("a"));
+    assert_eq!(kinds(&facade.pick(NOW, query("a", 1_000)).unwrap()), ["reader"]);
+    assert!(facade.pick(NOW, query("a", 1_000)).is_none(), "the id is in use");
+    assert_eq!(kinds(&facade.report(NOW + 30 * MS, &id, ended(Outcome::ReadDone))), ["writer"]);
+    assert!(kinds(&facade.report(NOW + 50 * MS, &id, Report::Started)).is_empty());
+    assert!(kinds(&facade.report(NOW + 90 * MS, &id, ended(Outcome::Served))).is_empty());
+    assert!(kinds(&facade.report(NOW + 90 * MS, &id, Report::Left)).is_empty(), "nothing is left to do");
+    assert!(facade.pick(NOW + 91 * MS, query("a", 1_000)).is_some(), "the id is free again");
+}
+
+#[test]
+fn leaving_calls_off_what_is_out_and_lets_go() {
+    let (mut facade, id) = (facade(Effect::Unsafe), Id::from("a"));
+    facade.pick(NOW, query("a", 1_000));
+    facade.report(NOW + 30 * MS, &id, ended(Outcome::ReadDone));
+    assert_eq!(kinds(&facade.report(NOW + 40 * MS, &id, Report::Left)), ["Cancel", "Release"]);
+}
+
+#[test]
+fn reports_on_what_is_not_out_change_nothing() {
+    let (mut facade, id) = (facade(Effect::Safe), Id::from("a"));
+    assert_eq!(facade.report(NOW, &id, Report::Started), Verdicts::default());
+    assert_eq!(facade.report(NOW, &id, ended(Outcome::Served)), Verdicts::default());
+    assert_eq!(facade.report(NOW, &id, Report::Left), Verdicts::default());
+}
+
+#[test]
+fn closing_fails_what_may_have_run_and_refuses_the_rest() {
+    let mut facade = facade(Effect::Unsafe);
+    for id in ["reads", "writes", "streams"] {
+        facade.pick(NOW, query(id, 1_000));
+        if id != "reads" {
+            facade.report(NOW + 10 * MS, &id.into(), ended(Outcome::ReadDone));
+        }
+    }
+    facade.report(NOW + 20 * MS, &"streams".into(), Report::Started);
+    let verdicts = facade.close(NOW + 30 * MS);
+    let of = |id: &str| {
+        let own = verdicts.requests.iter().filter(|(of, _)| &**of == id).cloned().collect();
+        kinds(&Verdicts { requests: own, ..Verdicts::default() })
+    };
+    assert_eq!((of("reads"), of("writes")), (strings(&["Refuse", "Cancel"]), strings(&["Fail", "Cancel"])));
+    assert!(of("streams").is_empty());
+}
+
+fn strings(words: &[&str]) -> Vec<String> {
+    words.iter().map(|w| w.to_string()).collect()
+}
+
+#[test]
+fn ticks_come_due_and_time_alone_ends_what_waits() {
+    let mut facade = Facade::new(Settings::example(), 7);
+    facade.pick(NOW, query("a", 1_000));
+    let (mut at, mut last) = (NOW, Vec::new());
+    while last.is_empty() && at < NOW + 10 * SEC {
+        let due = facade.wake_at().expect("a timer runs for as long as the facade is used");
+        assert!(due > at, "each tick sets the next one later");
+        at = due;
+        last = kinds(&facade.tick(at));
+    }
+    assert_eq!(last, ["Refuse"], "no worker is known");
+    assert!(at <= NOW + 5 * SEC, "before its client gives up");
+}
