End clients that take nothing, drop stale idle connections, say why a request is refused

Found by trying the program from the README with no box running, and by asking of each peer what happens if it falls silent: - A client that stops reading without closing held its stream, its writer's slot and two descriptors for ever; hyper has no time limit on writes. Now 20 s without a byte taken end its connection (tokio-io-timeout). - Idle connections of boxes to which nothing goes any more were let go of only when descriptors ran short. - The chat front said 429 'too many requests' where no box could be reached: Answer::Refused now tells the last outcome, and the front says 503. The log had a line for each try of the watch in an outage: now one. Each has a test in daemon/tests but the last.

--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -34,10 +34,12 @@
     Refused {
         /// How long the client should stay away; zero for no advice.
         retry_after: Duration,
+        /// How the last attempt had ended, if there was one.
+        last: Option<Outcome>,
     },
-    /// Failed; how the last attempt had ended, if there was one.
+    /// Failed: it may have run.
     Failed {
-        /// The last outcome.
+        /// The last outcome, if there was one.
         last: Option<Outcome>,
     },
 }
@@ -118,7 +120,7 @@
                     }
                 }
                 Verdict::Refuse { retry_after } => {
-                    return Ok(Answer::Refused { retry_after: Duration::from_micros(retry_after) })
+                    return Ok(Answer::Refused { retry_after: Duration::from_micros(retry_after), last })
                 }
                 Verdict::Fail => return Ok(Answer::Failed { last }),
                 // Nothing is out, nothing runs; the owner sees to releases itself.
--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -127,9 +127,12 @@
                 }
                 Err(e) => {
                     self.watch = None;
+                    // One line for each outage.
+                    if self.backoff.is_none() {
+                        info!(self.log, "watch again"; "why" => %e, "rev" => self.rev);
+                    }
                     let wait = self.backoff.unwrap_or(BACKOFF);
                     self.backoff = Some((wait * 2).min(BACKOFF_MOST));
-                    info!(self.log, "watch again"; "why" => %e, "rev" => self.rev);
                     sleep(wait).await;
                 }
             }
--- a/daemon/src/front/chat/error.rs
+++ b/daemon/src/front/chat/error.rs
@@ -18,7 +18,7 @@
     Field { param: &'static str, why: &'static str },
     #[error("Too many requests wait already; try again after the time given.")]
     Busy,
-    #[error("No model server is known at the moment; try again after the time given.")]
+    #[error("No model server can be reached at the moment; try again after the time given.")]
     NoServer,
     #[error("The model server failed. The request may have taken effect.")]
     Upstream,
@@ -28,8 +28,8 @@
 
 impl ApiError {
     /// Why a request that never ran was refused.
-    pub(super) fn refused(able: bool) -> Self {
-        match able {
+    pub(super) fn refused(reached: bool) -> Self {
+        match reached {
             true => ApiError::Busy,
             false => ApiError::NoServer,
         }
--- a/daemon/src/front/chat/mod.rs
+++ b/daemon/src/front/chat/mod.rs
@@ -80,8 +80,9 @@
                 Ok(text) => whole(StatusCode::OK, JSON, text),
                 Err(e) => e.response(),
             },
-            Ok(Answer::Refused { retry_after }) => {
-                let mut refused = ApiError::refused(self.conductor.able()).response();
+            Ok(Answer::Refused { retry_after, last }) => {
+                let reached = self.conductor.able() && last != Some(Outcome::NoConnection);
+                let mut refused = ApiError::refused(reached).response();
                 advise(&mut refused, RETRY_AFTER, retry_after, |t| t.as_secs_f64().ceil().to_string());
                 advise(&mut refused, RETRY_AFTER_MS, retry_after, |t| t.as_millis().to_string());
                 refused.headers_mut().insert(SHOULD_RETRY, HeaderValue::from_static("true"));
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{debug, info, warn, Logger};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio_io_timeout::TimeoutStream;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -43,6 +44,8 @@
 #[derive(Clone)]
 pub struct Doors {
     clients: Clients,
+    /// A client that takes nothing of what is sent to it for this long has gone without a word.
+    stall: Duration,
     /// An end is planned: clients are told with each answer to come back on another connection.
     leaving: CancellationToken,
     /// Nothing more is accepted, and each connection ends once it has no request.
@@ -53,10 +56,12 @@
 }
 
 impl Doors {
-    /// Room for so many connections, on all listeners together.
-    pub fn new(most: usize, log: Logger) -> Self {
+    /// Room for so many connections, on all listeners together, none of which may take nothing of its
+    /// answer for as long as `stall`.
+    pub fn new(most: usize, stall: Duration, log: Logger) -> Self {
         Doors {
             clients: Clients::new(most),
+            stall,
             leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
             accepting: TaskTracker::new(),
@@ -116,6 +121,7 @@
     }
 
     fn serve<S: Service>(&self, stream: TcpStream, place: Place, service: Arc<S>) {
+        let stall = self.stall;
         let (closing, leaving, log) = (self.closing.clone(), self.leaving.clone(), self.log.clone());
         self.connections.spawn(async move {
             let (leave, place) = (place.leave(), Arc::new(place));
@@ -123,6 +129,8 @@
             // Without it events would wait for the client's acknowledgement; it can only fail on a
             // connection that is no more.
             let _ = stream.set_nodelay(true);
+            let mut stream = TimeoutStream::new(stream);
+            stream.set_write_timeout(Some(stall));
             let answer = service_fn(move |request| {
                 used.used();
                 let (service, leaving) = (service.clone(), leaving.clone());
@@ -139,7 +147,7 @@
                 .header_read_timeout(HEAD_WAIT)
                 .max_headers(HEADERS_MOST)
                 .max_buf_size(HEAD_BYTES)
-                .serve_connection(TokioIo::new(stream), answer);
+                .serve_connection(TokioIo::new(Box::pin(stream)), answer);
             let mut connection = pin!(connection);
             let ended = tokio::select! {
                 ended = connection.as_mut() => ended,
--- a/daemon/src/front/platform.rs
+++ b/daemon/src/front/platform.rs
@@ -57,7 +57,7 @@
         let answer = self.conductor.call(frosttrail_core::Request { query, call }).await;
         Ok(match answer {
             Ok(Answer::Served(stream)) => events(FrontBody::Events(stream)),
-            Ok(Answer::Refused { retry_after }) => {
+            Ok(Answer::Refused { retry_after, .. }) => {
                 let mut refused = whole(StatusCode::SERVICE_UNAVAILABLE, PLAIN, "refused: try again\n");
                 advise(&mut refused, RETRY_AFTER, retry_after, |t| format!("{:.3}", t.as_secs_f64()));
                 refused
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -26,6 +26,8 @@
 const ANSWER_ALL: Duration = Duration::from_millis(2_900);
 /// and streams are cut this long after it: SIGKILL comes at 3.7 s or later.
 const LAST: Duration = Duration::from_millis(3_400);
+/// A client may take nothing of its answer for this long.
+const STALL: Duration = Duration::from_secs(20);
 /// Descriptors for all that is neither a client nor a box: log, timers, discovery, listeners.
 const SPARE_SOCKETS: usize = 48;
 
@@ -116,7 +118,7 @@
 ) -> Result<(), Fault> {
     let mut terminate = signal(SignalKind::terminate())?;
     let each = (config.sockets - SPARE_SOCKETS) / 2;
-    let doors = Doors::new(each, log.clone());
+    let doors = Doors::new(each, STALL, log.clone());
     let (listen, settings, names) = (config.listen, config.settings.clone(), Arc::new(config.names.clone()));
     let conductor = conductor(config, xds, each, &log);
     let bind = |address| move |e| Fault::Bind(address, e);
@@ -145,7 +147,7 @@
         }
     });
     if in_time.await.is_err() {
-        info!(log, "closed with requests open"; "connections" => doors.connections());
+        info!(log, "closed before all was done"; "connections" => doors.connections());
     }
     Ok(())
 }
--- a/daemon/src/upstream/link.rs
+++ b/daemon/src/upstream/link.rs
@@ -189,6 +189,11 @@
         self.sender.is_ready()
     }
 
+    /// Whether it has ended.
+    pub(super) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Sends a request, once, and notes how far it gets.
     pub(super) async fn send(
         &mut self,
--- a/daemon/src/upstream/pool.rs
+++ b/daemon/src/upstream/pool.rs
@@ -53,8 +53,7 @@
         tokio::task::yield_now().await;
         let mut idle = lock(&self.idle);
         let links = idle.get_mut(worker)?;
-        let fresh = |link: &Link| link.is_ready() && link.idle_since.elapsed() < self.limits.conn_idle / 2;
-        links.retain(fresh);
+        links.retain(|link| link.is_ready() && self.is_young(link));
         let link = links.pop();
         if links.is_empty() {
             idle.remove(worker);
@@ -87,10 +86,21 @@
         }
     }
 
-    /// Keeps a connection whose answer has come whole.
+    /// Keeps a connection whose answer has come whole, and lets go of those that are past use, also of
+    /// boxes to which nothing goes any more.
     pub(super) fn keep(&self, worker: &Id, mut link: Link) {
         link.idle_since = Instant::now();
-        lock(&self.idle).entry(worker.clone()).or_default().push(link);
+        let mut idle = lock(&self.idle);
+        idle.retain(|_, links| {
+            links.retain(|link| !link.is_closed() && self.is_young(link));
+            !links.is_empty()
+        });
+        idle.entry(worker.clone()).or_default().push(link);
+    }
+
+    /// Far from the age at which the box may close it.
+    fn is_young(&self, link: &Link) -> bool {
+        link.idle_since.elapsed() < self.limits.conn_idle / 2
     }
 
     /// Reads an answer that nobody waits for to its end, to keep the connection.
--- a/daemon/tests/chat.rs
+++ b/daemon/tests/chat.rs
@@ -172,6 +172,15 @@
     assert!(answer.header("retry-after").is_some());
 }
 
+#[tokio::test]
+async fn refusals_tell_a_fleet_out_of_reach_from_a_full_one() {
+    let mut site = Site::start().await;
+    site.reader.refuse_all().await;
+    let answer = exchange(site.chat, &ask("x-remaining: 200m\r\n", true)).await;
+    assert_eq!((answer.status, &answer.json()["error"]["code"]), (503, &json!("service_unavailable")));
+    assert!(answer.header("retry-after").is_some());
+}
+
 #[tokio::test]
 async fn bad_input_gets_the_apis_error_object() {
     let site = Site::start().await;
--- a/daemon/tests/platform.rs
+++ b/daemon/tests/platform.rs
@@ -83,6 +83,14 @@
     assert!(rest.ends_with(b"ready\n"), "the oldest was closed after its answer");
 }
 
+#[tokio::test]
+async fn a_client_that_takes_nothing_is_as_good_as_gone() {
+    let mut site = Site::start().await;
+    site.writer.next(Does::StreamsOn);
+    let _reads_nothing = send(site.platform, &post(PATH, HEADERS, "{}")).await;
+    site.writer.given_up.recv().await.unwrap();
+}
+
 #[tokio::test]
 async fn closing_answers_what_has_not_begun_and_refuses_nothing_that_may_have_run() {
     let mut site = Site::start().await;
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -18,6 +18,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -40,12 +41,17 @@
     BreaksAfter(&'static [&'static str]),
     /// Streams these events, then says nothing more until the other side has closed.
     StallsAfter(&'static [&'static str]),
+    /// Streams without end.
+    StreamsOn,
     /// Ends the connection once it has all of the request.
     Resets,
     /// Says nothing until the other side has closed.
     Silent,
 }
 
+/// How long a client may take nothing before its connection ends.
+const STALL: Duration = Duration::from_millis(200);
+
 pub const READ: Does = Does::Says(202, false, "{\"cached_tokens\":0}");
 pub const WHOLE: Does = Does::Streams(&[EVENT, LAST, USAGE, DONE]);
 
@@ -69,6 +75,7 @@
     pub released: mpsc::UnboundedReceiver<()>,
     closing: Arc<Mutex<CancellationToken>>,
     connections: TaskTracker,
+    accepting: Option<JoinHandle<()>>,
 }
 
 impl StandIn {
@@ -80,7 +87,7 @@
         let (got, accepted, script) = <(Arc<Mutex<Vec<Got>>>, Arc<Mutex<u32>>, Arc<_>)>::default();
         let (closing, connections) = (Arc::new(Mutex::new(CancellationToken::new())), TaskTracker::new());
         let shared = Shared { usual, got, script, gave_up, release };
-        let stand_in = StandIn {
+        let mut stand_in = StandIn {
             address,
             got: shared.got.clone(),
             accepted: accepted.clone(),
@@ -89,8 +96,9 @@
             released,
             closing: closing.clone(),
             connections: connections.clone(),
+            accepting: None,
         };
-        tokio::spawn(async move {
+        let accepting = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 *accepted.lock().unwrap() += 1;
                 let (shared, closing) = (shared.clone(), closing.lock().unwrap().clone());
@@ -102,6 +110,7 @@
                 });
             }
         });
+        stand_in.accepting = Some(accepting);
         stand_in
     }
 
@@ -109,6 +118,13 @@
         self.script.lock().unwrap().push_back(does);
     }
 
+    /// Ends the listening: further connections are refused.
+    pub async fn refuse_all(&mut self) {
+        let accepting = self.accepting.take().unwrap();
+        accepting.abort();
+        let _ = accepting.await;
+    }
+
     /// Closes every connection there is.
     pub async fn close_all(&self) {
         std::mem::take(&mut *self.closing.lock().unwrap()).cancel();
@@ -160,6 +176,12 @@
                     chunks(&mut stream, events).await?;
                     return self.until_closed(stream).await;
                 }
+                Does::StreamsOn => {
+                    chunks(&mut stream, &[]).await?;
+                    while chunk(&mut stream, EVENT).await.is_ok() {}
+                    let _ = self.gave_up.send(());
+                    return Ok(());
+                }
                 Does::Resets => return Ok(()),
                 Does::Silent => return self.until_closed(stream).await,
             }
@@ -179,11 +201,15 @@
     let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
     stream.write_all(head.as_bytes()).await?;
     for event in events {
-        stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await?;
+        chunk(stream, event).await?;
     }
     Ok(())
 }
 
+async fn chunk(stream: &mut TcpStream, event: &str) -> std::io::Result<()> {
+    stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await
+}
+
 /// Reads one request; `None` at the connection's end.
 async fn request(stream: &mut TcpStream, held: &mut Vec<u8>) -> std::io::Result<Option<Got>> {
     loop {
@@ -251,7 +277,7 @@
         let (reader, writer) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
         let boxes = [("reader", 0, reader.address), ("writer", 1, writer.address)];
         let conductor = conductor(&settings, &boxes);
-        let doors = Doors::new(8, slog::Logger::root(slog::Discard, slog::o!()));
+        let doors = Doors::new(8, STALL, slog::Logger::root(slog::Discard, slog::o!()));
         let config = ChatConfig { listen: any(), models: vec!["chat".into()], class: 1, max_tokens: 400 };
         let platform = Platform::new(conductor.clone(), names.clone());
         let chat = Chat::new(conductor.clone(), &settings, names, config);
