--- a/daemon/src/discovery/xds.rs
+++ b/daemon/src/discovery/xds.rs
@@ -1,11 +1,13 @@
 //! Members from a server that speaks Envoy's xDS, version 3, over REST with JSON: clusters, then the
 //! endpoints of each. A cluster stands for one kind of box; see the README for how they map.
 
+use std::hash::{Hash, Hasher};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use fnv::FnvHasher;
 use frosttrail::setup::{index, Names};
 use frosttrail::{Entry, Health, Id, ListForm};
 use frosttrail_core::{Clock, MemberList, News};
@@ -282,10 +284,11 @@
     named.filter(|name| !name.is_empty()).unwrap_or(&cluster.name)
 }
 
-/// A rack's number: the same at every conductor, as FNV-1a has no seed.
+/// A rack's number: the same at every conductor, as this hash has no seed.
 fn cell(place: &Place) -> u64 {
-    let bytes = place.zone.bytes().chain([0xff]).chain(place.sub_zone.bytes());
-    bytes.fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3))
+    let mut hash = FnvHasher::default();
+    (&place.zone, &place.sub_zone).hash(&mut hash);
+    hash.finish()
 }
 
 /// Asks for one type of resource. The request names the version that was accepted last, so that a server
--- a/daemon/src/front/chat/request.rs
+++ b/daemon/src/front/chat/request.rs
@@ -1,9 +1,10 @@
 //! From a chat request to a query. What the request does not name is derived by the rules in the README.
 
-use std::hash::{BuildHasher, RandomState};
+use std::hash::{BuildHasher, Hash, Hasher, RandomState};
 use std::sync::Arc;
 
 use bytes::Bytes;
+use fnv::FnvHasher;
 use frosttrail::setup::{index, Names};
 use frosttrail::{Class, Id, Query};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
@@ -252,11 +253,11 @@
     }
 }
 
-/// A key of some texts: the same at every conductor and after every restart, as FNV-1a has no seed.
+/// A key of some texts: the same at every conductor and after every restart, as this hash has no seed.
 fn digest<'a>(texts: impl Iterator<Item = &'a str>) -> Id {
-    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
-    let bytes = texts.flat_map(|t| t.bytes().chain([0xff]));
-    format!("{:016x}", bytes.fold(0xcbf2_9ce4_8422_2325, step)).as_str().into()
+    let mut hash = FnvHasher::default();
+    texts.for_each(|text| text.hash(&mut hash));
+    format!("{:016x}", hash.finish()).as_str().into()
 }
 
 /// Boxes only stream: the same request, asked for as a stream with its usage.
