--- a/daemon/src/front/chat/mod.rs
+++ b/daemon/src/front/chat/mod.rs
@@ -39,15 +39,14 @@
 pub struct Chat<B> {
     conductor: Conductor<B>,
     reader: Reader,
-    models: Vec<String>,
 }
 
 impl<B: Boxes<Call = Call>> Chat<B> {
     /// A front of this conductor.
     pub fn new(conductor: Conductor<B>, settings: &Settings, names: Arc<Names>, config: ChatConfig) -> Self {
         let ChatConfig { models, class, max_tokens, .. } = config;
-        let reader = Reader::new(settings.classes.clone(), names, models.clone(), class, max_tokens);
-        Chat { conductor, reader, models }
+        let reader = Reader::new(settings.classes.clone(), names, models, class, max_tokens);
+        Chat { conductor, reader }
     }
 
     async fn route(&self, request: Request<Incoming>) -> Result<Response<FrontBody<B::Events>>, ApiError> {
@@ -62,7 +61,7 @@
 
     fn list(&self) -> Response<FrontBody<B::Events>> {
         let model = |id| json!({"id": id, "object": "model", "created": 0, "owned_by": "frosttrail"});
-        let data: Vec<_> = self.models.iter().map(model).collect();
+        let data: Vec<_> = self.reader.models().iter().map(model).collect();
         whole(StatusCode::OK, JSON, json!({"object": "list", "data": data}).to_string())
     }
 
--- a/daemon/src/front/chat/request.rs
+++ b/daemon/src/front/chat/request.rs
@@ -13,7 +13,7 @@
 use serde_json::{json, Map, Value};
 
 use super::error::ApiError;
-use crate::front::input::{is_id, platform_labels, span, text, InputError, TOKEN_BYTES};
+use crate::front::input::{is_id, platform_labels, repeat, span, tenant, text, InputError, TOKEN_BYTES};
 use crate::upstream::Call;
 
 /// What the front needs of a request's body; the rest is the box's concern.
@@ -108,10 +108,14 @@
         Reader { classes, names, models, class, max_tokens, ids: RandomState::new(), count: 0.into() }
     }
 
+    /// The models that clients may name.
+    pub(super) fn models(&self) -> &[String] {
+        &self.models
+    }
+
     /// The query, and the request as a box gets it.
     pub(super) fn read(&self, headers: &HeaderMap, bytes: Bytes) -> Result<Asked, ApiError> {
-        let body: Body =
-            serde_json::from_slice(&bytes).map_err(|e| InputError::Body(format!("the body: {e}")))?;
+        let body: Body = serde_json::from_slice(&bytes).map_err(malformed)?;
         self.check(&body)?;
         let query = self.query(headers, &body)?;
         let stream = body.stream.unwrap_or(false);
@@ -157,7 +161,7 @@
             None => opening(&body.messages),
         };
         let max_tokens = if labels.max_tokens > 0 { Some(labels.max_tokens) } else { limit(body) };
-        let resent = text(headers, "x-resent");
+        let (resent, came_back) = repeat(headers);
         Ok(Query {
             id: self.id(headers)?,
             session: session(headers, body),
@@ -166,10 +170,10 @@
             prompt_tokens,
             max_tokens: max_tokens.unwrap_or(self.max_tokens),
             class,
-            tenant: text(headers, "x-org").and_then(|t| index(self.names.tenants(), t, "X-Org").ok()),
+            tenant: tenant(headers, &self.names),
             budget: self.budget(headers, class, prompt_tokens)?,
-            resent: resent == Some("1"),
-            came_back: resent == Some("again"),
+            resent,
+            came_back,
         })
     }
 
@@ -260,9 +264,12 @@
     format!("{:016x}", hash.finish()).as_str().into()
 }
 
+fn malformed(e: serde_json::Error) -> InputError {
+    InputError::Body(format!("the body: {e}"))
+}
+
 /// Boxes only stream: the same request, asked for as a stream with its usage.
 fn streamed(bytes: &Bytes) -> Result<Bytes, InputError> {
-    let malformed = |e: serde_json::Error| InputError::Body(format!("the body: {e}"));
     let mut body: Map<String, Value> = serde_json::from_slice(bytes).map_err(malformed)?;
     body.insert("stream".into(), json!(true));
     body.insert("stream_options".into(), json!({"include_usage": true}));
--- a/daemon/src/front/input.rs
+++ b/daemon/src/front/input.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use frosttrail::setup::{index, Names};
 use frosttrail::{Id, Micros};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -83,6 +84,17 @@
     headers.get(name).and_then(|v| v.to_str().ok())
 }
 
+/// The customer, if the settings know the one that is named.
+pub(super) fn tenant(headers: &HeaderMap, names: &Names) -> Option<usize> {
+    index(names.tenants(), text(headers, "x-org")?, "X-Org").ok()
+}
+
+/// Whether this is a repeat, and whether the client is back for the rest of a stream.
+pub(super) fn repeat(headers: &HeaderMap) -> (bool, bool) {
+    let resent = text(headers, "x-resent");
+    (resent == Some("1"), resent == Some("again"))
+}
+
 /// Ids travel in paths and headers, so they hold nothing that would need quoting there.
 pub(super) fn is_id(text: &str) -> bool {
     let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b'~');
--- a/daemon/src/front/platform.rs
+++ b/daemon/src/front/platform.rs
@@ -10,7 +10,9 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 
 use super::body::{advise, events, whole, FrontBody, FrontResponse};
-use super::input::{body, end_to_end, is_id, platform_labels, span, text, InputError, TOKEN_BYTES};
+use super::input::{
+    body, end_to_end, is_id, platform_labels, repeat, span, tenant, text, InputError, TOKEN_BYTES,
+};
 use super::listener::Service;
 use crate::upstream::Call;
 
@@ -81,7 +83,7 @@
     let id = text(headers, "x-txn").filter(|id| is_id(id)).ok_or(InputError::Header("X-Txn"))?;
     let lane = text(headers, "x-lane").ok_or(InputError::Header("X-Lane"))?;
     let labels = platform_labels(text(headers, "x-labels").unwrap_or_default())?;
-    let resent = text(headers, "x-resent");
+    let (resent, came_back) = repeat(headers);
     Ok(Query {
         id: id.into(),
         session: text(headers, "x-entity").unwrap_or_default().into(),
@@ -90,9 +92,9 @@
         prompt_tokens: labels.prompt_tokens,
         max_tokens: labels.max_tokens,
         class: index(names.classes(), lane, "X-Lane").map_err(|_| InputError::Unknown("X-Lane"))?,
-        tenant: text(headers, "x-org").and_then(|t| index(names.tenants(), t, "X-Org").ok()),
+        tenant: tenant(headers, names),
         budget: text(headers, "x-remaining").and_then(span).ok_or(InputError::Header("X-Remaining"))?,
-        resent: resent == Some("1"),
-        came_back: resent == Some("again"),
+        resent,
+        came_back,
     })
 }
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -107,7 +107,10 @@
     pub fn report(&mut self, now: Micros, id: &Id, report: Report) -> Verdicts {
         match report {
             Report::Started => self.started(now, id),
-            Report::Ended { outcome, kept_tokens, load } => self.ended(now, id, outcome, kept_tokens, load),
+            Report::Ended { outcome, kept_tokens, load } => {
+                let ended = self.result(now, id, outcome, kept_tokens, load);
+                ended.map_or_else(Verdicts::default, |event| self.handle(now, event))
+            }
             Report::Left => self.left(now, id),
         }
     }
@@ -153,35 +156,35 @@
         self.handle(now, Event::Headers { id: id.clone(), attempt, elapsed })
     }
 
-    fn ended(
+    /// The end of the attempt that is out, if one is.
+    fn result(
         &mut self,
         now: Micros,
         id: &Id,
         outcome: Outcome,
-        kept_tokens: u64,
+        kept: u64,
         load: Option<Load>,
-    ) -> Verdicts {
-        let Some(open) = self.open.get_mut(id) else { return Verdicts::default() };
-        let Some((worker, sent)) = open.out.take() else { return Verdicts::default() };
-        let event = Event::Result {
+    ) -> Option<Event> {
+        let open = self.open.get_mut(id)?;
+        let (worker, sent) = open.out.take()?;
+        Some(Event::Result {
             id: id.clone(),
             attempt: open.attempts - 1,
             worker,
             outcome,
             elapsed: now.saturating_sub(sent),
-            kept_tokens,
+            kept_tokens: kept,
             finished: open.started || outcome == Outcome::Served,
             load,
-        };
-        self.handle(now, event)
+        })
     }
 
     fn left(&mut self, now: Micros, id: &Id) -> Verdicts {
         let mut verdicts = self.handle(now, Event::ClientGone { id: id.clone() });
-        let called_off = self.ended(now, id, Outcome::CalledOff, 0, None);
+        if let Some(called_off) = self.result(now, id, Outcome::CalledOff, 0, None) {
+            self.feed(now, called_off, &mut verdicts);
+        }
         self.open.remove(id);
-        verdicts.requests.extend(called_off.requests);
-        verdicts.log.extend(called_off.log);
         verdicts
     }
 
