SIGHUP rereads the configuration; the watch moves to the new discovery and starts afresh

A task of its own rereads EDGE_CONFIG at each SIGHUP, also while an end is under way. A file that is no good leaves all as it was, with one log line; keys that need a restart are named. - Discovery hears of the address over a watch channel. A move drops the old watch at once and asks the new agent for the whole list, as versions of one agent say nothing at another; requests, pools and all that was learned stay. Tests: the program rereads twice, with a bad file between, and near SIGTERM; the watch moves and starts afresh.

--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -58,7 +58,7 @@
 }
 
 /// A conductor's configuration.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Config {
     /// Its name.
     pub name: String,
@@ -85,6 +85,18 @@
         Config::read(Path::new(&path))
     }
 
+    /// What differs in a newer configuration and can't change while the program runs. The seed and the
+    /// known list are of use at a start only, so that they may differ.
+    pub fn needs_restart(&self, newer: &Config) -> Vec<&'static str> {
+        let differs = [
+            ("name", self.name != newer.name),
+            ("listen", self.listen != newer.listen),
+            ("limits", self.sockets != newer.sockets),
+            ("settings", self.settings != newer.settings || self.names != newer.names),
+        ];
+        differs.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
+    }
+
     /// Reads a file.
     pub fn read(path: &Path) -> Result<Self, ConfigError> {
         let at = || path.to_path_buf();
--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -1,5 +1,5 @@
 //! The platform's discovery: the list as last known, then a watch that is asked for again whenever it
-//! ends or falls silent.
+//! ends or falls silent, and that moves when the configuration names another address.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -10,11 +10,12 @@
 use frosttrail::setup::{index, Names, SetupError};
 use frosttrail::{Entry, Health, Id, ListForm};
 use frosttrail_core::{Clock, MemberList, News};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, StatusCode, Uri};
 use serde::Deserialize;
 use slog::{info, warn, Logger};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
@@ -59,35 +60,31 @@
 
 /// The platform's list of members.
 pub struct Discovery {
-    agent: SocketAddr,
+    /// The agent's address; it changes where a new configuration names another.
+    address: watch::Receiver<SocketAddr>,
+    agent: Agent,
     names: Names,
     clock: Clock,
     book: Arc<Book>,
     log: Logger,
-    /// The version held.
-    rev: u64,
     known: Option<Listing>,
-    watch: Option<Watch>,
-    /// How long to wait before the next watch, if the last has brought no line.
-    backoff: Option<Duration>,
 }
 
 impl Discovery {
     /// Starts from the list as last known.
     pub fn new(
-        agent: SocketAddr,
+        mut address: watch::Receiver<SocketAddr>,
         known: Listing,
         names: Names,
         clock: Clock,
         book: Arc<Book>,
         log: Logger,
     ) -> Self {
-        let rev = known.rev;
-        Discovery { agent, names, clock, book, log, rev, known: Some(known), watch: None, backoff: None }
+        let agent = Agent::new(*address.borrow_and_update(), Some(known.rev));
+        Discovery { address, agent, names, clock, book, log, known: Some(known) }
     }
 
-    fn news(&mut self, listing: Listing, form: ListForm) -> News {
-        self.rev = listing.rev;
+    fn news(&self, listing: Listing, form: ListForm) -> News {
         let mut entries = Vec::with_capacity(listing.targets.len());
         for target in listing.targets {
             match entry(&target, &self.names, &self.clock) {
@@ -100,17 +97,6 @@
         }
         News { form, entries }
     }
-
-    /// The next line of the watch, which is opened where there is none.
-    async fn line(&mut self) -> Result<Listing, ListError> {
-        if self.watch.is_none() {
-            self.watch = Some(Watch::open(self.agent, self.rev).await?);
-        }
-        match &mut self.watch {
-            Some(watch) => watch.next().await,
-            None => Err(ListError::Ended),
-        }
-    }
 }
 
 impl MemberList for Discovery {
@@ -119,17 +105,59 @@
             return Some(self.news(known, ListForm::WarmCopy));
         }
         loop {
-            match self.line().await {
+            let listing = tokio::select! {
+                biased;
+                () = moved(&mut self.address) => {
+                    let to = *self.address.borrow_and_update();
+                    info!(self.log, "discovery has moved"; "to" => %to);
+                    self.agent = Agent::new(to, None);
+                    continue;
+                }
+                listing = self.agent.next(&self.log) => listing,
+            };
+            let form = if listing.all { ListForm::Full } else { ListForm::Changes };
+            return Some(self.news(listing, form));
+        }
+    }
+}
+
+/// Resolves once another address is named.
+async fn moved(address: &mut watch::Receiver<SocketAddr>) {
+    if address.changed().await.is_err() {
+        // Whoever could name another has gone.
+        std::future::pending().await
+    }
+}
+
+/// One discovery agent. Versions are its own: those of another say nothing here.
+struct Agent {
+    address: SocketAddr,
+    /// The version held; without one the whole list is asked for.
+    rev: Option<u64>,
+    watch: Option<Watch>,
+    /// How long to wait before the next try, if the last has brought nothing.
+    backoff: Option<Duration>,
+}
+
+impl Agent {
+    fn new(address: SocketAddr, rev: Option<u64>) -> Self {
+        Agent { address, rev, watch: None, backoff: None }
+    }
+
+    /// The next list or change. Asks on for as long as there is none.
+    async fn next(&mut self, log: &Logger) -> Listing {
+        loop {
+            match self.listing().await {
                 Ok(listing) => {
                     self.backoff = None;
-                    let form = if listing.all { ListForm::Full } else { ListForm::Changes };
-                    return Some(self.news(listing, form));
+                    self.rev = Some(listing.rev);
+                    return listing;
                 }
                 Err(e) => {
                     self.watch = None;
                     // One line for each outage.
                     if self.backoff.is_none() {
-                        info!(self.log, "watch again"; "why" => %e, "rev" => self.rev);
+                        info!(log, "watch again"; "why" => %e, "rev" => self.rev);
                     }
                     let wait = self.backoff.unwrap_or(BACKOFF);
                     self.backoff = Some((wait * 2).min(BACKOFF_MOST));
@@ -138,6 +166,31 @@
             }
         }
     }
+
+    /// The whole list where none is held, else the next line of the watch, which is opened where there is
+    /// none.
+    async fn listing(&mut self) -> Result<Listing, ListError> {
+        let Some(rev) = self.rev else { return whole_list(self.address).await };
+        if self.watch.is_none() {
+            self.watch = Some(Watch::open(self.address, rev).await?);
+        }
+        match &mut self.watch {
+            Some(watch) => watch.next().await,
+            None => Err(ListError::Ended),
+        }
+    }
+}
+
+async fn whole_list(agent: SocketAddr) -> Result<Listing, ListError> {
+    let target = Uri::from_static("/catalog/members");
+    let called = call(agent, Method::GET, target, Bytes::new(), SILENCE).await?;
+    if called.response.status() != StatusCode::OK {
+        return Err(ListError::Status(called.response.status()));
+    }
+    let body = Limited::new(called.response.into_body(), LINE_MOST).collect();
+    let body = timeout(SILENCE, body).await.map_err(|_| ListError::Silent)?;
+    let body = body.map_err(|_| ListError::Ended)?;
+    Ok(serde_json::from_slice(&body.to_bytes())?)
 }
 
 fn entry(target: &Target, names: &Names, clock: &Clock) -> Result<Entry, SetupError> {
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,4 +1,5 @@
-//! The conductor: reads its configuration, opens its doors, and on SIGTERM closes them in good order.
+//! The conductor: reads its configuration, opens its doors, rereads the configuration on SIGHUP, and on
+//! SIGTERM closes its doors in good order.
 
 #![forbid(unsafe_code)]
 
@@ -16,9 +17,11 @@
 use frosttrail_daemon::front::platform::Platform;
 use frosttrail_daemon::front::Doors;
 use frosttrail_daemon::upstream::{Book, Limits, Upstream};
-use slog::{info, o, Drain, Logger};
-use tokio::signal::unix::{signal, SignalKind};
+use slog::{info, o, warn, Drain, Logger};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
+use tokio_util::task::AbortOnDropHandle;
 
 /// Clients and the front notice a planned end within this time, in which new ones are still taken.
 const NOTICE: Duration = Duration::from_millis(900);
@@ -90,12 +93,22 @@
 
 fn begin() -> Result<(), Fault> {
     let options = Options::read(std::env::args_os().skip(1))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    // Before all else: a signal that comes early must find its handler.
+    let signals = {
+        let _entered = runtime.enter();
+        Signals { terminate: signal(SignalKind::terminate())?, hangup: signal(SignalKind::hangup())? }
+    };
     let config = Config::from_env()?;
     let chat = options.chat.map(|file| ChatConfig::read(&file, &config.names)).transpose()?;
     let xds = options.xds.map(|file| XdsConfig::read(&file)).transpose()?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let (log, _guard) = logger(&config.name);
-    runtime.block_on(run(config, chat, xds, log))
+    runtime.block_on(run(signals, config, chat, xds, log))
+}
+
+struct Signals {
+    terminate: Signal,
+    hangup: Signal,
 }
 
 /// A log that never holds the program up: lines that find no room are counted and dropped.
@@ -111,23 +124,27 @@
 }
 
 async fn run(
+    mut signals: Signals,
     config: Config,
     chat: Option<ChatConfig>,
     xds: Option<XdsConfig>,
     log: Logger,
 ) -> Result<(), Fault> {
-    let mut terminate = signal(SignalKind::terminate())?;
     let each = (config.sockets - SPARE_SOCKETS) / 2;
     let doors = Doors::new(each, STALL, log.clone());
     let (listen, settings, names) = (config.listen, config.settings.clone(), Arc::new(config.names.clone()));
-    let conductor = conductor(config, xds, each, &log);
+    let (discovery, address) = watch::channel(config.discovery);
+    // It goes on beside an end that is planned: until then, drains are still learned of.
+    let _reloads =
+        AbortOnDropHandle::new(tokio::spawn(reload(signals.hangup, config.clone(), discovery, log.clone())));
+    let conductor = conductor(config, address, xds, each, &log);
     let bind = |address| move |e| Fault::Bind(address, e);
     doors.open(listen, Platform::new(conductor.clone(), names.clone())).map_err(bind(listen))?;
     if let Some(chat) = chat {
         let listen = chat.listen;
         doors.open(listen, Chat::new(conductor.clone(), &settings, names, chat)).map_err(bind(listen))?;
     }
-    terminate.recv().await;
+    signals.terminate.recv().await;
     info!(log, "SIGTERM: closing");
     doors.leave();
     let orderly = async {
@@ -152,8 +169,25 @@
     Ok(())
 }
 
+/// Rereads the configuration at each SIGHUP. Discovery's address takes effect at once; what can't change
+/// while requests run is named in the log. A file that is no good changes nothing.
+async fn reload(mut hangup: Signal, held: Config, discovery: watch::Sender<SocketAddr>, log: Logger) {
+    while hangup.recv().await.is_some() {
+        match Config::from_env() {
+            Err(e) => warn!(log, "SIGHUP: the old configuration stays in force"; "why" => %e),
+            Ok(config) => {
+                let later = held.needs_restart(&config).join(" ");
+                info!(log, "SIGHUP: configuration read"; "discovery" => %config.discovery, "at restart" => later);
+                discovery
+                    .send_if_modified(|old| std::mem::replace(old, config.discovery) != config.discovery);
+            }
+        }
+    }
+}
+
 fn conductor(
     config: Config,
+    address: watch::Receiver<SocketAddr>,
     xds: Option<XdsConfig>,
     connections: usize,
     log: &Logger,
@@ -166,7 +200,7 @@
         conn_idle: Duration::from_micros(config.settings.conn_idle),
     };
     let boxes = Arc::new(Upstream::new(book.clone(), limits));
-    let Config { name, discovery, known, names, settings, seed, .. } = config;
+    let Config { name, known, names, settings, seed, .. } = config;
     let log = log.clone();
     match xds {
         Some(xds) => {
@@ -174,7 +208,7 @@
             start(Parts { settings, seed, clock, boxes, members, log })
         }
         None => {
-            let members = Discovery::new(discovery, known, names, clock, book, log.clone());
+            let members = Discovery::new(address, known, names, clock, book, log.clone());
             start(Parts { settings, seed, clock, boxes, members, log })
         }
     }
--- a/daemon/tests/discovery.rs
+++ b/daemon/tests/discovery.rs
@@ -13,6 +13,7 @@
 use frosttrail_daemon::upstream::Book;
 use serde_json::{json, Value};
 use support::*;
+use tokio::sync::watch;
 
 const EMPTY: &str = "\n";
 const LEAVES: &str =
@@ -51,8 +52,8 @@
     agent.next(Does::Streams(&[HALF, "\n"]));
     agent.next(Does::StallsAfter(&[WHOLE_LIST_PARTS.0, WHOLE_LIST_PARTS.1]));
     let book = Arc::new(Book::default());
-    let mut list =
-        Discovery::new(agent.address, known("decode", 0), names(), Clock::new(), book.clone(), log());
+    let (_address, at) = watch::channel(agent.address);
+    let mut list = Discovery::new(at, known("decode", 0), names(), Clock::new(), book.clone(), log());
     let first = list.next().await.unwrap();
     assert_eq!((first.form, states(&first)), (ListForm::WarmCopy, vec![("a", Health::Up)]));
     assert_eq!((first.entries[0].kind, first.entries[0].cell, first.entries[0].started), (1, 3, 0));
@@ -66,6 +67,26 @@
     assert_eq!(lines, [watched(7), watched(8), watched(8)]);
 }
 
+#[tokio::test]
+async fn the_watch_moves_at_once_and_starts_afresh() {
+    let (mut old, new) = (StandIn::start(Does::Silent).await, StandIn::start(Does::Silent).await);
+    // The new agent counts its versions from elsewhere; asked for changes since 8, it might never answer.
+    new.next(Does::Says(200, false, "{\"rev\":2,\"all\":true,\"targets\":[]}"));
+    new.next(Does::StallsAfter(&[LEAVES]));
+    old.next(Does::StallsAfter(&[LEAVES]));
+    let (address, at) = watch::channel(old.address);
+    let book = Arc::new(Book::default());
+    let mut list = Discovery::new(at, known("decode", 0), names(), Clock::new(), book, log());
+    let mut forms = vec![list.next().await.unwrap().form, list.next().await.unwrap().form];
+    address.send(new.address).unwrap();
+    forms.extend([list.next().await.unwrap().form, list.next().await.unwrap().form]);
+    assert_eq!(forms, [ListForm::WarmCopy, ListForm::Changes, ListForm::Full, ListForm::Changes]);
+    old.given_up.recv().await.unwrap();
+    let lines: Vec<String> = new.got.lock().unwrap().iter().map(|g| g.line.clone()).collect();
+    let paths = ["/catalog/members", "/catalog/members?stream=1&index=2"];
+    assert_eq!(lines, paths.map(|path| format!("GET {path} HTTP/1.1")));
+}
+
 /// A line may come in pieces.
 const WHOLE_LIST_PARTS: (&str, &str) = WHOLE_LIST.split_at(13);
 
--- a/daemon/tests/platform.rs
+++ b/daemon/tests/platform.rs
@@ -2,9 +2,9 @@
 
 mod support;
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Lines, Write};
 use std::net::SocketAddr;
-use std::process::{Command, Stdio};
+use std::process::{Child, ChildStderr, Command, Stdio};
 
 use serde_json::{json, Value};
 use support::*;
@@ -155,21 +155,71 @@
     assert_eq!(usage.status.code(), Some(2));
 }
 
+/// The program under way: where it listens is in its log.
+struct Running {
+    child: Child,
+    log: Lines<BufReader<ChildStderr>>,
+    listen: SocketAddr,
+}
+
+impl Running {
+    fn start(mut command: Command) -> Self {
+        let mut child = command.spawn().unwrap();
+        let log = BufReader::new(child.stderr.take().unwrap()).lines();
+        let mut running = Running { child, log, listen: ([127, 0, 0, 1], 0).into() };
+        let line = running.logs("listening, at: ");
+        let at = line.split_once("at: ").unwrap().1.split(',').next().unwrap().trim();
+        running.listen = at.parse().unwrap();
+        running
+    }
+
+    /// Waits for a line that says this.
+    fn logs(&mut self, words: &str) -> String {
+        self.log.find_map(|line| line.ok().filter(|line| line.contains(words))).unwrap()
+    }
+
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    async fn ends_well(mut self) {
+        let status = tokio::task::spawn_blocking(move || self.child.wait()).await.unwrap().unwrap();
+        assert_eq!(status.code(), Some(0));
+    }
+}
+
+const READY: &str = "GET /_health HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+
 #[tokio::test]
 async fn sigterm_is_followed_by_new_connections_served_and_a_clean_end() {
     // Any free port; its log tells which. The discovery that it names answers nothing.
     let config = config("127.0.0.1:0", "127.0.0.1:9").to_string();
-    let mut child = program("term", &config).spawn().unwrap();
-    let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
-    let listen = log.find_map(|line| {
-        let at = line.unwrap().split_once("listening, at: ")?.1.to_string();
-        at.split(',').next()?.trim().parse().ok()
-    });
-    let listen: SocketAddr = listen.unwrap();
-    let ready = "GET /_health HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
-    assert_eq!(exchange(listen, ready).await.status, 200);
-    assert!(Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap().success());
-    assert_eq!(exchange(listen, ready).await.status, 200, "new connections are served for a while");
-    let status = tokio::task::spawn_blocking(move || child.wait()).await.unwrap().unwrap();
-    assert_eq!(status.code(), Some(0));
+    let running = Running::start(program("term", &config));
+    assert_eq!(exchange(running.listen, READY).await.status, 200);
+    running.signal("-TERM");
+    assert_eq!(exchange(running.listen, READY).await.status, 200, "new connections are served for a while");
+    running.ends_well().await;
+}
+
+#[tokio::test]
+async fn sighup_rereads_the_configuration_and_a_bad_file_changes_nothing() {
+    let moved = StandIn::start(Does::Says(200, false, "{\"rev\":2,\"all\":true,\"targets\":[]}")).await;
+    let first = config("127.0.0.1:0", "127.0.0.1:9").to_string();
+    let mut running = Running::start(program("hup", &first));
+    program("hup", "{\"name\": \"half a fi");
+    running.signal("-HUP");
+    running.logs("the old configuration stays in force");
+    assert_eq!(exchange(running.listen, READY).await.status, 200, "the list that was known is still held");
+    let mut second = config("127.0.0.1:1", &moved.address.to_string());
+    second["settings"]["balancers"] = json!(2);
+    program("hup", &second.to_string());
+    running.signal("-HUP");
+    assert!(running.logs("configuration read").contains("at restart: listen settings"));
+    while exchange(running.listen, READY).await.status == 200 {}
+    assert_eq!(moved.got.lock().unwrap()[0].line, "GET /catalog/members HTTP/1.1");
+    running.signal("-TERM");
+    running.logs("SIGTERM");
+    running.signal("-HUP");
+    running.ends_well().await;
 }
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -48,7 +48,7 @@
 }
 
 /// The names that indices stand for.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Names {
     kinds: Vec<String>,
     zones: Vec<String>,
