--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -177,7 +177,10 @@
             Err(e) => warn!(log, "SIGHUP: the old configuration stays in force"; "why" => %e),
             Ok(config) => {
                 let later = held.needs_restart(&config).join(" ");
-                info!(log, "SIGHUP: configuration read"; "discovery" => %config.discovery, "at restart" => later);
+                info!(
+                    log, "SIGHUP: configuration read";
+                    "discovery" => %config.discovery, "at restart" => later
+                );
                 discovery
                     .send_if_modified(|old| std::mem::replace(old, config.discovery) != config.discovery);
             }
