A book whose client is back for the rest of a stream is failed, never refused

Brain::end calls a refusal harmless while the request itself has sent nothing (ran is none); a request with came_back had an attempt at another conductor, or at this one under another id. Test: rules.rs, fails with the line taken out.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -519,7 +519,8 @@
         }
         if owed {
             let class = &self.settings.classes[request.query.class];
-            let harmless = request.ran.is_none()
+            // A client that is back for the rest of a stream had it from an attempt that did run.
+            let harmless = (request.ran.is_none() && !request.query.came_back)
                 || matches!(class.effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. });
             // Those that are refused together must not come back together.
             let spread = 0.5 + 0.5 * share_of(hash(id, self.seed));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -37,6 +37,16 @@
     assert!(dropped(&out, "a"));
 }
 
+#[test]
+fn an_unsafe_request_whose_client_is_back_for_the_rest_is_never_refused() {
+    for (effect, refused) in [(Effect::Unsafe, false), (Effect::Safe, true)] {
+        let mut b = Bench::new(with(effect), &[]);
+        b.ask(Query { came_back: true, ..query("a", 900) });
+        let out = b.wait(5 * SEC);
+        assert_eq!((declined(&out, "a"), failed(&out, "a")), (refused, !refused), "{effect:?}");
+    }
+}
+
 #[test]
 fn an_unsafe_request_that_never_ran_is_tried_again() {
     let mut b = written(Effect::Unsafe, &FLEET);
