Turn bad clients down at the front, in time, before they reach boxes or crowd others out

A probe that logged each attempt without an answer: all 210 have an empty body (heads with Content-Length and Transfer-Encoding, of which hyper lets the coding win and drops the length), each tried at three boxes; every box that turns one away is blamed for it. Ruled out: classes, deadlines, ids and huge lengths, none of which passed. At fault: input.rs took an empty body; HEAD_WAIT of 90 s and BODY_WAIT of 10 s in listener.rs and input.rs; and Clients::tell_oldest took connections by their last request, so that it told those with an open one to go, 50 ms each. - framing.rs reads heads along with the library: a length and a coding, repeated or odd lengths make all that follows no request. A chunked request is the last of its connection. Every 4xx but 429 closes. - A request must have come whole 2.2 s after its connection was accepted (408), silent ones are closed at 2.5 s, ones without an open request after 5 s. - Who has no open request makes room, those that never asked first; an open one never does. - Repeated, overlong or hop-by-hop X- headers, an empty body, over 2^20 tokens: 400. An id in use: 409.

--- a/daemon/src/front/body.rs
+++ b/daemon/src/front/body.rs
@@ -9,6 +9,7 @@
 use frosttrail_core::{AnswerStream, Broken, Events};
 
 use super::chat::ChatStream;
+use super::clients::UnderWay;
 use http_body::{Body, Frame, SizeHint};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
 use hyper::{Response, StatusCode};
@@ -53,6 +54,35 @@
     }
 }
 
+/// A body, and the request that is under way until it has gone.
+pub(super) struct Held<E: Events> {
+    body: FrontBody<E>,
+    _under_way: UnderWay,
+}
+
+impl<E: Events> Held<E> {
+    pub(super) fn new(body: FrontBody<E>, under_way: UnderWay) -> Self {
+        Held { body, _under_way: under_way }
+    }
+}
+
+impl<E: Events> Body for Held<E> {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A front's answer.
 pub type FrontResponse<E> = Result<Response<FrontBody<E>>, Infallible>;
 
--- a/daemon/src/front/chat/mod.rs
+++ b/daemon/src/front/chat/mod.rs
@@ -68,7 +68,7 @@
     async fn complete(&self, request: Request<Incoming>) -> Result<Response<FrontBody<B::Events>>, ApiError> {
         let (head, incoming) = request.into_parts();
         let Asked { query, call, stream, include_usage, model } =
-            self.reader.read(&head.headers, body(incoming).await?)?;
+            self.reader.read(&head.headers, body(&head, incoming).await?)?;
         let id = query.id.clone();
         let answer = self.conductor.call(frosttrail_core::Request { query, call }).await;
         let mut response = match answer {
@@ -89,7 +89,7 @@
             }
             Ok(Answer::Failed { last: None | Some(Outcome::NoAnswer) }) => ApiError::TimedOut.response(),
             Ok(Answer::Failed { .. }) => ApiError::Upstream.response(),
-            Err(CallError::IdInUse) => return Err(InputError::Header("X-Txn").into()),
+            Err(CallError::IdInUse) => return Err(InputError::IdInUse.into()),
         };
         if let Ok(id) = HeaderValue::from_str(&id) {
             response.headers_mut().insert(REQUEST_ID, id);
@@ -104,6 +104,10 @@
     async fn answer(&self, request: Request<Incoming>) -> FrontResponse<B::Events> {
         Ok(self.route(request).await.unwrap_or_else(ApiError::response))
     }
+
+    fn turn_down(&self, error: InputError) -> Response<FrontBody<B::Events>> {
+        ApiError::from(error).response()
+    }
 }
 
 /// Reads an answer to its end into one object. One that breaks off, or ends without its final event, is
--- a/daemon/src/front/clients.rs
+++ b/daemon/src/front/clients.rs
@@ -1,46 +1,51 @@
 //! The bound on clients' connections, and which of them makes room for a new one.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-/// A connection that was told to make room has an answer under way if it has not gone by then.
+/// A connection that was told to make room is gone by then, unless a request has come on it.
 const NEXT: Duration = Duration::from_millis(50);
 
 /// All clients' connections, of whichever front.
 #[derive(Clone)]
 pub(super) struct Clients {
     permits: Arc<Semaphore>,
-    by_use: Arc<Mutex<ByUse>>,
+    idle: Arc<Mutex<Idle>>,
 }
 
-/// Connections by when a request last came on each.
+/// A connection's turn to make room: those that have never brought a whole request go first, then those
+/// that have been without one for longest.
+type Turn = (bool, u64);
+
+/// Connections without an open request.
 #[derive(Default)]
-struct ByUse {
-    uses: u64,
-    connections: BTreeMap<u64, CancellationToken>,
+struct Idle {
+    turns: u64,
+    connections: BTreeMap<Turn, CancellationToken>,
 }
 
 impl Clients {
     /// Room for so many.
     pub(super) fn new(most: usize) -> Self {
-        Clients { permits: Arc::new(Semaphore::new(most)), by_use: Arc::default() }
+        Clients { permits: Arc::new(Semaphore::new(most)), idle: Arc::default() }
     }
 
-    /// A place for one more. Where there is none, connections on which no request has come for longest
-    /// are told to close; clients keep theirs open, so that without this a crowd of idle ones would shut
-    /// new ones out.
+    /// A place for one more. Where there is none, connections without an open request are told to close in
+    /// turn; clients keep theirs open, so that without this a crowd of idle ones would shut new ones out.
     pub(super) async fn place(&self) -> Place {
         loop {
             let permit = self.permits.clone().try_acquire_owned();
             if let Ok(permit) = permit {
                 return self.enter(permit);
             }
-            self.tell_oldest();
+            if let Some((_, leave)) = self.with(|idle| idle.connections.pop_first()) {
+                leave.cancel();
+            }
             // The semaphore is never closed.
             if let Ok(Ok(permit)) = timeout(NEXT, self.permits.clone().acquire_owned()).await {
                 return self.enter(permit);
@@ -52,54 +57,101 @@
         let place = Place {
             clients: self.clone(),
             leave: CancellationToken::new(),
-            at: Mutex::new(0),
+            state: Mutex::default(),
             _permit: permit,
         };
-        place.used();
+        place.note(|_| {});
         place
     }
 
-    fn tell_oldest(&self) {
-        let oldest = self.with(|by_use| by_use.connections.pop_first());
-        if let Some((_, leave)) = oldest {
-            leave.cancel();
-        }
+    fn with<T>(&self, f: impl FnOnce(&mut Idle) -> T) -> T {
+        f(&mut self.idle.lock().unwrap_or_else(PoisonError::into_inner))
     }
+}
 
-    fn with<T>(&self, f: impl FnOnce(&mut ByUse) -> T) -> T {
-        f(&mut self.by_use.lock().unwrap_or_else(PoisonError::into_inner))
-    }
+#[derive(Default)]
+struct State {
+    /// Requests that have come whole,
+    arrived: u64,
+    /// and those that have been answered; more than the others where one was turned down before its end.
+    answered: u64,
+    /// Its turn while none is open.
+    turn: Option<Turn>,
 }
 
 /// One connection's place. Dropping it gives it to another.
 pub(super) struct Place {
     clients: Clients,
     leave: CancellationToken,
-    at: Mutex<u64>,
+    state: Mutex<State>,
     _permit: OwnedSemaphorePermit,
 }
 
 impl Place {
-    /// A request has come on it.
-    pub(super) fn used(&self) {
-        let mut at = self.at.lock().unwrap_or_else(PoisonError::into_inner);
-        *at = self.clients.with(|by_use| {
-            by_use.connections.remove(&at);
-            by_use.uses += 1;
-            by_use.connections.insert(by_use.uses, self.leave.clone());
-            by_use.uses
-        });
+    /// A request has come on it whole. Until it is answered, the place is not for others.
+    pub(super) fn arrived(&self) {
+        self.note(|state| state.arrived += 1);
+    }
+
+    /// Whether a whole request has come, and has not been answered,
+    pub(super) fn is_busy(&self) -> bool {
+        self.lock().turn.is_none()
+    }
+
+    /// whether one ever came,
+    pub(super) fn has_asked(&self) -> bool {
+        self.lock().arrived > 0
+    }
+
+    /// and whether one was ever answered.
+    pub(super) fn has_answered(&self) -> bool {
+        self.lock().answered > 0
     }
 
     /// Cancelled when it should make room.
     pub(super) fn leave(&self) -> CancellationToken {
         self.leave.clone()
     }
+
+    fn note(&self, change: impl FnOnce(&mut State)) {
+        let mut state = self.lock();
+        change(&mut state);
+        let open = state.arrived > state.answered;
+        match state.turn {
+            Some(turn) if open => {
+                state.turn = None;
+                self.clients.with(|idle| idle.connections.remove(&turn));
+            }
+            None if !open => {
+                let asked = state.arrived > 0;
+                state.turn = Some(self.clients.with(|idle| {
+                    idle.turns += 1;
+                    idle.connections.insert((asked, idle.turns), self.leave.clone());
+                    (asked, idle.turns)
+                }));
+            }
+            _ => {}
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let at = *self.at.lock().unwrap_or_else(PoisonError::into_inner);
-        self.clients.with(|by_use| by_use.connections.remove(&at));
+        if let Some(turn) = self.lock().turn {
+            self.clients.with(|idle| idle.connections.remove(&turn));
+        }
+    }
+}
+
+/// A request under way on a connection, until its answer has gone.
+pub(super) struct UnderWay(pub(super) Arc<Place>);
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.0.note(|state| state.answered += 1);
     }
 }
--- a/daemon/src/front/input.rs
+++ b/daemon/src/front/input.rs
@@ -1,7 +1,6 @@
 //! What every front checks of what comes in.
 
 use std::collections::HashMap;
-use std::time::Duration;
 
 use bytes::Bytes;
 use frosttrail::setup::{index, Names};
@@ -12,12 +11,26 @@
     HeaderName, CONNECTION, CONTENT_LENGTH, EXPECT, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
+use hyper::http::request::Parts;
 use hyper::{HeaderMap, StatusCode};
+use tokio::time::{timeout_at, Instant};
 
 /// The largest body on this wire.
 const BODY_MOST: usize = 256 << 10;
-/// A body must be here within this time from its head.
-const BODY_WAIT: Duration = Duration::from_secs(10);
+/// No prompt or answer has more tokens; a body holds a small part of this.
+const TOKENS_MOST: u64 = 1 << 20;
+/// No header that says what a request is, is longer: sessions and prefixes are remembered for a while.
+const HEADER_MOST: usize = 1 << 10;
+/// Headers that say what a request is, as they are compared and as they are spelt.
+const SAYS: [(&str, &str); 7] = [
+    ("x-txn", "X-Txn"),
+    ("x-lane", "X-Lane"),
+    ("x-entity", "X-Entity"),
+    ("x-remaining", "X-Remaining"),
+    ("x-labels", "X-Labels"),
+    ("x-resent", "X-Resent"),
+    ("x-org", "X-Org"),
+];
 /// Four characters make a token.
 pub(super) const TOKEN_BYTES: u64 = 4;
 /// The longest id.
@@ -44,6 +57,12 @@
     /// The path takes another method.
     #[error("this path takes {0} only")]
     Method(&'static str),
+    /// Its head can be read in more than one way.
+    #[error("Content-Length or Transfer-Encoding: repeated, at odds or malformed")]
+    Framing,
+    /// Its id is that of a request that has not ended.
+    #[error("X-Txn: a request with this id has not ended yet")]
+    IdInUse,
     /// More than a body may hold.
     #[error("the body is larger than 256 KiB")]
     TooLarge,
@@ -56,7 +75,10 @@
     /// The status that says so.
     pub fn status(&self) -> StatusCode {
         match self {
-            InputError::Header(_) | InputError::Unknown(_) | InputError::Body(_) => StatusCode::BAD_REQUEST,
+            InputError::Header(_) | InputError::Unknown(_) | InputError::Body(_) | InputError::Framing => {
+                StatusCode::BAD_REQUEST
+            }
+            InputError::IdInUse => StatusCode::CONFLICT,
             InputError::Model(_) | InputError::Path => StatusCode::NOT_FOUND,
             InputError::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
             InputError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -65,17 +87,47 @@
     }
 }
 
-/// Reads a body, within its bounds of size and time.
-pub(super) async fn body(body: Incoming) -> Result<Bytes, InputError> {
+/// When a request must have come whole.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ArriveBy(pub(super) Instant);
+
+/// Checks the headers that say what a request is, then reads its body, within its bounds of size and time.
+pub(super) async fn body(head: &Parts, body: Incoming) -> Result<Bytes, InputError> {
+    unequivocal(&head.headers)?;
     if body.size_hint().lower() > BODY_MOST as u64 {
         return Err(InputError::TooLarge);
     }
     let whole = Limited::new(body, BODY_MOST).collect();
-    match tokio::time::timeout(BODY_WAIT, whole).await {
-        Err(_) => Err(InputError::TooSlow),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(InputError::TooLarge),
-        Ok(Err(_)) => Err(InputError::Body("the body broke off".into())),
+    let whole = match head.extensions.get::<ArriveBy>() {
+        Some(ArriveBy(by)) => timeout_at(*by, whole).await.map_err(|_| InputError::TooSlow)?,
+        None => whole.await,
+    };
+    let bytes = match whole {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<LengthLimitError>() => return Err(InputError::TooLarge),
+        Err(_) => return Err(InputError::Body("the body broke off".into())),
+    };
+    // A box could only turn it away.
+    match bytes.is_empty() {
+        true => Err(InputError::Body("the body is missing".into())),
+        false => Ok(bytes),
+    }
+}
+
+/// Each of them at most once, of bounded length and meant for the box: else box and conductor could read
+/// different things in one request.
+fn unequivocal(headers: &HeaderMap) -> Result<(), InputError> {
+    for (name, spelt) in SAYS {
+        let mut values = headers.get_all(name).iter();
+        let first = values.next();
+        let bad = first.is_some_and(|v| v.len() > HEADER_MOST || v.to_str().is_err());
+        if bad || values.next().is_some() {
+            return Err(InputError::Header(spelt));
+        }
+    }
+    match hop_by_hop(headers).any(|name| SAYS.iter().any(|(says, _)| name == *says)) {
+        true => Err(InputError::Header("Connection")),
+        false => Ok(()),
     }
 }
 
@@ -101,15 +153,15 @@
     !text.is_empty() && text.len() <= ID_MOST && text.bytes().all(plain)
 }
 
+/// What `Connection` names.
+fn hop_by_hop(headers: &HeaderMap) -> impl Iterator<Item = HeaderName> + '_ {
+    let values = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    values.flat_map(|value| value.split(',')).filter_map(|name| name.trim().parse().ok())
+}
+
 /// Takes out what belongs to one connection rather than to the request.
 pub(super) fn end_to_end(headers: &mut HeaderMap) {
-    let listed: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
+    let listed: Vec<HeaderName> = hop_by_hop(headers).collect();
     let hop = [
         CONNECTION,
         CONTENT_LENGTH,
@@ -141,7 +193,8 @@
     const BAD: InputError = InputError::Header("X-Labels");
     let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
     let pairs: HashMap<&str, &str> = parts.map(|p| p.split_once('=').ok_or(BAD)).collect::<Result<_, _>>()?;
-    let count = |name| pairs.get(name).map_or(Ok(0), |text| text.parse().map_err(|_| BAD));
+    let number = |text: &&str| text.parse().ok().filter(|n| *n <= TOKENS_MOST).ok_or(BAD);
+    let count = |name| pairs.get(name).map_or(Ok(0), number);
     Ok(Labels {
         prefix: pairs.get("prefix").filter(|p| !p.is_empty()).map(|p| Id::from(*p)),
         prefix_tokens: count("prefix_len")?,
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -1,5 +1,6 @@
-//! Accepting clients: a bound on connections, and an orderly end.
+//! Accepting clients: a bound on connections and on what each may take of time, and an orderly end.
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -11,26 +12,29 @@
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::Request;
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{debug, info, warn, Logger};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::{sleep, sleep_until, Instant};
 use tokio_io_timeout::TimeoutStream;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::body::FrontResponse;
-use super::clients::{Clients, Place};
+use super::body::{FrontBody, FrontResponse, Held};
+use super::clients::{Clients, Place, UnderWay};
+use super::framing::{Found, Framed, HEADERS_MOST};
+use super::input::{ArriveBy, InputError};
 
 /// Connections that the kernel holds until they are accepted.
 const BACKLOG: u32 = 1_024;
-/// A head must be here within this time from the end of the answer before it.
-const HEAD_WAIT: Duration = Duration::from_secs(90);
-const HEADERS_MOST: usize = 64;
 const HEAD_BYTES: usize = 16 << 10;
 /// After an accept that failed, as when descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Beyond the time in which a first request must come, so that it can be told that it was too slow.
+const LINGER: Duration = Duration::from_millis(300);
+
 /// What answers requests.
 pub trait Service: Send + Sync + 'static {
     /// Answers' events.
@@ -38,14 +42,28 @@
 
     /// Answers one request. Dropped if its client goes.
     fn answer(&self, request: Request<Incoming>) -> impl Future<Output = FrontResponse<Self::Events>> + Send;
+
+    /// Turns down what is no request.
+    fn turn_down(&self, error: InputError) -> Response<FrontBody<Self::Events>>;
+}
+
+/// How long clients may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// A request must have come whole this long after its connection was accepted or, if it is not the
+    /// first there, after its head. A connection on which none has is closed a little later.
+    pub arrive: Duration,
+    /// A connection without an open request is closed after this time.
+    pub idle: Duration,
+    /// A client that takes nothing of what is sent to it for this long has gone without a word.
+    pub stall: Duration,
 }
 
 /// What the listeners have in common: the bound on connections, and how far they are open.
 #[derive(Clone)]
 pub struct Doors {
     clients: Clients,
-    /// A client that takes nothing of what is sent to it for this long has gone without a word.
-    stall: Duration,
+    patience: Patience,
     /// An end is planned: clients are told with each answer to come back on another connection.
     leaving: CancellationToken,
     /// Nothing more is accepted, and each connection ends once it has no request.
@@ -56,12 +74,11 @@
 }
 
 impl Doors {
-    /// Room for so many connections, on all listeners together, none of which may take nothing of its
-    /// answer for as long as `stall`.
-    pub fn new(most: usize, stall: Duration, log: Logger) -> Self {
+    /// Room for so many connections, on all listeners together.
+    pub fn new(most: usize, patience: Patience, log: Logger) -> Self {
         Doors {
             clients: Clients::new(most),
-            stall,
+            patience,
             leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
             accepting: TaskTracker::new(),
@@ -111,53 +128,79 @@
                 () = self.closing.cancelled() => return,
             };
             match accepted {
-                Ok((stream, _)) => self.serve(stream, self.clients.place().await, service.clone()),
+                Ok((stream, _)) => {
+                    let arrived = Instant::now();
+                    self.serve(stream, arrived, self.clients.place().await, service.clone());
+                }
                 Err(e) => {
                     warn!(self.log, "accept"; "why" => %e);
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
     }
 
-    fn serve<S: Service>(&self, stream: TcpStream, place: Place, service: Arc<S>) {
-        let stall = self.stall;
+    fn serve<S: Service>(&self, stream: TcpStream, accepted: Instant, place: Place, service: Arc<S>) {
+        let Patience { arrive, idle, stall } = self.patience;
         let (closing, leaving, log) = (self.closing.clone(), self.leaving.clone(), self.log.clone());
         self.connections.spawn(async move {
-            let (leave, place) = (place.leave(), Arc::new(place));
-            let used = place.clone();
+            let (leave, place, found) = (place.leave(), Arc::new(place), Arc::new(Found::default()));
             // Without it events would wait for the client's acknowledgement; it can only fail on a
             // connection that is no more.
             let _ = stream.set_nodelay(true);
             let mut stream = TimeoutStream::new(stream);
             stream.set_write_timeout(Some(stall));
-            let answer = service_fn(move |request| {
-                used.used();
-                let (service, leaving) = (service.clone(), leaving.clone());
+            let stream = Framed::new(stream, found.clone(), place.clone());
+            let asked = place.clone();
+            let answer = service_fn(move |mut request: Request<Incoming>| {
+                let under_way = UnderWay(asked.clone());
+                let from = if asked.has_answered() { Instant::now() } else { accepted };
+                request.extensions_mut().insert(ArriveBy(from + arrive));
+                let (service, leaving, found) = (service.clone(), leaving.clone(), found.clone());
                 async move {
-                    let mut answer = service.answer(request).await?;
-                    if leaving.is_cancelled() {
+                    let mut answer = match found.is_ambiguous() {
+                        true => service.turn_down(InputError::Framing),
+                        false => service.answer(request).await?,
+                    };
+                    // What is left of a body that was turned down must not be read as another request.
+                    let bad = answer.status().is_client_error();
+                    let refused = answer.status() == StatusCode::TOO_MANY_REQUESTS;
+                    if leaving.is_cancelled() || found.is_last() || (bad && !refused) {
                         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                     }
-                    FrontResponse::Ok(answer)
+                    Ok::<_, Infallible>(answer.map(|body| Held::new(body, under_way)))
                 }
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_WAIT)
+                .header_read_timeout(idle)
                 .max_headers(HEADERS_MOST)
                 .max_buf_size(HEAD_BYTES)
-                .serve_connection(TokioIo::new(Box::pin(stream)), answer);
+                .serve_connection(TokioIo::new(stream), answer);
             let mut connection = pin!(connection);
-            let ended = tokio::select! {
-                ended = connection.as_mut() => ended,
-                () = either(&closing, &leave) => {
-                    // Ends it at once, or after the answer under way.
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
+            let mut none_came = pin!(async {
+                sleep_until(accepted + arrive + LINGER).await;
+                if place.has_asked() {
+                    std::future::pending().await
+                }
+            });
+            let mut told = false;
+            let ended = loop {
+                tokio::select! {
+                    biased;
+                    ended = connection.as_mut() => break ended,
+                    () = none_came.as_mut() => break Ok(()),
+                    () = either(&closing, &leave), if !told => {
+                        // What came too slowly to be a request yet has no claim to its place.
+                        if leave.is_cancelled() && !place.is_busy() {
+                            break Ok(());
+                        }
+                        // Ends it at once, or after the answer under way.
+                        connection.as_mut().graceful_shutdown();
+                        told = true;
+                    }
                 }
             };
-            drop(place);
             if let Err(e) = ended {
                 debug!(log, "connection"; "why" => %e);
             }
--- a/daemon/src/front/mod.rs
+++ b/daemon/src/front/mod.rs
@@ -3,9 +3,10 @@
 mod body;
 pub mod chat;
 mod clients;
+mod framing;
 mod input;
 mod listener;
 pub mod platform;
 
 pub use body::FrontBody;
-pub use listener::{Doors, Service};
+pub use listener::{Doors, Patience, Service};
--- a/daemon/src/front/platform.rs
+++ b/daemon/src/front/platform.rs
@@ -50,7 +50,7 @@
     async fn chat(&self, request: Request<Incoming>) -> Result<Response<FrontBody<B::Events>>, InputError> {
         let (mut head, incoming) = request.into_parts();
         let mut query = query(&head.headers, &self.names)?;
-        let body = body(incoming).await?;
+        let body = body(&head, incoming).await?;
         if query.prompt_tokens == 0 {
             query.prompt_tokens = body.len() as u64 / TOKEN_BYTES;
         }
@@ -65,7 +65,7 @@
                 refused
             }
             Ok(Answer::Failed { .. }) => whole(StatusCode::BAD_GATEWAY, PLAIN, "failed\n"),
-            Err(CallError::IdInUse) => return Err(InputError::Header("X-Txn")),
+            Err(CallError::IdInUse) => return Err(InputError::IdInUse),
         })
     }
 }
@@ -74,7 +74,11 @@
     type Events = B::Events;
 
     async fn answer(&self, request: Request<Incoming>) -> FrontResponse<B::Events> {
-        Ok(self.route(request).await.unwrap_or_else(|e| whole(e.status(), PLAIN, format!("{e}\n"))))
+        Ok(self.route(request).await.unwrap_or_else(|e| self.turn_down(e)))
+    }
+
+    fn turn_down(&self, error: InputError) -> Response<FrontBody<B::Events>> {
+        whole(error.status(), PLAIN, format!("{error}\n"))
     }
 }
 
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -15,7 +15,7 @@
 use frosttrail_daemon::discovery::{Discovery, Xds};
 use frosttrail_daemon::front::chat::Chat;
 use frosttrail_daemon::front::platform::Platform;
-use frosttrail_daemon::front::Doors;
+use frosttrail_daemon::front::{Doors, Patience};
 use frosttrail_daemon::upstream::{Book, Limits, Upstream};
 use slog::{info, o, warn, Drain, Logger};
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -29,8 +29,13 @@
 const ANSWER_ALL: Duration = Duration::from_millis(2_900);
 /// and streams are cut this long after it: SIGKILL comes at 3.7 s or later.
 const LAST: Duration = Duration::from_millis(3_400);
-/// A client may take nothing of its answer for this long.
-const STALL: Duration = Duration::from_secs(20);
+/// How long clients may take: a request is small and comes from near, idle connections cost memory and
+/// descriptors, and a client on a bad line may fall silent for some seconds while its answer streams.
+const PATIENCE: Patience = Patience {
+    arrive: Duration::from_millis(2_200),
+    idle: Duration::from_secs(5),
+    stall: Duration::from_secs(20),
+};
 /// Descriptors for all that is neither a client nor a box: log, timers, discovery, listeners.
 const SPARE_SOCKETS: usize = 48;
 
@@ -131,7 +136,7 @@
     log: Logger,
 ) -> Result<(), Fault> {
     let each = (config.sockets - SPARE_SOCKETS) / 2;
-    let doors = Doors::new(each, STALL, log.clone());
+    let doors = Doors::new(each, PATIENCE, log.clone());
     let (listen, settings, names) = (config.listen, config.settings.clone(), Arc::new(config.names.clone()));
     let (discovery, address) = watch::channel(config.discovery);
     // It goes on beside an end that is planned: until then, drains are still learned of.
