--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -187,7 +187,9 @@
         let moved = matches!(seat.verdicts.poll_recv(cx), Poll::Ready(None | Some(Verdict::Move)));
         let step = match self.events.poll_step(cx) {
             Poll::Ready(step) => step,
-            Poll::Pending if moved || self.silence.as_mut().poll(cx).is_ready() => Step::Broken,
+            Poll::Pending if moved => Step::Broken(Outcome::CalledOff),
+            // One stream that stalls may be that answer's own fault; a box that has vanished shows in others.
+            Poll::Pending if self.silence.as_mut().poll(cx).is_ready() => Step::Broken(Outcome::NoAnswer),
             Poll::Pending => return Poll::Pending,
         };
         Poll::Ready(match step {
@@ -200,8 +202,8 @@
                 self.seat = None;
                 None
             }
-            Step::Broken => {
-                seat.ended(Outcome::ConnectionLost, 0, None);
+            Step::Broken(outcome) => {
+                seat.ended(outcome, 0, None);
                 self.seat = None;
                 Some(Err(Broken))
             }
--- a/core/src/traits.rs
+++ b/core/src/traits.rs
@@ -26,12 +26,12 @@
 /// What comes next in an answer that has begun.
 #[derive(Debug, PartialEq)]
 pub enum Step {
-    /// Events as they came.
+    /// One event as it came, whole.
     Data(Bytes),
     /// The whole of the answer has come.
     End,
-    /// It broke off.
-    Broken,
+    /// It broke off, and this is how.
+    Broken(Outcome),
 }
 
 /// An answer that has begun. Dropping it ends the attempt.
--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -78,7 +78,7 @@
 
 impl Events for Stream {
     fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
-        self.steps.poll_recv(cx).map(|step| step.unwrap_or(Step::Broken))
+        self.steps.poll_recv(cx).map(|step| step.unwrap_or(Step::Broken(Outcome::ConnectionLost)))
     }
 }
 
@@ -234,7 +234,7 @@
             let step = match what {
                 Happens::More => Step::Data(Bytes::from_static(b"data: x\n\n")),
                 Happens::End => Step::End,
-                Happens::Broke => Step::Broken,
+                Happens::Broke => Step::Broken(Outcome::ConnectionLost),
                 _ => return,
             };
             let _ = stream.send(step);
--- a/daemon/src/front/chat/gather.rs
+++ b/daemon/src/front/chat/gather.rs
@@ -7,10 +7,7 @@
 use serde_json::{json, Map, Value};
 
 use super::error::ApiError;
-use super::sse::{data, is_done, Splitter};
-
-/// No answer is longer.
-const ANSWER_MOST: usize = 4 << 20;
+use super::sse::{data, is_done};
 
 #[derive(Deserialize)]
 struct Chunk {
@@ -45,8 +42,6 @@
     model: String,
     choices: BTreeMap<u64, Choice>,
     usage: Option<Value>,
-    splitter: Splitter,
-    size: usize,
     done: bool,
 }
 
@@ -54,36 +49,11 @@
     /// Nothing yet; id and model as they are where the box names none.
     pub(super) fn new(id: String, model: String) -> Self {
         let created = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
-        Gather {
-            id,
-            created,
-            model,
-            choices: BTreeMap::new(),
-            usage: None,
-            splitter: Splitter::default(),
-            size: 0,
-            done: false,
-        }
-    }
-
-    /// More of the stream.
-    pub(super) fn push(&mut self, bytes: &[u8]) -> Result<(), ApiError> {
-        self.size += bytes.len();
-        if self.size > ANSWER_MOST {
-            return Err(ApiError::Upstream);
-        }
-        self.splitter.push(bytes).map_err(|_| ApiError::Upstream)?;
-        while let Some(event) = self.splitter.next() {
-            self.event(&event)?;
-        }
-        Ok(())
+        Gather { id, created, model, choices: BTreeMap::new(), usage: None, done: false }
     }
 
     /// The whole answer, if its final event has come.
-    pub(super) fn finish(mut self) -> Result<String, ApiError> {
-        if let Some(rest) = self.splitter.rest() {
-            self.event(&rest)?;
-        }
+    pub(super) fn finish(self) -> Result<String, ApiError> {
         if !self.done {
             return Err(ApiError::Upstream);
         }
@@ -106,7 +76,8 @@
         .to_string())
     }
 
-    fn event(&mut self, event: &[u8]) -> Result<(), ApiError> {
+    /// The next event.
+    pub(super) fn push(&mut self, event: &[u8]) -> Result<(), ApiError> {
         let data = data(event);
         if data.is_empty() {
             return Ok(());
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -36,6 +36,8 @@
     idle: Duration::from_secs(5),
     stall: Duration::from_secs(20),
 };
+/// A box's connection rests this long after an answer, in which what follows right behind has come.
+const SETTLE: Duration = Duration::from_millis(10);
 /// Descriptors for all that is neither a client nor a box: log, timers, discovery, listeners.
 const SPARE_SOCKETS: usize = 48;
 
@@ -206,6 +208,7 @@
         connections,
         connect_timeout: Duration::from_micros(config.settings.connect_timeout),
         conn_idle: Duration::from_micros(config.settings.conn_idle),
+        settle: SETTLE,
     };
     let boxes = Arc::new(Upstream::new(book.clone(), limits));
     let Config { name, known, names, settings, seed, .. } = config;
--- a/daemon/src/upstream/attempt.rs
+++ b/daemon/src/upstream/attempt.rs
@@ -1,8 +1,10 @@
 //! One attempt at one box: PROTOCOL's table of what comes back and whether it has run.
 
+use std::error::Error;
+use std::io::ErrorKind;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,12 +14,13 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use serde::Deserialize;
 use tokio::time::timeout;
 
 use super::link::{Link, Written};
 use super::pool::{Pool, BODY_MOST};
+use super::sse::{report, Splitter, Unreadable};
 use super::Call;
 
 /// The time that the conductor will wait.
@@ -64,6 +67,8 @@
     NeverWritten,
     /// It broke after that.
     Reset,
+    /// What came after that is no answer.
+    Spoilt,
 }
 
 async fn send(
@@ -80,8 +85,9 @@
     request.headers_mut().entry(HOST).or_insert(HeaderValue::from_static("box"));
     match link.send(request, written).await {
         Ok(answer) => Ok((link, answer)),
-        Err(_) if written.is_whole() => Err(Unanswered::Reset),
-        Err(_) => Err(Unanswered::NeverWritten),
+        Err(_) if !written.is_whole() => Err(Unanswered::NeverWritten),
+        Err(e) if e.is_spoilt() => Err(Unanswered::Spoilt),
+        Err(_) => Err(Unanswered::Reset),
     }
 }
 
@@ -100,10 +106,12 @@
         Ok(sent) => sent,
         Err(Unanswered::NeverWritten) => return Reply::Ended(Outcome::NoConnection, None),
         Err(Unanswered::Reset) => return Reply::Ended(Outcome::ConnectionLost, None),
+        // The box runs and answers, if badly: no reason to keep other requests from it.
+        Err(Unanswered::Spoilt) => return Reply::Ended(Outcome::Failed, None),
     };
     let (head, body) = answer.into_parts();
     let turned_away = head.headers.get(TURNED_AWAY).is_some_and(|v| v == "1");
-    let load = pressure(&head.headers);
+    let load = head.headers.get(PRESSURE).and_then(|report| pressure(report.as_bytes(), &link));
     let ended = match head.status {
         StatusCode::OK => {
             let framed =
@@ -120,9 +128,13 @@
     Reply::Ended(ended, load)
 }
 
-fn pressure(headers: &HeaderMap) -> Option<Load> {
-    let report = serde_json::from_slice(headers.get(PRESSURE)?.as_bytes()).ok()?;
-    frosttrail::setup::load(&report).ok()
+/// A load report; who sends one that can't be read may send other things besides.
+fn pressure(report: &[u8], link: &Link) -> Option<Load> {
+    let report = serde_json::from_slice(report).ok().and_then(|r| frosttrail::setup::load(&r).ok());
+    if report.is_none() {
+        link.taint();
+    }
+    report
 }
 
 #[derive(Deserialize)]
@@ -153,15 +165,18 @@
     worker: Id,
     link: Option<Link>,
     body: Incoming,
+    splitter: Splitter,
     first: Option<Bytes>,
     /// The answer says itself where it ends; one that ends with its connection can't be told from one
     /// that broke off.
     framed: bool,
+    ended: bool,
 }
 
 impl BoxEvents {
     fn new(pool: Arc<Pool>, worker: Id, link: Link, body: Incoming, framed: bool) -> Self {
-        BoxEvents { pool, worker, link: Some(link), body, first: None, framed }
+        let (splitter, first) = (Splitter::default(), None);
+        BoxEvents { pool, worker, link: Some(link), body, splitter, first, framed, ended: false }
     }
 
     /// Waits for the first event: until it is there, nothing has gone to the client and the request can
@@ -172,32 +187,59 @@
                 self.first = Some(first);
                 Reply::Stream(self)
             }
-            Step::End | Step::Broken => Reply::Ended(Outcome::ConnectionLost, load),
+            Step::End => Reply::Ended(Outcome::ConnectionLost, load),
+            Step::Broken(outcome) => Reply::Ended(outcome, load),
+        }
+    }
+
+    fn event(&self, event: Bytes) -> Step {
+        if let (Some(report), Some(link)) = (report(&event), &self.link) {
+            // It decides nothing here; the one in the head of an answer is handed on.
+            pressure(report, link);
         }
+        Step::Data(event)
     }
 }
 
+/// Whether a break is the box's words rather than its connection's end.
+fn broken(e: &hyper::Error) -> Step {
+    let kind = e.source().and_then(|e| e.downcast_ref::<std::io::Error>()).map(std::io::Error::kind);
+    let spoilt = matches!(kind, Some(ErrorKind::InvalidInput | ErrorKind::InvalidData));
+    Step::Broken(if spoilt || e.is_parse() { Outcome::Failed } else { Outcome::ConnectionLost })
+}
+
 impl Events for BoxEvents {
     fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
         if let Some(first) = self.first.take() {
             return Poll::Ready(Step::Data(first));
         }
         loop {
-            let frame = match Pin::new(&mut self.body).poll_frame(cx) {
-                Poll::Pending => return Poll::Pending,
-                Poll::Ready(Some(Ok(frame))) => frame,
-                Poll::Ready(Some(Err(_))) => return Poll::Ready(Step::Broken),
-                Poll::Ready(None) if !self.framed => return Poll::Ready(Step::Broken),
-                Poll::Ready(None) => {
-                    if let Some(link) = self.link.take() {
-                        self.pool.keep(&self.worker, link);
+            match self.splitter.next() {
+                Ok(Some(event)) => return Poll::Ready(self.event(event)),
+                Ok(None) => {}
+                Err(Unreadable) => return Poll::Ready(Step::Broken(Outcome::Failed)),
+            }
+            if self.ended {
+                if let Some(link) = self.link.take() {
+                    self.pool.keep(&self.worker, link);
+                }
+                return Poll::Ready(Step::End);
+            }
+            match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
+                Some(Err(e)) => return Poll::Ready(broken(&e)),
+                None if !self.framed => return Poll::Ready(Step::Broken(Outcome::ConnectionLost)),
+                None => {
+                    self.ended = true;
+                    if let Some(rest) = self.splitter.rest() {
+                        return Poll::Ready(self.event(rest));
+                    }
+                }
+                Some(Ok(frame)) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    if self.splitter.push(&data).is_err() {
+                        return Poll::Ready(Step::Broken(Outcome::Failed));
                     }
-                    return Poll::Ready(Step::End);
                 }
-            };
-            match frame.into_data() {
-                Ok(data) if !data.is_empty() => return Poll::Ready(Step::Data(data)),
-                _ => {}
             }
         }
     }
--- a/daemon/src/upstream/link.rs
+++ b/daemon/src/upstream/link.rs
@@ -5,21 +5,28 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::ext::on_informational;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::time::Instant;
+use tokio::sync::{watch, OwnedSemaphorePermit};
+use tokio::time::{sleep_until, Instant};
 use tokio_util::task::AbortOnDropHandle;
 
 use super::lock;
 
+/// A head comes in one piece or nearly so; one that has begun and has not ended by then never will.
+const HEAD_WAIT: Duration = Duration::from_millis(400);
+/// No head is larger, and no more is read ahead.
+const BUFFER: usize = 32 << 10;
+
 /// How far one request has got. A box starts on a request with its last byte, so this tells a request
 /// that never ran from one that may have.
 #[derive(Clone, Default)]
@@ -33,6 +40,8 @@
     wrote: AtomicBool,
     /// Nothing was left to write after both.
     whole: AtomicBool,
+    /// When the head of an answer began to come.
+    answering: watch::Sender<Option<Instant>>,
 }
 
 impl Written {
@@ -41,6 +50,41 @@
         self.0.whole.load(Ordering::Relaxed)
     }
 
+    /// The request goes out anew: what an earlier connection took of it does not count.
+    fn begin(&self) {
+        let Progress { taken, wrote, whole, answering } = &*self.0;
+        [taken, wrote, whole].iter().for_each(|mark| mark.store(false, Ordering::Relaxed));
+        answering.send_replace(None);
+    }
+
+    /// Bytes have come; those of an answer in front of the answer itself do not count.
+    fn read(&self) {
+        self.0.answering.send_if_modified(|at| {
+            let first = at.is_none();
+            at.get_or_insert_with(Instant::now);
+            first
+        });
+    }
+
+    /// Resolves once a head has begun to come and has not ended for so long.
+    async fn head_overdue(&self) {
+        let mut answering = self.0.answering.subscribe();
+        loop {
+            let began = *answering.borrow_and_update();
+            let overdue = async {
+                match began {
+                    Some(at) => sleep_until(at + HEAD_WAIT).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = overdue => return,
+                // The sender is in here.
+                _ = answering.changed() => {}
+            }
+        }
+    }
+
     fn taken(&self) {
         self.0.taken.store(true, Ordering::Relaxed);
     }
@@ -105,7 +149,9 @@
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(cx, buf)
+        ready!(Pin::new(&mut self.io).poll_read(cx, buf))?;
+        lock(&self.carried).read();
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -158,6 +204,8 @@
 pub(super) struct Link {
     sender: SendRequest<Outgoing>,
     carried: Carried,
+    /// More has come on it than belonged to its answers.
+    tainted: Arc<AtomicBool>,
     _driver: AbortOnDropHandle<()>,
     _permit: OwnedSemaphorePermit,
     pub(super) idle_since: Instant,
@@ -170,7 +218,10 @@
         stream.set_nodelay(true)?;
         let carried = Carried::default();
         let wire = Wire { io: TokioIo::new(stream), carried: carried.clone() };
-        let (sender, connection) = handshake(wire).await?;
+        // A header that can't be read, as a load report may be, spoils nothing else.
+        let mut builder = Builder::new();
+        builder.ignore_invalid_headers_in_responses(true).max_buf_size(BUFFER);
+        let (sender, connection) = builder.handshake(wire).await?;
         let driver = tokio::spawn(async move {
             // How it ended shows in the answer that is out, or in the sender.
             let _ = connection.await;
@@ -178,6 +229,7 @@
         Ok(Link {
             sender,
             carried,
+            tainted: Arc::default(),
             _driver: AbortOnDropHandle::new(driver),
             _permit: permit,
             idle_since: Instant::now(),
@@ -189,25 +241,59 @@
         self.sender.is_ready()
     }
 
-    /// Whether it has ended.
-    pub(super) fn is_closed(&self) -> bool {
-        self.sender.is_closed()
+    /// Whether it is of no further use: it has ended, or what comes on it can't be told apart.
+    pub(super) fn is_spent(&self) -> bool {
+        self.sender.is_closed() || self.tainted.load(Ordering::Relaxed)
+    }
+
+    /// It brings what nobody asked for; no other request should go out on it.
+    pub(super) fn taint(&self) {
+        self.tainted.store(true, Ordering::Relaxed);
     }
 
-    /// Sends a request, once, and notes how far it gets.
+    /// Sends a request, once, and notes how far it gets. The head of its answer, once it has begun, has a
+    /// time of its own: a spoilt one may never end, and the connection stays open.
     pub(super) async fn send(
         &mut self,
         request: Request<Bytes>,
         written: &Written,
-    ) -> Result<Response<Incoming>, hyper::Error> {
+    ) -> Result<Response<Incoming>, SendError> {
+        written.begin();
         let (head, bytes) = request.into_parts();
         let bytes = Some(bytes).filter(|b| !b.is_empty());
         if bytes.is_none() {
             written.taken();
         }
         *lock(&self.carried) = written.clone();
-        self.sender
-            .send_request(Request::from_parts(head, Outgoing { bytes, written: written.clone() }))
-            .await
+        let mut request = Request::from_parts(head, Outgoing { bytes, written: written.clone() });
+        let (tainted, early) = (self.tainted.clone(), written.clone());
+        on_informational(&mut request, move |_| {
+            tainted.store(true, Ordering::Relaxed);
+            early.0.answering.send_replace(None);
+        });
+        tokio::select! {
+            biased;
+            answer = self.sender.send_request(request) => Ok(answer?),
+            () = written.head_overdue() => Err(SendError::Endless),
+        }
+    }
+}
+
+/// Why there is no answer to a request.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum SendError {
+    #[error("http: {0}")]
+    Http(#[from] hyper::Error),
+    #[error("the head of its answer did not end")]
+    Endless,
+}
+
+impl SendError {
+    /// What came is no answer; the connection itself did not break.
+    pub(super) fn is_spoilt(&self) -> bool {
+        match self {
+            SendError::Http(e) => e.is_parse(),
+            SendError::Endless => true,
+        }
     }
 }
--- a/daemon/src/upstream/mod.rs
+++ b/daemon/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod link;
 mod pool;
+mod sse;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/daemon/src/upstream/pool.rs
+++ b/daemon/src/upstream/pool.rs
@@ -27,6 +27,9 @@
     pub connect_timeout: Duration,
     /// Boxes close one that has been idle this long.
     pub conn_idle: Duration,
+    /// One that has brought an answer is left alone for this time: what comes right behind the answer
+    /// must not be taken for the next one.
+    pub settle: Duration,
 }
 
 /// Idle connections by box, and permits for all.
@@ -53,8 +56,9 @@
         tokio::task::yield_now().await;
         let mut idle = lock(&self.idle);
         let links = idle.get_mut(worker)?;
-        links.retain(|link| link.is_ready() && self.is_young(link));
-        let link = links.pop();
+        links.retain(|link| !link.is_spent() && self.is_young(link));
+        let settled = |link: &Link| link.is_ready() && link.idle_since.elapsed() >= self.limits.settle;
+        let link = links.iter().rposition(settled).map(|at| links.remove(at));
         if links.is_empty() {
             idle.remove(worker);
         }
@@ -89,10 +93,13 @@
     /// Keeps a connection whose answer has come whole, and lets go of those that are past use, also of
     /// boxes to which nothing goes any more.
     pub(super) fn keep(&self, worker: &Id, mut link: Link) {
+        if link.is_spent() {
+            return;
+        }
         link.idle_since = Instant::now();
         let mut idle = lock(&self.idle);
         idle.retain(|_, links| {
-            links.retain(|link| !link.is_closed() && self.is_young(link));
+            links.retain(|link| !link.is_spent() && self.is_young(link));
             !links.is_empty()
         });
         idle.entry(worker.clone()).or_default().push(link);
--- a/daemon/tests/connection.rs
+++ b/daemon/tests/connection.rs
@@ -15,7 +15,7 @@
 use support::*;
 
 /// What happens to the connections next.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum Happens {
     Read,
     Served,
@@ -27,12 +27,37 @@
     Resets,
     NoEvents,
     BreaksOff,
+    Noise,
+    EndlessHead,
+    StalledHead,
+    UnreadableSize,
+    WrongSize,
+    HugeChunk,
+    NoEvent,
+    Early,
+    BadReport,
+    BadReportAtEnd,
+    SecondAnswer,
     GivenUp,
     BoxClosesIdle,
 }
 
 use Happens::*;
 
+/// The head of a stream.
+macro_rules! stream {
+    () => {
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+    };
+}
+
+/// A reader's answer, with further headers.
+macro_rules! answer {
+    ($headers:literal) => {
+        concat!("HTTP/1.1 202 -\r\n", $headers, "content-length: 2\r\n\r\n{}")
+    };
+}
+
 impl Arbitrary for Happens {
     fn arbitrary(g: &mut Gen) -> Self {
         *g.choose(&[
@@ -46,6 +71,17 @@
             Resets,
             NoEvents,
             BreaksOff,
+            Noise,
+            EndlessHead,
+            StalledHead,
+            UnreadableSize,
+            WrongSize,
+            HugeChunk,
+            NoEvent,
+            Early,
+            BadReport,
+            BadReportAtEnd,
+            SecondAnswer,
             GivenUp,
             BoxClosesIdle,
         ])
@@ -66,6 +102,17 @@
             Resets => Does::Resets,
             NoEvents => Does::Streams(&[]),
             BreaksOff => Does::BreaksAfter(&[EVENT]),
+            Noise => Does::Raw("\u{1}\u{2} of the sea\r\n\r\n"),
+            EndlessHead => Does::RawOn("HTTP/1.1 200 OK\r\nx-more: and more"),
+            StalledHead => Does::Raw("HTTP/1.1 200 OK\r\ntransfer-enc"),
+            UnreadableSize => Does::Raw(concat!(stream!(), "10\r\ndata: Table {}\n\n\r\nzz\r\n")),
+            WrongSize => Does::Raw(concat!(stream!(), "12\r\ndata: Table {}\n\n\r\n10\r\ndata: booked\n\n")),
+            HugeChunk => Does::RawOn(concat!(stream!(), "c0000000\r\ndata: Table {}\n\ndata: x")),
+            NoEvent => Does::Raw(concat!(stream!(), "10\r\nTable for two!\n\n\r\n")),
+            Early => Does::RawWhole(concat!("HTTP/1.1 103 Early Hints\r\n\r\n", answer!(""))),
+            BadReport => Does::RawWhole(answer!("x-pressure: {\"inflight\":\r\n")),
+            BadReportAtEnd => Does::RawWhole(concat!(stream!(), "11\r\n: X-Pressure: {\n\n\r\n0\r\n\r\n")),
+            SecondAnswer => Does::RawWhole(concat!(answer!(""), answer!(""))),
             GivenUp | BoxClosesIdle => Does::Silent,
         }
     }
@@ -79,6 +126,11 @@
             StateGone => Outcome::StateLost,
             GoneUnmarked | Unmarked | Error => Outcome::Failed,
             Resets | NoEvents | BreaksOff => Outcome::ConnectionLost,
+            Noise | EndlessHead | StalledHead | UnreadableSize | WrongSize | HugeChunk | NoEvent => {
+                Outcome::Failed
+            }
+            Early | BadReport | SecondAnswer => Outcome::ReadDone,
+            BadReportAtEnd => Outcome::Served,
             GivenUp | BoxClosesIdle => return None,
         })
     }
@@ -100,7 +152,8 @@
             // A stream without an event is no answer, but its connection has ended well.
             Read | Served | NoEvents => (1, 1),
             TurnedAway | StateGone | GoneUnmarked | Unmarked | Error => (0, 1),
-            Resets | BreaksOff | GivenUp | BoxClosesIdle => (0, 0),
+            // Spoilt, or with more on it than its answer.
+            _ => (0, 0),
         };
         Kept { least: self.least.saturating_sub(used) + least, most: self.most.saturating_sub(used) + most }
     }
@@ -121,7 +174,7 @@
             match std::future::poll_fn(|cx| events.poll_step(cx)).await {
                 Step::Data(_) => {}
                 Step::End => return Outcome::Served,
-                Step::Broken => return Outcome::ConnectionLost,
+                Step::Broken(outcome) => return outcome,
             }
         },
     }
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -41,6 +41,12 @@
     BreaksAfter(&'static [&'static str]),
     /// Streams these events, then says nothing more until the other side has closed.
     StallsAfter(&'static [&'static str]),
+    /// Sends these bytes, whatever they are, then says nothing more until the other side has closed.
+    Raw(&'static str),
+    /// Sends these bytes, and then the last of them again and again.
+    RawOn(&'static str),
+    /// Sends these bytes, which hold a whole answer, and goes on to the next request.
+    RawWhole(&'static str),
     /// Streams without end.
     StreamsOn,
     /// Ends the connection once it has all of the request.
@@ -180,6 +186,18 @@
                     chunks(&mut stream, events).await?;
                     return self.until_closed(stream).await;
                 }
+                Does::Raw(bytes) => {
+                    stream.write_all(bytes.as_bytes()).await?;
+                    return self.until_closed(stream).await;
+                }
+                Does::RawOn(bytes) => {
+                    stream.write_all(bytes.as_bytes()).await?;
+                    let again = bytes[bytes.len() - 1..].repeat(4096);
+                    while stream.write_all(again.as_bytes()).await.is_ok() {}
+                    let _ = self.gave_up.send(());
+                    return Ok(());
+                }
+                Does::RawWhole(bytes) => stream.write_all(bytes.as_bytes()).await?,
                 Does::StreamsOn => {
                     chunks(&mut stream, &[]).await?;
                     while chunk(&mut stream, EVENT).await.is_ok() {}
@@ -309,8 +327,8 @@
     for (name, _, address) in boxes {
         book.set(Id::from(*name), *address);
     }
-    let connect_timeout = Duration::from_millis(250);
-    Upstream::new(book, Limits { connections: 16, connect_timeout, conn_idle: Duration::from_secs(30) })
+    let (connect_timeout, conn_idle) = (Duration::from_millis(250), Duration::from_secs(30));
+    Upstream::new(book, Limits { connections: 16, connect_timeout, conn_idle, settle: Duration::ZERO })
 }
 
 fn conductor(settings: &Settings, boxes: &[(&str, usize, SocketAddr)]) -> Conductor<Upstream> {
