--- a/src/brain.rs
+++ b/src/brain.rs
@@ -384,8 +384,9 @@
         }
         if outcome == Outcome::ReadDone {
             (request.phase, request.state) = (Phase::Read, Some(w));
-        } else if phase == Phase::Reading || outcome == Outcome::StateLost {
-            // A reader that broke off or is cut off from the writer may still hold the state.
+        } else if phase == Phase::Reading || matches!(outcome, Outcome::StateLost | Outcome::Failed) {
+            // A reader that broke off or is cut off from the writer may still hold the state. A writer that
+            // answered, though badly, had fetched it: another would only turn the request away.
             request.state = None;
             out.push(Action::DropState { id: id.clone() });
         }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -147,6 +147,17 @@
     assert_eq!(sends(&out), [("a".into(), "r".into())]);
 }
 
+#[test]
+fn a_writers_bad_answer_leads_back_to_a_reader_while_a_read_and_a_write_are_left() {
+    let mut b = Bench::new(Settings::example(), &[("r", 0), ("w1", 1), ("w2", 1)]);
+    b.ask(query("a", 900));
+    b.end("a", 0, "r", Outcome::ReadDone);
+    let out = b.end("a", 1, "w1", Outcome::Failed);
+    assert_eq!(sends(&out), [("a".to_string(), "r".to_string())]);
+    assert!(dropped(&out, "a"));
+    assert_eq!(sends(&b.end("a", 2, "r", Outcome::ReadDone)).len(), 1);
+}
+
 #[test]
 fn a_read_that_ends_in_a_broken_connection_lets_its_state_go() {
     let mut b = Bench::new(small(), &PAIR);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -71,7 +71,7 @@
             b.ask(query("a", 900));
             assert_eq!(sends(&b.end("a", 0, "r", Outcome::ReadDone))[0].1, "w1");
             b.now += SEC;
-            let out = b.end("a", 1, "w1", Outcome::Failed);
+            let out = b.end("a", 1, "w1", Outcome::ConnectionLost);
             let sent = sends(&out);
             let to_far = sent.iter().any(|s| s.1 == "w2");
             assert_eq!(to_far, crosses && in_time, "{scope:?} {window}");
