--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -95,7 +95,9 @@
                 Err(e) => warn!(self.log, "a member is passed over"; "uid" => target.uid, "why" => %e),
             }
         }
-        News { form, entries }
+        let news = News { form, entries };
+        self.book.follow(&news);
+        news
     }
 }
 
--- a/daemon/src/discovery/xds.rs
+++ b/daemon/src/discovery/xds.rs
@@ -267,7 +267,9 @@
                 Ok(entries) if self.told.as_ref() == Some(&entries) => {}
                 Ok(entries) => {
                     self.told = Some(entries.clone());
-                    return Some(News { form: ListForm::Full, entries });
+                    let news = News { form: ListForm::Full, entries };
+                    self.book.follow(&news);
+                    return Some(news);
                 }
                 Err(e) => {
                     info!(self.log, "xds: asked in vain"; "why" => %e);
--- a/daemon/src/upstream/mod.rs
+++ b/daemon/src/upstream/mod.rs
@@ -12,27 +12,51 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use frosttrail::{Id, Load, Outcome};
-use frosttrail_core::{Boxes, Reply};
+use frosttrail::{Health, Id, ListForm, Load, Outcome};
+use frosttrail_core::{Boxes, News, Reply};
 use hyper::{HeaderMap, Method, Uri};
+use tokio::time::Instant;
 
 pub use attempt::BoxEvents;
 pub use pool::{Limits, Pool};
 
-/// Where each box is. Filled by discovery; a box that has gone keeps its last address, as calls that let
-/// go of state may still want it.
+/// A box that has gone keeps its last address for this time, as calls that let go of state may still want
+/// it; they end some seconds after it.
+const GONE_KEPT: Duration = Duration::from_secs(30);
+
+/// Where each box is. Filled by discovery.
 #[derive(Default)]
-pub struct Book(Mutex<HashMap<Id, SocketAddr>>);
+pub struct Book(Mutex<HashMap<Id, Entry>>);
+
+struct Entry {
+    address: SocketAddr,
+    gone: Option<Instant>,
+}
 
 impl Book {
     /// Notes where a box is.
     pub fn set(&self, worker: Id, address: SocketAddr) {
-        lock(&self.0).insert(worker, address);
+        lock(&self.0).insert(worker, Entry { address, gone: None });
     }
 
     /// Where it is.
     pub fn get(&self, worker: &Id) -> Option<SocketAddr> {
-        lock(&self.0).get(worker).copied()
+        lock(&self.0).get(worker).map(|entry| entry.address)
+    }
+
+    /// Follows the list of members: what has left it is forgotten after a while.
+    pub fn follow(&self, news: &News) {
+        let (now, mut book) = (Instant::now(), lock(&self.0));
+        if matches!(news.form, ListForm::Full | ListForm::WarmCopy) {
+            book.values_mut().for_each(|entry| entry.gone = entry.gone.or(Some(now)));
+        }
+        for member in &news.entries {
+            if let Some(entry) = book.get_mut(&member.worker) {
+                let gone = member.health == Health::Gone;
+                entry.gone = gone.then_some(entry.gone.unwrap_or(now));
+            }
+        }
+        book.retain(|_, entry| entry.gone.is_none_or(|at| now - at < GONE_KEPT));
     }
 }
 
--- a/daemon/tests/discovery.rs
+++ b/daemon/tests/discovery.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use frosttrail::setup::Names;
-use frosttrail::{Health, Id, ListForm};
+use frosttrail::{Entry, Health, Id, ListForm};
 use frosttrail_core::{Clock, MemberList, News};
 use frosttrail_daemon::config::XdsConfig;
 use frosttrail_daemon::discovery::{Discovery, Listing, Xds};
@@ -101,6 +101,32 @@
     assert_eq!(clock.from_unix_ms(1), 0, "long ago");
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_box_that_has_gone_keeps_its_address_for_a_while_only() {
+    let book = Book::default();
+    let news = |form, members: &[(&str, Health)]| {
+        let entry = |(name, health): &(&str, Health)| Entry {
+            worker: Id::from(*name),
+            cell: 0,
+            kind: 0,
+            zone: 0,
+            started: 0,
+            health: *health,
+        };
+        News { form, entries: members.iter().map(entry).collect() }
+    };
+    for name in ["a", "b", "c"] {
+        book.set(Id::from(name), ([127, 0, 0, 1], 1).into());
+    }
+    book.follow(&news(ListForm::Changes, &[("a", Health::Gone), ("c", Health::Draining)]));
+    book.follow(&news(ListForm::Full, &[("c", Health::Up)]));
+    let held = || ["a", "b", "c"].map(|name| book.get(&Id::from(name)).is_some());
+    assert_eq!(held(), [true; 3], "calls that let go of state may still want it");
+    tokio::time::advance(Duration::from_secs(31)).await;
+    book.follow(&news(ListForm::Changes, &[]));
+    assert_eq!(held(), [false, false, true]);
+}
+
 fn resources(version: &str, resources: Value) -> &'static str {
     let answer = json!({"version_info": version, "nonce": version, "resources": resources});
     Box::leak(answer.to_string().into_boxed_str())
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -169,6 +169,8 @@
     now: Micros,
     workers: Vec<Worker>,
     index: BTreeMap<Id, usize>,
+    /// Places among the workers that nobody has.
+    free: Vec<usize>,
     requests: BTreeMap<Id, Request>,
     held: Vec<Id>,
     pace: [f64; 3],
@@ -215,6 +217,7 @@
             now: 0,
             workers: Vec::new(),
             index: BTreeMap::new(),
+            free: Vec::new(),
             requests: BTreeMap::new(),
             held: Vec::new(),
             pace: [100.0, 50.0, 150.0],
@@ -278,11 +281,12 @@
         for entry in entries {
             let Some(&role) = self.settings.roles.get(entry.kind) else { continue };
             let known = self.index.get(&entry.worker).copied();
-            let w = known.unwrap_or(self.workers.len());
+            let w = known.unwrap_or_else(|| self.free.pop().unwrap_or(self.workers.len()));
             if known.is_none() {
                 self.index.insert(entry.worker.clone(), w);
                 let (hash, id, kind) = (hash(&entry.worker, 0), entry.worker, entry.kind);
-                self.workers.push(Worker { hash, id, kind, role: stage_of(role), ..Worker::default() });
+                self.workers.resize_with(self.workers.len().max(w + 1), Worker::default);
+                self.workers[w] = Worker { hash, id, kind, role: stage_of(role), ..Worker::default() };
             }
             let worker = &mut self.workers[w];
             (worker.up, worker.cell, worker.zone) = (entry.health == Health::Up, entry.cell, entry.zone);
@@ -299,6 +303,30 @@
         }
     }
 
+    /// Where servers are replaced under new ids, those of old ones would be kept for ever. What has gone,
+    /// and is no part of an open request, leaves its place to the next that comes.
+    fn forget_gone(&mut self) {
+        let mut named = vec![false; self.workers.len()];
+        for r in self.requests.values() {
+            let first = [r.out.map(|out| out.0), r.state, r.ran.map(|ran| ran.0)];
+            first.into_iter().flatten().chain(r.failed.iter().copied()).for_each(|w| named[w] = true);
+        }
+        let gone = |w: &usize| !self.workers[*w].up && !named[*w] && !self.workers[*w].id.is_empty();
+        let gone: BTreeSet<usize> = (0..self.workers.len()).filter(gone).collect();
+        for &w in &gone {
+            let worker = std::mem::take(&mut self.workers[w]);
+            self.index.remove(&worker.id);
+            self.free.push(w);
+        }
+        self.kept.retain(|_, k| !gone.contains(&k.0));
+        self.zones.values_mut().for_each(|zone| zone.failed.retain(|w| !gone.contains(w)));
+    }
+
+    /// How many entries are kept under ids that others give: of workers, requests and sessions.
+    pub fn entries(&self) -> usize {
+        self.workers.len() + self.index.len() + self.requests.len() + self.held.len() + self.kept.len()
+    }
+
     fn query(&mut self, query: Query, out: &mut Vec<Action>) {
         if self.requests.contains_key(&query.id) || query.class >= self.settings.classes.len() {
             return;
@@ -925,7 +953,8 @@
             return None;
         }
         // What warm peers of the role take from here bounds from below what it can do when warm.
-        let warm = |v: &&Worker| v.role == worker.role && v.started + self.settings.warm_within < self.now;
+        let usual = |v: &&Worker| v.up && v.started + self.settings.warm_within < self.now;
+        let warm = |v: &&Worker| v.role == worker.role && usual(v);
         let rates = self.workers.iter().filter(warm).map(|v| decay(v.rate, self.now - v.rate_at));
         let (sum, n) = rates.fold((0.0, 0.0_f64), |(s, n), r| (s + r, n + 1.0));
         let per_s = sum / n.max(1.0) * self.settings.cold_from * self.settings.fall_multiple * COLD_SHARE;
@@ -950,6 +979,7 @@
         let fresh = self.now.saturating_sub(KEEP);
         if self.bell % 100 == 0 {
             self.kept.retain(|_, k| k.2 >= fresh);
+            self.forget_gone();
         }
         let due = |r: &&Request| match r.phase {
             Phase::Held => self.now + self.margin() >= r.deadline || self.hopeless(r),
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -148,6 +148,11 @@
         verdicts
     }
 
+    /// How many entries are kept under ids that others give; it stays bounded however long a day is.
+    pub fn entries(&self) -> usize {
+        self.router.entries() + self.open.len() + self.bells.len()
+    }
+
     fn started(&mut self, now: Micros, id: &Id) -> Verdicts {
         let Some(open) = self.open.get_mut(id) else { return Verdicts::default() };
         let Some((_, sent)) = &open.out else { return Verdicts::default() };
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -93,3 +93,28 @@
     assert_eq!(last, ["Refuse"], "no worker is known");
     assert!(at <= NOW + 5 * SEC, "before its client gives up");
 }
+
+#[test]
+fn a_long_day_of_new_ids_keeps_no_more_than_a_short_one() {
+    let mut facade = Facade::new(Settings::example(), 7);
+    let mut most = [0, 0];
+    for n in 0..400_u64 {
+        let now = NOW + n * SEC;
+        // All servers are replaced; every client, session and request is new, and some never end well.
+        let names = [format!("reader {n}"), format!("writer {n}")];
+        let entries = vec![entry(&names[0], 0), entry(&names[1], 1)];
+        facade.members(now, ListForm::Full, entries);
+        let id = Id::from(format!("request {n}").as_str());
+        facade.pick(now, query(&id, 1_000)).unwrap();
+        facade.report(now + 30 * MS, &id, ended(Outcome::ReadDone));
+        let outcome = if n % 3 == 0 { Outcome::ConnectionLost } else { Outcome::Served };
+        facade.report(now + 90 * MS, &id, ended(outcome));
+        facade.report(now + 95 * MS, &id, Report::Left);
+        for ms in (100..1_000).step_by(10) {
+            facade.tick(now + ms * MS);
+        }
+        let half = usize::from(n >= 200);
+        most[half] = facade.entries().max(most[half]);
+    }
+    assert!(most[1] <= most[0] && most[0] < 200, "{most:?}");
+}
