Distrust kept connections of an age found dead, and call off a release that is late

A probe logged each attempt: 275 of 311 resets came under 5 ms after sending, so they are dead connections and not boxes, yet each opened a breaker (ConnectionLost counts as TRIP). 36 requests went 'lost read, read, StateLost, refused': the release for the first read, which owner.rs lets run for seconds, took the second's. Ruled out: boxes that are down (NoConnection 66, spread over all). - A kept connection that is reset within 20 ms of a request is StaleConnection: may have run, no box is blamed. - Idle connections are then trusted only up to half of that one's age, doubling every 10 s. - A send calls off the request's release: what it was for goes with the first event or the next release.

--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -8,6 +8,7 @@
 use frosttrail::{Facade, Health, Id, ListForm, Load, Outcome, Query, Report, Settings, Verdict, Verdicts};
 use slog::{debug, info, Logger};
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::AbortHandle;
 use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
@@ -138,6 +139,8 @@
     ticket: Ticket,
     verdicts: mpsc::UnboundedSender<Verdict>,
     sent_to: Vec<Id>,
+    /// The release that is under way, if one is.
+    release: Option<AbortHandle>,
 }
 
 struct Owner<B> {
@@ -184,7 +187,7 @@
             Message::Pick(query, ticket, verdicts) => {
                 let id = query.id.clone();
                 let Some(picked) = self.facade.pick(now, query) else { return };
-                self.seats.insert(id, Seat { ticket, verdicts, sent_to: Vec::new() });
+                self.seats.insert(id, Seat { ticket, verdicts, sent_to: Vec::new(), release: None });
                 picked
             }
             Message::Report(id, ticket, report) => {
@@ -241,10 +244,20 @@
             match verdict {
                 Verdict::Release => {
                     let order = seat.sent_to.clone();
-                    self.release(id, order);
+                    let release = self.release(id.clone(), order);
+                    if let Some(seat) = self.seats.get_mut(&id) {
+                        seat.release = Some(release);
+                    }
                     continue;
                 }
-                Verdict::Send { ref worker, .. } => seat.sent_to.insert(0, worker.clone()),
+                Verdict::Send { ref worker, .. } => {
+                    // A release that is late would take the new attempt's state. What it was for goes with
+                    // the first event, or with the release that follows on this attempt.
+                    if let Some(release) = seat.release.take() {
+                        release.abort();
+                    }
+                    seat.sent_to.insert(0, worker.clone());
+                }
                 _ => {}
             }
             // A request that has just gone says so itself, in a message that lies in the inbox.
@@ -252,15 +265,16 @@
         }
     }
 
-    fn release(&self, id: Id, mut order: Vec<Id>) {
+    fn release(&self, id: Id, mut order: Vec<Id>) -> AbortHandle {
         let others = self.up.iter().filter(|w| !order.contains(w)).cloned().collect::<Vec<_>>();
         order.extend(others);
         let (boxes, within, log) = (self.boxes.clone(), self.within, self.log.clone());
-        self.releases.spawn(async move {
+        let task = self.releases.spawn(async move {
             if !release(boxes, id.clone(), order, within).await {
                 info!(log, "a release reached no box"; "id" => %id);
             }
         });
+        task.abort_handle()
     }
 
     fn probe(&self, worker: Id) {
--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -32,6 +32,8 @@
     attempts: Vec<Attempt>,
     sends: Vec<Id>,
     releases: u32,
+    /// How long a box takes to let go.
+    release_takes: Duration,
     streams_dropped: u32,
 }
 
@@ -104,6 +106,10 @@
     }
 
     async fn release(&self, _: &Id, _: &Id) -> bool {
+        let takes = self.with(|w| w.release_takes);
+        if !takes.is_zero() {
+            sleep(takes).await;
+        }
         self.with(|w| w.releases += 1);
         true
     }
@@ -435,3 +441,26 @@
         assert!(matches!(first.await.unwrap(), Ok(Answer::Served(_))));
     });
 }
+
+#[test]
+fn a_late_release_does_not_take_the_state_of_the_next_read() {
+    paused(async {
+        let table = Table::default();
+        table.with(|w| w.release_takes = Duration::from_millis(40));
+        let conductor = conductor(&table);
+        let answer =
+            tokio::spawn(async move { conductor.call(Request { query: query("id-1", 1), call: () }).await });
+        let mut model = Model::default();
+        settle().await;
+        model.step(&table, Happens::Broke);
+        settle().await;
+        assert_eq!(table.with(|w| w.sends.len()), 2, "it is read anew at once");
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(table.with(|w| w.releases), 0, "the release came after all");
+        for what in [Happens::ReadDone, Happens::First] {
+            model.step(&table, what);
+            settle().await;
+        }
+        assert!(matches!(answer.await.unwrap(), Ok(Answer::Served(_))));
+    });
+}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -38,6 +38,8 @@
 };
 /// A box's connection rests this long after an answer, in which what follows right behind has come.
 const SETTLE: Duration = Duration::from_millis(10);
+/// A reset comes back from a box, or from what lies before it, within this time.
+const STALE_WITHIN: Duration = Duration::from_millis(20);
 /// Descriptors for all that is neither a client nor a box: log, timers, discovery, listeners.
 const SPARE_SOCKETS: usize = 48;
 
@@ -209,6 +211,7 @@
         connect_timeout: Duration::from_micros(config.settings.connect_timeout),
         conn_idle: Duration::from_micros(config.settings.conn_idle),
         settle: SETTLE,
+        stale_within: STALE_WITHIN,
     };
     let boxes = Arc::new(Upstream::new(book.clone(), limits));
     let Config { name, known, names, settings, seed, .. } = config;
--- a/daemon/src/upstream/attempt.rs
+++ b/daemon/src/upstream/attempt.rs
@@ -16,7 +16,7 @@
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 use serde::Deserialize;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 use super::link::{Link, Written};
 use super::pool::{Pool, BODY_MOST};
@@ -50,8 +50,13 @@
     written: &Written,
 ) -> Reply<BoxEvents> {
     if let Some(link) = pool.kept(worker).await {
+        let (idle, sent_at) = (link.idle_since.elapsed(), Instant::now());
         match send(link, call, wait, written).await {
             Err(Unanswered::NeverWritten) => {}
+            Err(Unanswered::Reset) if pool.was_stale(sent_at.elapsed()) => {
+                pool.distrust(idle);
+                return Reply::Ended(Outcome::StaleConnection, None);
+            }
             sent => return outcome(pool, worker, sent).await,
         }
     }
--- a/daemon/src/upstream/pool.rs
+++ b/daemon/src/upstream/pool.rs
@@ -15,6 +15,8 @@
 
 /// Answers' bodies that are read to their end only to keep the connection.
 const TAIL: Duration = Duration::from_millis(500);
+/// The age up to which idle connections are trusted doubles in this time.
+const TRUST_DOUBLES: Duration = Duration::from_secs(10);
 /// No body on this wire is larger.
 pub(super) const BODY_MOST: usize = 256 << 10;
 
@@ -30,6 +32,9 @@
     /// One that has brought an answer is left alone for this time: what comes right behind the answer
     /// must not be taken for the next one.
     pub settle: Duration,
+    /// A kept one that breaks within this time of a request was dead before it: the answer to the request's
+    /// first bytes was a reset.
+    pub stale_within: Duration,
 }
 
 /// Idle connections by box, and permits for all.
@@ -38,12 +43,21 @@
     limits: Limits,
     permits: Arc<Semaphore>,
     idle: Mutex<HashMap<Id, Vec<Link>>>,
+    trust: Mutex<Trust>,
+}
+
+/// Up to which age idle connections were trusted when one was last found to be dead. Boxes, and whatever
+/// lies before them, may forget connections earlier than the settings say, and without a word.
+struct Trust {
+    age: Duration,
+    since: Instant,
 }
 
 impl Pool {
     pub(super) fn new(book: Arc<Book>, limits: Limits) -> Self {
         let permits = Arc::new(Semaphore::new(limits.connections));
-        Pool { book, limits, permits, idle: Mutex::default() }
+        let trust = Mutex::new(Trust { age: limits.conn_idle / 2, since: Instant::now() });
+        Pool { book, limits, permits, idle: Mutex::default(), trust }
     }
 
     /// A connection that was kept, if one is fit for use: open, and far from the age at which the box
@@ -105,9 +119,27 @@
         idle.entry(worker.clone()).or_default().push(link);
     }
 
-    /// Far from the age at which the box may close it.
+    /// Whether a kept connection that broke so long after a request went out had been dead before.
+    pub(super) fn was_stale(&self, after: Duration) -> bool {
+        after < self.limits.stale_within
+    }
+
+    /// Far from the age at which the box may close it, and younger than those that were found dead.
     fn is_young(&self, link: &Link) -> bool {
-        link.idle_since.elapsed() < self.limits.conn_idle / 2
+        link.idle_since.elapsed() < self.trusted()
+    }
+
+    fn trusted(&self) -> Duration {
+        let trust = lock(&self.trust);
+        let doublings = trust.since.elapsed().as_secs() / TRUST_DOUBLES.as_secs();
+        let age = trust.age.saturating_mul(1 << doublings.min(20));
+        age.min(self.limits.conn_idle / 2)
+    }
+
+    /// A connection that had been idle for so long broke at its next request: others may be as dead.
+    pub(super) fn distrust(&self, idle: Duration) {
+        let age = self.trusted().min(idle / 2);
+        *lock(&self.trust) = Trust { age, since: Instant::now() };
     }
 
     /// Reads an answer that nobody waits for to its end, to keep the connection.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -435,7 +435,7 @@
                 (worker.full, worker.rest) = (worker.full + 1, self.now + rest);
                 self.heard(w);
             }
-            Outcome::CalledOff | Outcome::NotSent => {}
+            Outcome::CalledOff | Outcome::NotSent | Outcome::StaleConnection => {}
             Outcome::NoAnswer => {
                 // A wait that was given up is a sample too: when all are slow, waits grow longer.
                 if matches!(phase, Phase::Reading | Phase::Writing) {
@@ -456,7 +456,9 @@
         }
         let Some(request) = self.requests.get_mut(id) else { return };
         if outcome != Outcome::ReadDone {
-            request.failed.push(w);
+            if outcome != Outcome::StaleConnection {
+                request.failed.push(w);
+            }
             request.phase = if request.state.is_some() { Phase::Read } else { Phase::Held };
         }
         if request.phase == Phase::Held {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -67,6 +67,9 @@
     NoConnection,
     /// The connection broke; it may have run.
     ConnectionLost,
+    /// A connection kept from earlier broke as soon as the attempt went out on it. It may have run, but this
+    /// tells of the connection's age rather than of the worker.
+    StaleConnection,
     /// Cancelled; it may have run.
     CalledOff,
     /// Never sent.
