Tell a request whose attempts went wrong to come back soon, as it met no backlog

Requests that had used up their attempts on spoilt answers were refused with 1 to 2 s of Retry-After (brain.rs, end: half to all of max_retry_after for all refusals), which is past the aim of 1.5 s whatever comes then. The long advice guards against a backlog coming back together; none of these had been turned away as full or left unanswered. They get 100 to 200 ms now, others as before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -47,6 +47,8 @@
 /// One starved request leaves ahead in this time, so that a backlog does not promote itself whole; where
 /// parts are below one, in as much more time as they are smaller.
 const PROMOTE_EVERY: Micros = 100_000;
+/// A request that has used up its attempts is told to come back within this time.
+const SPENT_RETRY: Micros = 200_000;
 /// Sweep of what is held and waits.
 const SWEEP: Micros = 10_000;
 /// Weight of a new sample in the averages.
@@ -112,6 +114,8 @@
     stage: Stage,
     /// The attempt that is out has not been heard of yet.
     silent: bool,
+    /// An attempt was turned away or not answered in time: its workers have too much to do.
+    crowded: bool,
 }
 
 #[derive(Default)]
@@ -353,6 +357,7 @@
             aim,
             stage: Stage::Read,
             silent: false,
+            crowded: false,
             query,
         };
         let id = request.query.id.clone();
@@ -419,6 +424,7 @@
             out.push(Action::DropState { id: id.clone() });
         }
         request.since = self.now;
+        request.crowded |= matches!(outcome, Outcome::TurnedAway | Outcome::NoAnswer);
         let worker = &mut self.workers[w];
         let open = worker.fails >= TRIP;
         worker.silent -= u32::from(std::mem::take(&mut request.silent));
@@ -555,7 +561,10 @@
                 || matches!(class.effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. });
             // Those that are refused together must not come back together.
             let spread = 0.5 + 0.5 * share_of(hash(id, self.seed));
-            let retry_after = (self.settings.max_retry_after as f64 * spread) as Micros;
+            // One whose attempts went wrong met no backlog: it may be in time if it comes back soon.
+            let spent = request.attempts >= self.settings.max_attempts && !request.crowded;
+            let most = self.settings.max_retry_after.min(if spent { SPENT_RETRY } else { Micros::MAX });
+            let retry_after = (most as f64 * spread) as Micros;
             let id = id.clone();
             out.push(if harmless { Action::Decline { id, retry_after } } else { Action::Fail { id } });
         }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -333,6 +333,17 @@
     assert_ne!(told[0].1, told[1].1, "they must not come back together");
 }
 
+#[test]
+fn a_request_whose_attempts_went_wrong_is_told_to_come_back_soon() {
+    let mut b = Bench::new(Settings { max_retry_after: 2 * SEC, ..small() }, &TRIO);
+    b.ask(query("a", 900));
+    b.end("a", 0, "r", Outcome::ReadDone);
+    b.end("a", 1, "w1", Outcome::Failed);
+    b.end("a", 2, "r", Outcome::ReadDone);
+    let told = advice(&b.end("a", 3, "w2", Outcome::Failed));
+    assert!(told.len() == 1 && (1..=200 * MS).contains(&told[0].1), "{told:?}");
+}
+
 #[test]
 fn without_a_way_to_advise_no_advice_is_given() {
     let mut b = Bench::new(small(), &[]);
