Read a discovery answer's body in one place for both sources

From reading the whole change once more; no test was touched and no bound has changed. - platform.rs read a whole list as xds.rs reads its answers, each with its own limit, time and errors; http.rs does it for both now. Left: both sources call Book::follow, each where it makes its news.

--- a/daemon/src/discovery/http.rs
+++ b/daemon/src/discovery/http.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::{HeaderValue, CONTENT_TYPE, HOST};
@@ -64,3 +64,9 @@
     let response = timeout(within, sender.send_request(request)).await.map_err(|_| ListError::Silent)??;
     Ok(Called { response, driver })
 }
+
+/// Reads an answer's body to its end.
+pub(super) async fn whole(body: Incoming, most: usize, within: Duration) -> Result<Bytes, ListError> {
+    let whole = timeout(within, Limited::new(body, most).collect()).await.map_err(|_| ListError::Silent)?;
+    Ok(whole.map_err(|_| ListError::TooLong)?.to_bytes())
+}
--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -10,7 +10,7 @@
 use frosttrail::setup::{index, Names, SetupError};
 use frosttrail::{Entry, Health, Id, ListForm};
 use frosttrail_core::{Clock, MemberList, News};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Method, StatusCode, Uri};
 use serde::Deserialize;
@@ -19,7 +19,7 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
-use super::http::{call, Called, ListError};
+use super::http::{call, whole, Called, ListError};
 use crate::upstream::Book;
 
 /// The agent sends an empty line every 2 s; this long without a byte means that the watch is dead.
@@ -185,14 +185,14 @@
 
 async fn whole_list(agent: SocketAddr) -> Result<Listing, ListError> {
     let target = Uri::from_static("/catalog/members");
-    let called = call(agent, Method::GET, target, Bytes::new(), SILENCE).await?;
-    if called.response.status() != StatusCode::OK {
-        return Err(ListError::Status(called.response.status()));
+    let Called { response, driver: _driver } =
+        call(agent, Method::GET, target, Bytes::new(), SILENCE).await?;
+    match response.status() {
+        StatusCode::OK => {
+            Ok(serde_json::from_slice(&whole(response.into_body(), LINE_MOST, SILENCE).await?)?)
+        }
+        status => Err(ListError::Status(status)),
     }
-    let body = Limited::new(called.response.into_body(), LINE_MOST).collect();
-    let body = timeout(SILENCE, body).await.map_err(|_| ListError::Silent)?;
-    let body = body.map_err(|_| ListError::Ended)?;
-    Ok(serde_json::from_slice(&body.to_bytes())?)
 }
 
 fn entry(target: &Target, names: &Names, clock: &Clock) -> Result<Entry, SetupError> {
--- a/daemon/src/discovery/xds.rs
+++ b/daemon/src/discovery/xds.rs
@@ -11,15 +11,14 @@
 use frosttrail::setup::{index, Names};
 use frosttrail::{Entry, Health, Id, ListForm};
 use frosttrail_core::{Clock, MemberList, News};
-use http_body_util::{BodyExt, Limited};
 use hyper::{Method, StatusCode, Uri};
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde_json::json;
 use slog::{info, warn, Logger};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-use super::http::{call, Called, ListError};
+use super::http::{call, whole, Called, ListError};
 use crate::config::XdsConfig;
 use crate::upstream::Book;
 
@@ -322,9 +321,7 @@
         StatusCode::NOT_MODIFIED => return Ok(()),
         status => return Err(ListError::Status(status)),
     }
-    let whole = Limited::new(response.into_body(), BODY_MOST).collect();
-    let whole = timeout(ANSWER, whole).await.map_err(|_| ListError::Silent)?;
-    let answer: Answer<T> = serde_json::from_slice(&whole.map_err(|_| ListError::TooLong)?.to_bytes())?;
+    let answer: Answer<T> = serde_json::from_slice(&whole(response.into_body(), BODY_MOST, ANSWER).await?)?;
     (held.version, held.nonce, held.resources) = (answer.version_info, answer.nonce, answer.resources);
     Ok(())
 }
--- a/daemon/src/front/framing.rs
+++ b/daemon/src/front/framing.rs
@@ -85,7 +85,7 @@
 
     fn follow(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() {
-            let (next, rest) = match std::mem::replace(&mut self.next, Next::Unread) {
+            let (next, taken) = match std::mem::replace(&mut self.next, Next::Unread) {
                 Next::Unread => return,
                 Next::Body(length) => {
                     let taken = length.min(bytes.len() as u64);
@@ -98,7 +98,7 @@
                 }
             };
             self.next = next;
-            bytes = &bytes[rest..];
+            bytes = &bytes[taken..];
         }
     }
 
@@ -106,12 +106,12 @@
     fn head(&self, held: Vec<u8>, new: usize) -> (Next, usize) {
         let mut headers = [EMPTY_HEADER; HEADERS_MOST];
         let mut request = httparse::Request::new(&mut headers);
-        let framed = match request.parse(&held) {
+        let (framing, taken) = match request.parse(&held) {
             Ok(Status::Partial) => return (Next::Head(held), new),
             Ok(Status::Complete(end)) => (framing(request.headers), new - (held.len() - end)),
             Err(_) => (Framing::Ambiguous, new),
         };
-        let next = match framed.0 {
+        let next = match framing {
             Framing::Length(length) => self.body(length),
             Framing::Chunked => {
                 // Counts as arrived from its head on, as it must not be cut off once it has.
@@ -124,7 +124,7 @@
                 Next::Unread
             }
         };
-        (next, framed.1)
+        (next, taken)
     }
 
     fn body(&self, left: u64) -> Next {
