Move read state in proven, resumable chunks: wire, machines and service

Need: a hiccup costs a whole move of read state today; operators want chunks, credit, checksums and resumption, with a state either whole or freed within 1 s at both ends and never two owners.

Package transfer/: a versioned wire (CRC32C of headers and control bodies, BLAKE3 of each chunk), lease, sender, receiver, link and memory without I/O or clock, and a service on tokio.

--- /dev/null
+++ b/transfer/src/wire/codec.rs
@@ -0,0 +1,388 @@
+//! Frames to bytes and back. A length is believed once the checksum of its header fits, and bounded by the
+//! kind of frame before anything is set aside for it.
+
+use std::sync::Arc;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use tokio_util::codec::{Decoder, Encoder};
+
+use super::frame::{Frame, Hello, Id, Offer, Want, MAX_ID, MAX_RANGES, MAX_STATUS, VERSION};
+use crate::cause::Cause;
+use crate::proof::{Proof, Shape, ShapeError, MAX_CHUNK, MAX_CHUNKS};
+
+/// Bytes of a header: length 4, kind 1, three of zero, token 8, index 4, checksum 4.
+pub const HEADER: usize = 24;
+const CHECKED: usize = HEADER - 4;
+/// What a greeting begins with.
+const MAGIC: &[u8; 8] = b"FTXFER\r\n";
+/// Up to this size a buffer is given room for a frame before the frame is there.
+const RESERVE: usize = MAX_CHUNK as usize + HEADER;
+
+/// Why bytes are no frame. The connection can't be used any further.
+#[derive(Debug, thiserror::Error)]
+pub enum WireError {
+    /// The connection.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    /// The header's checksum is wrong: no length can be believed.
+    #[error("a header's checksum does not fit")]
+    Header,
+    /// The body's checksum is wrong.
+    #[error("a body's checksum does not fit, in a frame of kind {0}")]
+    Body(u8),
+    /// An unknown kind of frame.
+    #[error("a frame of unknown kind {0}")]
+    Kind(u8),
+    /// Too long for its kind.
+    #[error("a frame of kind {kind} with {length} bytes; {most} are allowed")]
+    TooLong {
+        /// The kind.
+        kind: u8,
+        /// Its length.
+        length: u32,
+        /// The bound.
+        most: usize,
+    },
+    /// The body is not what the kind wants.
+    #[error("a frame of kind {0} whose body is malformed")]
+    Malformed(u8),
+    /// The state's measures are out of bounds.
+    #[error("an offer: {0}")]
+    Shape(#[from] ShapeError),
+    /// The hash over the offer's hashes is not the one it claims.
+    #[error("an offer whose hashes do not belong together")]
+    Unproven,
+    /// Another protocol, or none.
+    #[error("not this protocol")]
+    Magic,
+    /// Another version.
+    #[error("version {0} is spoken there, {VERSION} here")]
+    Version(u16),
+    /// Something else than a greeting came first, or a second greeting.
+    #[error("a greeting out of place")]
+    Greeting,
+    /// The connection ended in the midst of a frame.
+    #[error("it ended in the midst of a frame")]
+    Torn,
+}
+
+/// Kinds on the wire.
+mod kind {
+    pub const HELLO: u8 = 1;
+    pub const WANT: u8 = 2;
+    pub const OFFER: u8 = 3;
+    pub const ASK: u8 = 4;
+    pub const CHUNK: u8 = 5;
+    pub const CREDIT: u8 = 6;
+    pub const COMPLETE: u8 = 7;
+    pub const GRANT: u8 = 8;
+    pub const ABORT: u8 = 9;
+    pub const DRAIN: u8 = 10;
+    pub const RELEASE: u8 = 11;
+    pub const ANNOUNCE: u8 = 12;
+    pub const REFUSE: u8 = 13;
+    pub const BEAT: u8 = 14;
+    pub const STATUS_ASK: u8 = 15;
+    pub const STATUS: u8 = 16;
+    pub const GIVE_UP: u8 = 17;
+}
+
+const OFFER_FIXED: usize = 8 + 4 + 8 + 4 + 32;
+
+/// The longest body of a kind, its checksum not counted.
+fn most(kind: u8) -> Option<usize> {
+    Some(match kind {
+        kind::HELLO => 8 + 2 + 4 + 8 + 4,
+        kind::WANT => 4 + 8 + MAX_ID,
+        kind::OFFER => OFFER_FIXED + 32 * MAX_CHUNKS as usize,
+        kind::ASK => 8 * MAX_RANGES,
+        kind::CHUNK => MAX_CHUNK as usize,
+        kind::RELEASE | kind::ANNOUNCE => MAX_ID,
+        kind::REFUSE => 1 + MAX_ID,
+        kind::ABORT | kind::GIVE_UP => 1,
+        kind::CREDIT | kind::DRAIN => 4,
+        kind::COMPLETE | kind::GRANT | kind::BEAT | kind::STATUS_ASK => 0,
+        kind::STATUS => MAX_STATUS,
+        _ => return None,
+    })
+}
+
+#[derive(Clone, Copy)]
+struct Header {
+    length: usize,
+    kind: u8,
+    token: u64,
+    index: u32,
+}
+
+/// Reads and writes frames. The first frame each way is the greeting, and only the first.
+#[derive(Debug, Default)]
+pub struct Codec {
+    greeted: bool,
+}
+
+impl Codec {
+    fn header(&self, mut bytes: &[u8]) -> Result<Header, WireError> {
+        let sum = crc32c::crc32c(&bytes[..CHECKED]);
+        let length = bytes.get_u32();
+        let kind = bytes.get_u8();
+        bytes.advance(3);
+        let (token, index, claimed) = (bytes.get_u64(), bytes.get_u32(), bytes.get_u32());
+        if claimed != sum {
+            // Noise from the start is another protocol, and said so.
+            return Err(if self.greeted { WireError::Header } else { WireError::Magic });
+        }
+        let most = most(kind).ok_or(WireError::Kind(kind))?;
+        if length as usize > most {
+            return Err(WireError::TooLong { kind, length, most });
+        }
+        if (kind == kind::HELLO) == self.greeted {
+            return Err(WireError::Greeting);
+        }
+        Ok(Header { length: length as usize, kind, token, index })
+    }
+}
+
+/// Chunks are proven by their hashes; every other body has a checksum behind it.
+fn tail(kind: u8) -> usize {
+    if kind == kind::CHUNK {
+        0
+    } else {
+        4
+    }
+}
+
+impl Decoder for Codec {
+    type Item = Frame;
+    type Error = WireError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Frame>, WireError> {
+        let Some(bytes) = src.get(..HEADER) else { return Ok(None) };
+        let header = self.header(bytes)?;
+        let whole = HEADER + header.length + tail(header.kind);
+        if src.len() < whole {
+            src.reserve((whole - src.len()).min(RESERVE));
+            return Ok(None);
+        }
+        let mut body = src.split_to(whole).freeze();
+        body.advance(HEADER);
+        if header.kind != kind::CHUNK {
+            let claimed = body.split_off(header.length).get_u32();
+            if crc32c::crc32c(&body) != claimed {
+                return Err(WireError::Body(header.kind));
+            }
+        }
+        let frame = read(header, body)?;
+        self.greeted = true;
+        Ok(Some(frame))
+    }
+
+    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Frame>, WireError> {
+        match self.decode(src)? {
+            None if !src.is_empty() => Err(WireError::Torn),
+            frame => Ok(frame),
+        }
+    }
+}
+
+fn read(header: Header, mut body: Bytes) -> Result<Frame, WireError> {
+    let Header { kind, token, index, .. } = header;
+    let malformed = WireError::Malformed(kind);
+    let fixed = match kind {
+        kind::HELLO => 26,
+        kind::WANT => 12,
+        kind::OFFER => OFFER_FIXED,
+        kind::CREDIT | kind::DRAIN => 4,
+        kind::ABORT | kind::GIVE_UP | kind::REFUSE => 1,
+        _ => 0,
+    };
+    if body.len() < fixed {
+        return Err(malformed);
+    }
+    let frame = match kind {
+        kind::HELLO => Frame::Hello(hello(&mut body)?),
+        kind::WANT => {
+            let (due_ms, resume) = (body.get_u32(), body.get_u64());
+            Frame::Want(Want { token, id: id(kind, &mut body)?, due_ms, resume })
+        }
+        kind::OFFER => Frame::Offer(offer(token, &mut body)?),
+        kind::ASK => {
+            if body.len() % 8 != 0 {
+                return Err(malformed);
+            }
+            let mut ranges = Vec::with_capacity(body.len() / 8);
+            while body.has_remaining() {
+                ranges.push(body.get_u32()..body.get_u32());
+            }
+            Frame::Ask(token, ranges)
+        }
+        kind::CHUNK => Frame::Chunk(token, index, std::mem::take(&mut body)),
+        kind::CREDIT => Frame::Credit(body.get_u32()),
+        kind::COMPLETE => Frame::Complete(token),
+        kind::GRANT => Frame::Grant(token),
+        kind::ABORT => Frame::Abort(token, cause(kind, &mut body)?),
+        kind::GIVE_UP => Frame::GiveUp(token, cause(kind, &mut body)?),
+        kind::DRAIN => Frame::Drain(body.get_u32()),
+        kind::RELEASE => Frame::Release(id(kind, &mut body)?),
+        kind::ANNOUNCE => Frame::Announce(id(kind, &mut body)?),
+        kind::REFUSE => {
+            let cause = cause(kind, &mut body)?;
+            Frame::Refuse(id(kind, &mut body)?, cause)
+        }
+        kind::BEAT => Frame::Beat,
+        kind::STATUS_ASK => Frame::StatusAsk,
+        kind::STATUS => Frame::Status(std::mem::take(&mut body)),
+        _ => return Err(WireError::Kind(kind)),
+    };
+    if body.has_remaining() {
+        return Err(malformed);
+    }
+    Ok(frame)
+}
+
+fn hello(body: &mut Bytes) -> Result<Hello, WireError> {
+    if body.split_to(MAGIC.len())[..] != MAGIC[..] {
+        return Err(WireError::Magic);
+    }
+    let hello = Hello {
+        version: body.get_u16(),
+        features: body.get_u32(),
+        incarnation: body.get_u64(),
+        window: body.get_u32(),
+    };
+    match hello.version {
+        VERSION => Ok(hello),
+        other => Err(WireError::Version(other)),
+    }
+}
+
+fn offer(token: u64, body: &mut Bytes) -> Result<Offer, WireError> {
+    let (incarnation, limit_ms) = (body.get_u64(), body.get_u32());
+    let shape = Shape::new(body.get_u64(), body.get_u32())?;
+    let mut root = [0; 32];
+    body.copy_to_slice(&mut root);
+    let proof = Proof::check(shape, root, std::mem::take(body)).ok_or(WireError::Unproven)?;
+    Ok(Offer { token, incarnation, limit_ms, proof: Arc::new(proof) })
+}
+
+fn id(kind: u8, body: &mut Bytes) -> Result<Id, WireError> {
+    let text = std::mem::take(body);
+    let text = std::str::from_utf8(&text).map_err(|_| WireError::Malformed(kind))?;
+    Id::new(text).map_err(|_| WireError::Malformed(kind))
+}
+
+fn cause(kind: u8, body: &mut Bytes) -> Result<Cause, WireError> {
+    Cause::from_wire(body.get_u8()).ok_or(WireError::Malformed(kind))
+}
+
+/// The header of a chunk's frame, for a writer that sends the chunk itself without a copy.
+pub(crate) fn chunk_header(token: u64, index: u32, length: usize) -> Bytes {
+    let mut header = BytesMut::with_capacity(HEADER);
+    put_header(&mut header, length, kind::CHUNK, token, index);
+    header.freeze()
+}
+
+fn put_header(dst: &mut BytesMut, length: usize, kind: u8, token: u64, index: u32) {
+    let start = dst.len();
+    dst.put_u32(length as u32);
+    dst.put_u8(kind);
+    dst.put_slice(&[0; 3]);
+    dst.put_u64(token);
+    dst.put_u32(index);
+    let sum = crc32c::crc32c(&dst[start..]);
+    dst.put_u32(sum);
+}
+
+/// A body, its kind and its token.
+fn write(frame: &Frame) -> (u8, u64, BytesMut) {
+    let mut body = BytesMut::new();
+    let (kind, token) = match frame {
+        Frame::Hello(h) => {
+            body.put_slice(MAGIC);
+            body.put_u16(h.version);
+            body.put_u32(h.features);
+            body.put_u64(h.incarnation);
+            body.put_u32(h.window);
+            (kind::HELLO, 0)
+        }
+        Frame::Want(w) => {
+            body.put_u32(w.due_ms);
+            body.put_u64(w.resume);
+            body.put_slice(w.id.as_str().as_bytes());
+            (kind::WANT, w.token)
+        }
+        Frame::Offer(o) => {
+            body.put_u64(o.incarnation);
+            body.put_u32(o.limit_ms);
+            body.put_u64(o.proof.shape().length());
+            body.put_u32(o.proof.shape().chunk());
+            body.put_slice(o.proof.root());
+            body.put_slice(o.proof.leaves());
+            (kind::OFFER, o.token)
+        }
+        Frame::Ask(token, ranges) => {
+            for range in ranges {
+                body.put_u32(range.start);
+                body.put_u32(range.end);
+            }
+            (kind::ASK, *token)
+        }
+        Frame::Chunk(token, _, data) => {
+            body.put_slice(data);
+            (kind::CHUNK, *token)
+        }
+        Frame::Credit(bytes) => {
+            body.put_u32(*bytes);
+            (kind::CREDIT, 0)
+        }
+        Frame::Complete(token) => (kind::COMPLETE, *token),
+        Frame::Grant(token) => (kind::GRANT, *token),
+        Frame::Abort(token, cause) => {
+            body.put_u8(*cause as u8);
+            (kind::ABORT, *token)
+        }
+        Frame::GiveUp(token, cause) => {
+            body.put_u8(*cause as u8);
+            (kind::GIVE_UP, *token)
+        }
+        Frame::Drain(left_ms) => {
+            body.put_u32(*left_ms);
+            (kind::DRAIN, 0)
+        }
+        Frame::Release(id) => {
+            body.put_slice(id.as_str().as_bytes());
+            (kind::RELEASE, 0)
+        }
+        Frame::Announce(id) => {
+            body.put_slice(id.as_str().as_bytes());
+            (kind::ANNOUNCE, 0)
+        }
+        Frame::Refuse(id, cause) => {
+            body.put_u8(*cause as u8);
+            body.put_slice(id.as_str().as_bytes());
+            (kind::REFUSE, 0)
+        }
+        Frame::Beat => (kind::BEAT, 0),
+        Frame::StatusAsk => (kind::STATUS_ASK, 0),
+        Frame::Status(text) => {
+            body.put_slice(text);
+            (kind::STATUS, 0)
+        }
+    };
+    (kind, token, body)
+}
+
+impl Encoder<&Frame> for Codec {
+    type Error = WireError;
+
+    fn encode(&mut self, frame: &Frame, dst: &mut BytesMut) -> Result<(), WireError> {
+        let (kind, token, body) = write(frame);
+        let index = if let Frame::Chunk(_, index, _) = frame { *index } else { 0 };
+        put_header(dst, body.len(), kind, token, index);
+        dst.put_slice(&body);
+        if tail(kind) > 0 {
+            dst.put_u32(crc32c::crc32c(&body));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/transfer/tests/service.rs
@@ -0,0 +1,461 @@
+//! Nodes on loopback with the stand-in link between them: what a bad link, a bad peer or an early end does.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use frosttrail_standins::link::{Event, Fault, Link, Way};
+use frosttrail_transfer::cause::Cause;
+use frosttrail_transfer::service::{ask, Config, FetchError, Node, Whole};
+use frosttrail_transfer::wire::Id;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout, Instant};
+
+const CHUNK: u32 = 16 << 10;
+/// Longer than anything here should take.
+const LATEST: Duration = Duration::from_secs(20);
+/// The rule, and what a busy machine may add to it before the test says so.
+const RULE: Duration = Duration::from_millis(1_000);
+
+fn config() -> Config {
+    let mut config = Config { chunk: CHUNK, greet: Duration::from_millis(300), ..Config::default() };
+    config.taker.window = 8 * CHUNK;
+    config
+}
+
+fn log() -> slog::Logger {
+    slog::Logger::root(slog::Discard, slog::o!())
+}
+
+/// Keeps the lines that a node writes.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<String>>>);
+
+impl slog::Drain for Lines {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &slog::Record<'_>, _: &slog::OwnedKVList) -> Result<(), slog::Never> {
+        if record.level().is_at_least(slog::Level::Info) {
+            self.0.lock().unwrap().push(record.msg().to_string());
+        }
+        Ok(())
+    }
+}
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn id(name: &str) -> Id {
+    Id::new(name).unwrap()
+}
+
+fn content(seed: u64, length: usize) -> Bytes {
+    let mut bytes = vec![0; length];
+    SmallRng::seed_from_u64(seed).fill(&mut bytes[..]);
+    bytes.into()
+}
+
+fn same(whole: &Whole, state: &Bytes) -> bool {
+    whole.chunks().concat() == state[..]
+}
+
+/// A holder, a taker, and the link between them.
+struct Pair {
+    holder: Node,
+    taker: Node,
+    link: Link,
+}
+
+impl Pair {
+    async fn start() -> Self {
+        Pair::with(config()).await
+    }
+
+    async fn with(config: Config) -> Self {
+        let holder = Node::new(config, 1, log());
+        let at = holder.listen(any()).await.unwrap();
+        let link = Link::start(at).await.unwrap();
+        Pair { holder, taker: Node::new(config, 2, log()), link }
+    }
+
+    async fn put(&self, name: &str, state: &Bytes) {
+        self.holder.begin(id(name)).unwrap().put(state.clone()).await.unwrap();
+    }
+
+    async fn fetch(&self, name: &str) -> Result<Whole, FetchError> {
+        timeout(LATEST, self.taker.fetch(&id(name), &[self.link.address], None)).await.unwrap()
+    }
+
+    /// Both ends are free within the rule from now on.
+    async fn free_in_time(&self) {
+        let begin = Instant::now();
+        let both = async { tokio::join!(self.holder.settled(), self.taker.settled()) };
+        timeout(LATEST, both).await.unwrap();
+        assert!(begin.elapsed() <= RULE, "free after {:?}", begin.elapsed());
+        assert_eq!(self.taker.status().memory, 0);
+    }
+
+    fn resent(&self, state: &Bytes) -> u64 {
+        self.holder.status().total.bytes_sent - state.len() as u64
+    }
+}
+
+#[tokio::test]
+async fn a_state_arrives_whole_and_leaves_the_holder() {
+    let pair = Pair::start().await;
+    for length in [1, CHUNK as usize, CHUNK as usize + 1, 3_000_000] {
+        let state = content(1, length);
+        pair.put("r1", &state).await;
+        let whole = pair.fetch("r1").await.unwrap();
+        assert!(same(&whole, &state));
+        assert_eq!((pair.holder.status().states, pair.taker.status().memory), (0, length as u64));
+        drop(whole);
+        assert_eq!(pair.taker.status().memory, 0);
+    }
+    assert_eq!(pair.fetch("r1").await.unwrap_err(), FetchError::Failed(Cause::Taken));
+    assert_eq!(pair.fetch("r2").await.unwrap_err(), FetchError::Failed(Cause::Gone));
+    assert_eq!(pair.taker.fetch(&id("r1"), &[], None).await.unwrap_err(), FetchError::Nowhere);
+}
+
+#[tokio::test]
+async fn the_holder_that_has_it_is_found_among_several() {
+    let pair = Pair::start().await;
+    let state = content(2, 100_000);
+    pair.put("r1", &state).await;
+    let empty = Node::new(config(), 3, log());
+    let (empty_at, nobody) = (empty.listen(any()).await.unwrap(), any());
+    let from = [empty_at, pair.link.address, nobody];
+    assert!(same(&pair.taker.fetch(&id("r1"), &from, None).await.unwrap(), &state));
+}
+
+#[tokio::test]
+async fn a_flipped_bit_anywhere_is_caught_and_the_state_arrives_all_the_same() {
+    let state = content(3, 10 * CHUNK as usize);
+    let mut rng = SmallRng::seed_from_u64(5);
+    let (mut bad, mut faults) = (0, 0);
+    for round in 0..60 {
+        let pair = Pair::start().await;
+        // The greeting, the offer with its hashes, headers, chunks; and what the taker says.
+        let at = match round {
+            0..20 => round * 24,
+            _ => rng.random_range(0..state.len() as u64),
+        };
+        let up = Event { way: Way::Up, at: rng.random_range(0..200), fault: Fault::Flip };
+        let down = Event { way: Way::Down, at, fault: Fault::Flip };
+        pair.link.script(&[down, up][..if round % 4 == 0 { 2 } else { 1 }]);
+        pair.put("r1", &state).await;
+        let whole = pair.fetch("r1").await.unwrap();
+        assert!(same(&whole, &state), "flipped at {at}");
+        let total = pair.taker.status().total;
+        bad += total.chunks_bad;
+        faults += total.faults;
+    }
+    assert!(bad > 20 && faults > 10, "{bad} chunks, {faults} connections");
+}
+
+#[tokio::test]
+async fn a_link_that_spoils_every_chunk_ends_the_move_and_frees_both_ends() {
+    let pair = Pair::start().await;
+    let state = content(4, CHUNK as usize);
+    // In each copy of the only chunk, one bit.
+    let flips = (0..40).map(|n| Event { way: Way::Down, at: 4_000 + n * 8_000, fault: Fault::Flip });
+    pair.link.script(&flips.collect::<Vec<_>>());
+    let mut reports = pair.holder.freed();
+    pair.put("r1", &state).await;
+    assert_eq!(pair.fetch("r1").await.unwrap_err(), FetchError::Failed(Cause::Corrupt));
+    pair.free_in_time().await;
+    assert_eq!(reports.recv().await, Some((id("r1"), Cause::Corrupt)));
+    assert_eq!(u32::from(config().taker.tries), pair.taker.status().total.chunks_bad as u32);
+}
+
+#[tokio::test]
+async fn a_cut_at_any_byte_is_made_good_with_at_most_a_window_sent_again() {
+    let state = content(5, 12 * CHUNK as usize);
+    let mut rng = SmallRng::seed_from_u64(9);
+    // Around the greeting and the offer, at each chunk's header and in its midst, and anywhere.
+    let frame = u64::from(CHUNK) + 24;
+    let headers = (0..12).flat_map(|n| [510 + n * frame, 534 + n * frame, 8_000 + n * frame]);
+    let places =
+        [0, 20, 54, 80].into_iter().chain(headers).chain((0..20).map(|_| rng.random_range(0..190_000)));
+    for at in places {
+        let pair = Pair::start().await;
+        pair.link.script(&[Event { way: Way::Down, at, fault: Fault::Cut }]);
+        pair.put("r1", &state).await;
+        assert!(same(&pair.fetch("r1").await.unwrap(), &state), "cut at {at}");
+        let window = u64::from(config().taker.window);
+        assert!(pair.resent(&state) <= window, "{} bytes sent again, cut at {at}", pair.resent(&state));
+        // The grant may have been lost, and said again.
+        timeout(LATEST, pair.holder.settled()).await.unwrap();
+    }
+    for at in (0..400).step_by(13) {
+        let pair = Pair::start().await;
+        pair.link.script(&[Event { way: Way::Up, at, fault: Fault::Cut }]);
+        pair.put("r1", &state).await;
+        assert!(same(&pair.fetch("r1").await.unwrap(), &state), "cut upwards at {at}");
+    }
+}
+
+#[tokio::test]
+async fn a_link_that_is_gone_or_silent_for_half_a_second_is_waited_for_and_for_more_is_not() {
+    let state = content(6, 40 * CHUNK as usize);
+    for fault in [Fault::Cut, Fault::Stall] {
+        let pair = Pair::start().await;
+        pair.link.script(&[Event { way: Way::Down, at: 200_000, fault }]);
+        pair.put("r1", &state).await;
+        let back = async {
+            while pair.link.carried().1 < 200_000 {
+                sleep(Duration::from_millis(1)).await;
+            }
+            pair.link.dark(true);
+            pair.link.cut();
+            sleep(Duration::from_millis(500)).await;
+            pair.link.stall(false);
+            pair.link.dark(false);
+        };
+        let (whole, ()) = tokio::join!(pair.fetch("r1"), back);
+        assert!(same(&whole.unwrap(), &state), "{fault:?}");
+        assert!(pair.resent(&state) <= u64::from(config().taker.window));
+
+        let pair = Pair::start().await;
+        pair.link.script(&[Event { way: Way::Down, at: 200_000, fault }]);
+        pair.put("r1", &state).await;
+        let gone = async {
+            while pair.link.carried().1 < 200_000 {
+                sleep(Duration::from_millis(1)).await;
+            }
+            pair.link.dark(true);
+            if fault == Fault::Cut {
+                pair.link.cut();
+            }
+            pair.free_in_time().await;
+        };
+        let (end, ()) = tokio::join!(pair.fetch("r1"), gone);
+        assert_eq!(end.unwrap_err(), FetchError::Failed(Cause::Lost), "{fault:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_fetch_that_is_dropped_and_a_release_at_either_end_leave_nothing() {
+    let state = content(7, 2_000_000);
+    for end in 0..3 {
+        let pair = Pair::start().await;
+        pair.link.rate(4_000_000);
+        pair.put("r1", &state).await;
+        let fetch = pair.fetch("r1");
+        if end == 0 {
+            assert!(timeout(Duration::from_millis(100), fetch).await.is_err());
+            // Nobody else comes for it; or somebody does, and it is there.
+            sleep(Duration::from_millis(300)).await;
+            pair.link.rate(0);
+            assert!(same(&pair.fetch("r1").await.unwrap(), &state));
+        } else {
+            let release = async {
+                sleep(Duration::from_millis(100)).await;
+                let node = if end == 1 { &pair.holder } else { &pair.taker };
+                (0..2).for_each(|_| node.release(&id("r1")));
+                Instant::now()
+            };
+            let (ended, at) = tokio::join!(fetch, release);
+            assert_eq!(ended.unwrap_err(), FetchError::Failed(Cause::Released));
+            pair.free_in_time().await;
+            assert!(at.elapsed() < RULE / 2, "free after {:?}", at.elapsed());
+        }
+        pair.free_in_time().await;
+    }
+    // A box that knows nothing of it passes the word on to those it is connected with.
+    let pair = Pair::start().await;
+    pair.put("r1", &state).await;
+    let third = Node::new(config(), 3, log());
+    assert!(third.fetch(&id("other"), &[pair.link.address], None).await.is_err());
+    third.release(&id("r1"));
+    pair.free_in_time().await;
+    assert_eq!(pair.holder.status().total.freed, 1);
+}
+
+#[tokio::test]
+async fn a_restarted_holder_is_not_taken_for_the_one_before() {
+    let state = content(8, 2_000_000);
+    let mut pair = Pair::start().await;
+    pair.link.script(&[Event { way: Way::Down, at: 1_000_000, fault: Fault::Stall }]);
+    pair.put("r1", &state).await;
+    let again = async {
+        while pair.link.carried().1 < 1_000_000 {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    let (r1, from) = (id("r1"), [pair.link.address]);
+    let fetch = pair.taker.fetch(&r1, &from, None);
+    tokio::pin!(fetch);
+    tokio::select! {
+        _ = &mut fetch => panic!("it has stalled"),
+        () = again => {}
+    }
+    // Another process at the same address, which has read the same request anew.
+    let other = Node::new(config(), 9, log());
+    other.begin(id("r1")).unwrap().put(content(9, 2_000_000)).await.unwrap();
+    let link = Link::start(other.listen(any()).await.unwrap()).await.unwrap();
+    pair.holder = other;
+    pair.link.forward_to(link.address);
+    pair.link.cut();
+    pair.link.stall(false);
+    assert_eq!(timeout(LATEST, fetch).await.unwrap().unwrap_err(), FetchError::Failed(Cause::Gone));
+}
+
+#[tokio::test]
+async fn many_moves_over_one_slow_link_all_arrive_and_nothing_is_lost() {
+    let mut config = config();
+    config.taker.memory = 20 * 100_000;
+    let pair = Pair::with(config).await;
+    pair.link.rate(20_000_000);
+    let states: Vec<Bytes> = (0..64).map(|n| content(n, 100_000)).collect();
+    let moves = states.iter().enumerate().map(|(n, state)| {
+        let (pair, name) = (&pair, format!("r{n}"));
+        async move {
+            pair.put(&name, state).await;
+            let whole = pair.fetch(&name).await.unwrap();
+            assert!(same(&whole, state) && pair.taker.status().memory <= 20 * 100_000);
+        }
+    });
+    futures_util::future::join_all(moves).await;
+    pair.free_in_time().await;
+    assert_eq!(pair.holder.status().total.bytes_sent, 64 * 100_000, "each byte once");
+}
+
+#[tokio::test]
+async fn a_taker_that_reads_nothing_holds_up_no_other() {
+    let mut config = config();
+    config.holder.in_flight = 4 * u64::from(CHUNK);
+    let pair = Pair::with(config).await;
+    let stuck = Node::new(config, 3, log());
+    let slow = Link::start(pair.link.target()).await.unwrap();
+    slow.rate(20_000);
+    let state = content(1, 1_000_000);
+    pair.put("slow", &state).await;
+    pair.put("r1", &state).await;
+    let (slow_id, from) = (id("slow"), [slow.address]);
+    let stuck = stuck.fetch(&slow_id, &from, None);
+    tokio::pin!(stuck);
+    tokio::select! {
+        _ = &mut stuck => panic!("a second's worth is 20 kB"),
+        () = async { while pair.holder.status().in_flight == 0 { sleep(Duration::from_millis(1)).await } } => {}
+    }
+    let begin = Instant::now();
+    assert!(same(&pair.fetch("r1").await.unwrap(), &state));
+    assert!(begin.elapsed() < RULE, "{:?}", begin.elapsed());
+}
+
+#[tokio::test]
+async fn a_drain_ends_in_time_with_what_could_move_moved() {
+    let pair = Pair::start().await;
+    let mut reports = pair.holder.freed();
+    let state = content(1, 1_000_000);
+    for name in ["r1", "r2"] {
+        pair.put(name, &state).await;
+    }
+    pair.link.rate(4_000_000);
+    let drain = async {
+        while pair.holder.status().sending == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+        pair.holder.drain(Duration::from_millis(600));
+        assert!(pair.holder.begin(id("r3")).is_err());
+        let begin = Instant::now();
+        pair.holder.settled().await;
+        begin.elapsed()
+    };
+    let (moved, took) = tokio::join!(pair.fetch("r1"), drain);
+    assert!(same(&moved.unwrap(), &state));
+    assert!(took <= Duration::from_millis(700), "{took:?}");
+    assert_eq!(reports.recv().await, Some((id("r2"), Cause::Drained)));
+}
+
+#[tokio::test]
+async fn a_pushed_state_arrives_over_a_link_that_is_cut() {
+    let state = content(1, 1_000_000);
+    let service = Node::new(Config { inbox: true, ..config() }, 2, log());
+    let mut arrived = service.arrived();
+    let link = Link::start(service.listen(any()).await.unwrap()).await.unwrap();
+    link.script(&[300_000, 700_000].map(|at| Event { way: Way::Up, at, fault: Fault::Cut }));
+    let from = Node::new(config(), 1, log());
+    from.begin(id("r1")).unwrap().put(state.clone()).await.unwrap();
+    timeout(LATEST, from.push(&id("r1"), link.address)).await.unwrap().unwrap();
+    let got = arrived.recv().await.unwrap();
+    assert!(got.id == id("r1") && same(&got.state, &state));
+    assert!(from.status().total.bytes_sent <= 1_000_000 + 2 * u64::from(config().taker.window));
+    // One that takes nothing says so, and one that is not there is not waited for.
+    let closed = Node::new(config(), 3, log());
+    let at = closed.listen(any()).await.unwrap();
+    from.begin(id("r2")).unwrap().put(state.clone()).await.unwrap();
+    assert_eq!(from.push(&id("r2"), at).await, Err(Cause::Unwanted));
+    from.begin(id("r3")).unwrap().put(state).await.unwrap();
+    drop(link);
+    let begin = Instant::now();
+    assert_eq!(from.push(&id("r3"), any()).await, Err(Cause::Expired));
+    assert!(begin.elapsed() <= RULE);
+}
+
+#[tokio::test]
+async fn bad_input_ends_its_connection_with_one_line_and_touches_nothing_else() {
+    let lines = Lines::default();
+    let log = slog::Logger::root(lines.clone(), slog::o!());
+    let holder = Node::new(config(), 1, log);
+    let at = holder.listen(any()).await.unwrap();
+    let state = content(1, 1_000_000);
+    holder.begin(id("r1")).unwrap().put(state.clone()).await.unwrap();
+    let greeting = {
+        // A node's own greeting, for those that go wrong behind it.
+        let mut stream = TcpStream::connect(at).await.unwrap();
+        let mut bytes = vec![0; 54];
+        stream.read_exact(&mut bytes).await.unwrap();
+        bytes
+    };
+    // That one said nothing and went: half a greeting.
+    let noise = content(3, 5_000);
+    let behind = |rest: &[u8]| [&greeting, rest].concat();
+    let mut huge = [&u32::MAX.to_be_bytes()[..], &[5], &[0; 15]].concat();
+    huge.extend(crc32c::crc32c(&huge).to_be_bytes());
+    let cases = [
+        noise.to_vec(),
+        b"GET / HTTP/1.1\r\n\r\n".to_vec(),
+        greeting[..30].to_vec(),
+        Vec::new(),
+        behind(&noise),
+        behind(&huge),
+        behind(&greeting),
+    ];
+    sleep(Duration::from_millis(50)).await;
+    let taker = Node::new(config(), 2, self::log());
+    let link = Link::start(at).await.unwrap();
+    link.rate(2_000_000);
+    let (r1, from) = (id("r1"), [link.address]);
+    let fetch = taker.fetch(&r1, &from, None);
+    let bad = async {
+        for case in &cases {
+            let before = lines.0.lock().unwrap().len();
+            let mut stream = TcpStream::connect(at).await.unwrap();
+            let _ = stream.write_all(case).await;
+            let begin = Instant::now();
+            let _ = stream.read_to_end(&mut Vec::new()).await;
+            assert!(begin.elapsed() < RULE, "it ends in time");
+            let new = lines.0.lock().unwrap()[before..].to_vec();
+            assert_eq!(new, ["a connection was ended"], "{case:?}");
+        }
+    };
+    let (whole, ()) = tokio::join!(fetch, bad);
+    assert!(same(&whole.unwrap(), &state), "the move beside them goes on");
+}
+
+#[tokio::test]
+async fn a_node_tells_how_it_is() {
+    let pair = Pair::start().await;
+    pair.put("r1", &content(1, 5_000)).await;
+    let status = ask(pair.link.address, LATEST).await.unwrap();
+    assert_eq!((status.incarnation, status.states, status.state_bytes), (1, 1, 5_000));
+    assert!(ask(any(), LATEST).await.is_err());
+}
--- /dev/null
+++ b/transfer/tests/wire.rs
@@ -0,0 +1,177 @@
+//! The wire: what was written is read, and whatever a link may do to bytes is noticed.
+
+use std::ops::Range;
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use frosttrail_transfer::cause::Cause;
+use frosttrail_transfer::proof::{Proof, Shape, MAX_CHUNK};
+use frosttrail_transfer::wire::{Codec, Frame, Hello, Id, Offer, Want, WireError, HEADER, VERSION};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use tokio_util::codec::{Decoder, Encoder};
+
+#[derive(Clone, Debug)]
+struct Any(Frame);
+
+impl Arbitrary for Any {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let (token, number) = (u64::arbitrary(g), u32::arbitrary(g));
+        let text: String = (0..1 + number % 128).map(|i| char::from(b'!' + (i % 90) as u8)).collect();
+        let id = Id::new(&text).unwrap();
+        let cause = Cause::from_wire(1 + (number % 11) as u8).unwrap();
+        let data: Bytes = Vec::<u8>::arbitrary(g).into();
+        Any(match u8::arbitrary(g) % 16 {
+            0 => Frame::Want(Want { token, id, due_ms: number, resume: u64::arbitrary(g) }),
+            1 => {
+                let state: Bytes = vec![7; 1 + number as usize % 20_000].into();
+                let proof = Arc::new(Proof::of(&state, 4_096).unwrap());
+                Frame::Offer(Offer { token, incarnation: u64::arbitrary(g), limit_ms: number, proof })
+            }
+            2 => Frame::Ask(token, Vec::<Range<u32>>::arbitrary(g)),
+            3 => Frame::Chunk(token, number, data),
+            4 => Frame::Credit(number),
+            5 => Frame::Complete(token),
+            6 => Frame::Grant(token),
+            7 => Frame::Abort(token, cause),
+            8 => Frame::Drain(number),
+            9 => Frame::Release(id),
+            10 => Frame::Announce(id),
+            11 => Frame::Refuse(id, cause),
+            12 => Frame::Beat,
+            13 => Frame::StatusAsk,
+            14 => Frame::GiveUp(token, cause),
+            _ => Frame::Status(data),
+        })
+    }
+}
+
+fn hello(version: u16) -> Frame {
+    Frame::Hello(Hello { version, features: 5, incarnation: 9, window: 1 << 20 })
+}
+
+fn bytes(frames: &[Frame]) -> BytesMut {
+    let (mut codec, mut out) = (Codec::default(), BytesMut::new());
+    for frame in frames {
+        codec.encode(frame, &mut out).unwrap();
+    }
+    out
+}
+
+/// Reads what comes in pieces of this size to the end or the first error.
+fn read(bytes: &[u8], piece: usize) -> Result<Vec<Frame>, WireError> {
+    let (mut codec, mut held, mut frames) = (Codec::default(), BytesMut::new(), Vec::new());
+    for part in bytes.chunks(piece) {
+        held.extend_from_slice(part);
+        while let Some(frame) = codec.decode(&mut held)? {
+            frames.push(frame);
+        }
+    }
+    while let Some(frame) = codec.decode_eof(&mut held)? {
+        frames.push(frame);
+    }
+    Ok(frames)
+}
+
+fn seeded(tests: u64) -> QuickCheck {
+    QuickCheck::new().rng(Gen::from_size_and_seed(60, 11)).tests(tests)
+}
+
+#[test]
+fn what_was_written_is_read_in_pieces_of_any_size() {
+    fn run(frames: Vec<Any>, piece: u8) -> bool {
+        let all: Vec<Frame> =
+            std::iter::once(hello(VERSION)).chain(frames.into_iter().map(|f| f.0)).collect();
+        read(&bytes(&all), usize::from(piece) + 1).unwrap() == all
+    }
+    seeded(500).quickcheck(run as fn(Vec<Any>, u8) -> bool);
+}
+
+#[test]
+fn a_flipped_bit_is_an_error_or_in_a_chunks_bytes() {
+    fn run(frame: Any, at: usize) -> bool {
+        let greeting = bytes(&[hello(VERSION)]).len();
+        let mut all = bytes(&[hello(VERSION), frame.0.clone(), Frame::Beat]);
+        let at = greeting * 8 + at % ((all.len() - greeting) * 8);
+        all[at / 8] ^= 1 << (at % 8);
+        match read(&all, 999) {
+            Err(_) => true,
+            Ok(frames) => match (&frame.0, &frames[1]) {
+                (Frame::Chunk(t, i, data), Frame::Chunk(token, index, spoilt)) => {
+                    // Framing holds, so that this chunk alone is asked for again.
+                    (t, i, data.len()) == (token, index, spoilt.len()) && data != spoilt
+                }
+                _ => false,
+            },
+        }
+    }
+    seeded(3_000).quickcheck(run as fn(Any, usize) -> bool);
+}
+
+#[test]
+fn noise_is_never_a_panic_and_never_makes_room_for_much() {
+    fn run(noise: Vec<u8>, greeted: bool) -> bool {
+        let mut held = if greeted { bytes(&[hello(VERSION)]) } else { BytesMut::new() };
+        held.extend_from_slice(&noise);
+        let mut codec = Codec::default();
+        while let Ok(Some(_)) = codec.decode(&mut held) {}
+        held.capacity() <= 2 * (MAX_CHUNK as usize)
+    }
+    seeded(2_000).quickcheck(run as fn(Vec<u8>, bool) -> bool);
+}
+
+/// A header with this length and kind whose checksum fits.
+fn header(length: u32, kind: u8) -> Vec<u8> {
+    let mut header = [&length.to_be_bytes()[..], &[kind], &[0; 15]].concat();
+    let sum = crc32c::crc32c(&header);
+    header.extend(sum.to_be_bytes());
+    assert_eq!(header.len(), HEADER);
+    header
+}
+
+#[test]
+fn errors_say_what_is_wrong() {
+    let error = |bytes: &[u8]| read(bytes, 64).unwrap_err().to_string();
+    let after = |rest: &[u8]| error(&[&bytes(&[hello(VERSION)])[..], rest].concat());
+    assert_eq!(error(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"), "not this protocol");
+    assert_eq!(error(&bytes(&[hello(2)])), "version 2 is spoken there, 1 here");
+    assert_eq!(error(&bytes(&[Frame::Beat])), "a greeting out of place");
+    assert_eq!(error(&bytes(&[hello(1), hello(1)])), "a greeting out of place");
+    assert_eq!(error(&bytes(&[hello(1)])[..30]), "it ended in the midst of a frame");
+    assert_eq!(after(&header(0, 99)), "a frame of unknown kind 99");
+    assert_eq!(after(&header(u32::MAX, 5)), "a frame of kind 5 with 4294967295 bytes; 1048576 are allowed");
+    assert_eq!(after(&header(1, 14)), "a frame of kind 14 with 1 bytes; 0 are allowed");
+    assert_eq!(after(&header(7, 4)[..20]), "it ended in the midst of a frame");
+    let body = |kind: u8, body: &[u8]| {
+        after(&[&header(body.len() as u32, kind), body, &crc32c::crc32c(body).to_be_bytes()[..]].concat())
+    };
+    assert_eq!(body(4, &[0; 7]), "a frame of kind 4 whose body is malformed");
+    assert_eq!(body(2, &[0; 12]), "a frame of kind 2 whose body is malformed", "a want without an id");
+    assert_eq!(body(9, &[200]), "a frame of kind 9 whose body is malformed", "an unknown cause");
+    assert_eq!(body(11, b"two words"), "a frame of kind 11 whose body is malformed");
+    assert_eq!(body(3, &[0; 56]), "an offer: a state holds at least one byte");
+    let mut offer = [0; 56 + 32];
+    offer[19] = 9;
+    offer[22] = 16;
+    assert_eq!(body(3, &offer), "an offer whose hashes do not belong together");
+    offer[22] = 17;
+    assert!(body(3, &offer).contains("a chunk size is a power of two"));
+}
+
+#[test]
+fn a_state_is_proven_chunk_by_chunk() {
+    let state: Bytes = (0..50_000u32).map(|i| (i % 251) as u8).collect::<Vec<_>>().into();
+    let proof = Proof::of(&state, 4_096).unwrap();
+    let shape = proof.shape();
+    assert_eq!((shape.chunks(), shape.len_of(12), shape.len_of(13)), (13, 50_000 - 12 * 4_096, 0));
+    for (index, chunk) in state.chunks(4_096).enumerate() {
+        let index = index as u32;
+        assert!(proof.proves(index, chunk));
+        assert!(!proof.proves(index + 1, chunk) && !proof.proves(index, &chunk[1..]));
+    }
+    // Neither another length nor another chunk size passes with the same hashes.
+    let with = |length, chunk| {
+        Proof::check(Shape::new(length, chunk).unwrap(), *proof.root(), proof.leaves().clone())
+    };
+    assert_eq!(with(50_000, 4_096).as_ref(), Some(&proof));
+    assert!(with(50_001, 4_096).is_none() && with(100_000, 8_192).is_none());
+}
