--- /dev/null
+++ b/daemon/src/command/mod.rs
@@ -0,0 +1,50 @@
+//! The program's commands.
+
+pub mod serve;
+pub mod transfer;
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use frosttrail_daemon::config::ConfigError;
+use slog::{o, Drain, Logger};
+use tokio::runtime::Runtime;
+
+/// Why a command ends otherwise than well.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    #[error("{0}")]
+    Config(#[from] ConfigError),
+    #[error("{0}: {1}")]
+    Bind(SocketAddr, std::io::Error),
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    #[error("{0}")]
+    Transfer(#[from] transfer::TransferError),
+}
+
+impl Fault {
+    /// 2 for whoever started it to mend, 1 for the rest.
+    pub fn code(&self) -> ExitCode {
+        match self {
+            Fault::Config(_) => ExitCode::from(2),
+            Fault::Bind(..) | Fault::Io(_) | Fault::Transfer(_) => ExitCode::FAILURE,
+        }
+    }
+}
+
+fn runtime() -> std::io::Result<Runtime> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build()
+}
+
+/// A log that never holds the program up: lines that find no room are counted and dropped.
+fn logger(name: &str) -> (Logger, slog_async::AsyncGuard) {
+    let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+    let lines = slog_term::FullFormat::new(decorator).build().fuse();
+    let level = match std::env::var("FROSTTRAIL_LOG").as_deref() {
+        Ok("debug") => slog::Level::Debug,
+        _ => slog::Level::Info,
+    };
+    let (drain, guard) = slog_async::Async::new(lines.filter_level(level).fuse()).build_with_guard();
+    (Logger::root(drain.fuse(), o!("name" => name.to_string())), guard)
+}
--- /dev/null
+++ b/daemon/src/command/serve.rs
@@ -0,0 +1,169 @@
+//! The conductor: reads its configuration, opens its doors, rereads the configuration on SIGHUP, and on
+//! SIGTERM closes its doors in good order.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use frosttrail_core::{start, Clock, Conductor, Parts};
+use frosttrail_daemon::config::{ChatConfig, Config, XdsConfig};
+use frosttrail_daemon::discovery::{Discovery, Xds};
+use frosttrail_daemon::front::chat::Chat;
+use frosttrail_daemon::front::platform::Platform;
+use frosttrail_daemon::front::{Doors, Patience};
+use frosttrail_daemon::upstream::{Book, Limits, Upstream};
+use slog::{info, warn, Logger};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+use tokio_util::task::AbortOnDropHandle;
+
+use super::{logger, runtime, Fault};
+
+/// Clients and the front notice a planned end within this time, in which new ones are still taken.
+const NOTICE: Duration = Duration::from_millis(900);
+/// What has not begun to stream this long after SIGTERM gets its final answer,
+const ANSWER_ALL: Duration = Duration::from_millis(2_900);
+/// and streams are cut this long after it: SIGKILL comes at 3.7 s or later.
+const LAST: Duration = Duration::from_millis(3_400);
+/// How long clients may take: a request is small and comes from near, idle connections cost memory and
+/// descriptors, and a client on a bad line may fall silent for some seconds while its answer streams.
+const PATIENCE: Patience = Patience {
+    arrive: Duration::from_millis(2_200),
+    idle: Duration::from_secs(5),
+    stall: Duration::from_secs(20),
+};
+/// A box's connection rests this long after an answer, in which what follows right behind has come.
+const SETTLE: Duration = Duration::from_millis(10);
+/// A reset comes back from a box, or from what lies before it, within this time.
+const STALE_WITHIN: Duration = Duration::from_millis(20);
+/// Descriptors for all that is neither a client nor a box: log, timers, discovery, listeners.
+const SPARE_SOCKETS: usize = 48;
+
+/// The files that switch parts on.
+#[derive(clap::Args, Debug, Default)]
+pub struct Options {
+    /// Open the OpenAI-style chat front as this file says.
+    #[arg(long, value_name = "FILE")]
+    chat: Option<PathBuf>,
+    /// Take members from the xDS server that this file names, in place of the platform's discovery.
+    #[arg(long, value_name = "FILE")]
+    xds: Option<PathBuf>,
+}
+
+/// Runs the conductor until SIGTERM.
+pub fn serve(options: Options) -> Result<(), Fault> {
+    let runtime = runtime()?;
+    // Before all else: a signal that comes early must find its handler.
+    let signals = {
+        let _entered = runtime.enter();
+        Signals { terminate: signal(SignalKind::terminate())?, hangup: signal(SignalKind::hangup())? }
+    };
+    let config = Config::from_env()?;
+    let chat = options.chat.map(|file| ChatConfig::read(&file, &config.names)).transpose()?;
+    let xds = options.xds.map(|file| XdsConfig::read(&file)).transpose()?;
+    let (log, _guard) = logger(&config.name);
+    runtime.block_on(run(signals, config, chat, xds, log))
+}
+
+struct Signals {
+    terminate: Signal,
+    hangup: Signal,
+}
+
+async fn run(
+    mut signals: Signals,
+    config: Config,
+    chat: Option<ChatConfig>,
+    xds: Option<XdsConfig>,
+    log: Logger,
+) -> Result<(), Fault> {
+    let each = (config.sockets - SPARE_SOCKETS) / 2;
+    let doors = Doors::new(each, PATIENCE, log.clone());
+    let (listen, settings, names) = (config.listen, config.settings.clone(), Arc::new(config.names.clone()));
+    let (discovery, address) = watch::channel(config.discovery);
+    // It goes on beside an end that is planned: until then, drains are still learned of.
+    let _reloads =
+        AbortOnDropHandle::new(tokio::spawn(reload(signals.hangup, config.clone(), discovery, log.clone())));
+    let conductor = conductor(config, address, xds, each, &log);
+    let bind = |address| move |e| Fault::Bind(address, e);
+    doors.open(listen, Platform::new(conductor.clone(), names.clone())).map_err(bind(listen))?;
+    if let Some(chat) = chat {
+        let listen = chat.listen;
+        doors.open(listen, Chat::new(conductor.clone(), &settings, names, chat)).map_err(bind(listen))?;
+    }
+    signals.terminate.recv().await;
+    info!(log, "SIGTERM: closing");
+    doors.leave();
+    let orderly = async {
+        sleep(NOTICE).await;
+        doors.close().await;
+        conductor.released().await;
+    };
+    let answer_all = async {
+        sleep(ANSWER_ALL).await;
+        conductor.close();
+        std::future::pending::<()>().await;
+    };
+    let in_time = timeout(LAST, async {
+        tokio::select! {
+            () = orderly => {}
+            () = answer_all => {}
+        }
+    });
+    if in_time.await.is_err() {
+        info!(log, "closed before all was done"; "connections" => doors.connections());
+    }
+    Ok(())
+}
+
+/// Rereads the configuration at each SIGHUP. Discovery's address takes effect at once; what can't change
+/// while requests run is named in the log. A file that is no good changes nothing.
+async fn reload(mut hangup: Signal, held: Config, discovery: watch::Sender<SocketAddr>, log: Logger) {
+    while hangup.recv().await.is_some() {
+        match Config::from_env() {
+            Err(e) => warn!(log, "SIGHUP: the old configuration stays in force"; "why" => %e),
+            Ok(config) => {
+                let later = held.needs_restart(&config).join(" ");
+                info!(
+                    log, "SIGHUP: configuration read";
+                    "discovery" => %config.discovery, "at restart" => later
+                );
+                discovery
+                    .send_if_modified(|old| std::mem::replace(old, config.discovery) != config.discovery);
+            }
+        }
+    }
+}
+
+fn conductor(
+    config: Config,
+    address: watch::Receiver<SocketAddr>,
+    xds: Option<XdsConfig>,
+    connections: usize,
+    log: &Logger,
+) -> Conductor<Upstream> {
+    let clock = Clock::new();
+    let book = Arc::new(Book::default());
+    let limits = Limits {
+        connections,
+        connect_timeout: Duration::from_micros(config.settings.connect_timeout),
+        conn_idle: Duration::from_micros(config.settings.conn_idle),
+        settle: SETTLE,
+        stale_within: STALE_WITHIN,
+    };
+    let boxes = Arc::new(Upstream::new(book.clone(), limits));
+    let Config { name, known, names, settings, seed, .. } = config;
+    let log = log.clone();
+    match xds {
+        Some(xds) => {
+            let members = Xds::new(xds, name, names, clock, book, log.clone());
+            start(Parts { settings, seed, clock, boxes, members, log })
+        }
+        None => {
+            let members = Discovery::new(address, known, names, clock, book, log.clone());
+            start(Parts { settings, seed, clock, boxes, members, log })
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/command/transfer.rs
@@ -0,0 +1,250 @@
+//! `frosttrail transfer`: a node beside a box, and tools to hand it states and to look at it.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use clap::{Args, Subcommand};
+use frosttrail_daemon::config::TransferConfig;
+use frosttrail_transfer::cause::Cause;
+use frosttrail_transfer::service::{ask, Arrived, Config, FetchError, Node, PutError, StatusError, Whole};
+use frosttrail_transfer::wire::{Id, IdError};
+use percent_encoding::{utf8_percent_encode, AsciiSet, NON_ALPHANUMERIC};
+use rand::TryRngCore;
+use slog::{error, info, Logger};
+use tokio::io::AsyncWriteExt;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::time::timeout;
+
+use super::{logger, runtime, Fault};
+
+/// What of an id stays as it is in a file's name.
+const PLAIN: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'_');
+/// Longer names are named by their hash: file systems allow 255 bytes.
+const LONGEST_NAME: usize = 200;
+
+/// Why a transfer's command fails.
+#[derive(Debug, thiserror::Error)]
+pub enum TransferError {
+    #[error("{0}: {1}")]
+    File(PathBuf, std::io::Error),
+    #[error("{0} holds no state: {1}")]
+    Put(PathBuf, PutError),
+    #[error("{0} was not taken: {1}")]
+    Push(Id, Cause),
+    #[error("{0} was not had: {1}")]
+    Fetch(Id, FetchError),
+    #[error("{0} was not moved within {1} s")]
+    Time(Id, u64),
+    #[error("{0}: {1}")]
+    Status(SocketAddr, StatusError),
+}
+
+#[derive(Subcommand, Debug)]
+pub enum Command {
+    /// Take, hold and hand on states beside a box, until SIGTERM.
+    Serve(Serve),
+    /// Hand a file to a node as the state of a request.
+    Send(Send),
+    /// Fetch a state from whichever of several nodes has it.
+    Fetch(Fetch),
+    /// Show what a node holds and has done, as JSON.
+    Status(Status),
+}
+
+#[derive(Args, Debug)]
+pub struct Serve {
+    /// How it is set up; deploy/transfer.json is an example.
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+}
+
+#[derive(Args, Debug)]
+pub struct Send {
+    /// The state.
+    file: PathBuf,
+    /// The request's id, which names the state.
+    #[arg(long, value_parser = id)]
+    id: Id,
+    /// The node that is to have it.
+    #[arg(long, value_name = "ADDRESS")]
+    to: SocketAddr,
+    /// Bytes of a chunk: a power of two from 4096 to 1048576.
+    #[arg(long, value_name = "BYTES", default_value_t = 262_144)]
+    chunk: u32,
+    /// For all of it, in seconds.
+    #[arg(long, value_name = "SECONDS", default_value_t = 30)]
+    within: u64,
+}
+
+#[derive(Args, Debug)]
+pub struct Fetch {
+    /// The request's id, which names the state.
+    #[arg(long, value_parser = id)]
+    id: Id,
+    /// A node that may have it; may be given several times.
+    #[arg(long, value_name = "ADDRESS", required = true)]
+    from: Vec<SocketAddr>,
+    /// Where to write it. The file appears whole or not at all.
+    #[arg(long, value_name = "FILE")]
+    out: PathBuf,
+    /// For all of it, in seconds.
+    #[arg(long, value_name = "SECONDS", default_value_t = 30)]
+    within: u64,
+}
+
+#[derive(Args, Debug)]
+pub struct Status {
+    /// The node.
+    #[arg(long, value_name = "ADDRESS")]
+    at: SocketAddr,
+}
+
+fn id(text: &str) -> Result<Id, IdError> {
+    Id::new(text)
+}
+
+/// Runs one of them.
+pub fn run(command: Command) -> Result<(), Fault> {
+    let runtime = runtime()?;
+    match command {
+        Command::Serve(args) => {
+            let config = TransferConfig::read(&args.config)?;
+            let signals = {
+                let _entered = runtime.enter();
+                (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?)
+            };
+            let (log, _guard) = logger(&config.name);
+            runtime.block_on(serve(config, signals, log))
+        }
+        Command::Send(args) => Ok(runtime.block_on(send(args))?),
+        Command::Fetch(args) => Ok(runtime.block_on(fetch(args))?),
+        Command::Status(args) => Ok(runtime.block_on(status(args))?),
+    }
+}
+
+/// A process's name, which no other has.
+fn incarnation() -> Result<u64, Fault> {
+    let drawn = rand::rngs::OsRng.try_next_u64();
+    Ok(drawn.map_err(|e| std::io::Error::other(e.to_string()))?)
+}
+
+async fn serve(
+    config: TransferConfig,
+    (mut terminate, mut hangup): (Signal, Signal),
+    log: Logger,
+) -> Result<(), Fault> {
+    let node = Node::new(config.node, incarnation()?, log.clone());
+    let mut arrived = node.arrived();
+    let at = node.listen(config.listen).await.map_err(|e| Fault::Bind(config.listen, e))?;
+    info!(log, "listening"; "at" => at);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => info!(log, "SIGHUP: nothing can be changed while it runs"),
+            Some(state) = arrived.recv() => take(&node, state, config.store.as_deref(), &log).await,
+        }
+    }
+    info!(log, "SIGTERM: draining"; "within" => ?config.drain);
+    node.drain(config.drain);
+    let rest = async {
+        loop {
+            tokio::select! {
+                () = node.settled() => break,
+                Some(state) = arrived.recv() => take(&node, state, config.store.as_deref(), &log).await,
+            }
+        }
+        while let Ok(state) = arrived.try_recv() {
+            take(&node, state, config.store.as_deref(), &log).await;
+        }
+    };
+    if timeout(config.drain + config.drain / 10, rest).await.is_err() {
+        info!(log, "closed before all was done"; "states" => node.status().states);
+    }
+    Ok(())
+}
+
+/// What has arrived is kept in the folder, or held for whoever fetches it. Where the folder fails, it is held.
+async fn take(node: &Node, Arrived { id, state }: Arrived, store: Option<&Path>, log: &Logger) {
+    let bytes = state.length();
+    if let Some(folder) = store {
+        let file = folder.join(file_name(&id));
+        match write(&file, &state).await {
+            Ok(()) => return info!(log, "stored"; "request" => %id, "bytes" => bytes, "file" => ?file),
+            Err(e) => error!(log, "not stored"; "request" => %id, "file" => ?file, "why" => %e),
+        }
+    }
+    let held = match node.begin(id.clone()) {
+        Ok(reading) => reading.put(state.chunks().concat().into()).await,
+        Err(cause) => Err(cause.into()),
+    };
+    match held {
+        Ok(()) => info!(log, "held"; "request" => %id, "bytes" => bytes),
+        Err(e) => error!(log, "lost"; "request" => %id, "bytes" => bytes, "why" => %e),
+    }
+}
+
+/// A name that stays in its folder, whatever the id.
+fn file_name(id: &Id) -> String {
+    let name = utf8_percent_encode(id.as_str(), PLAIN).to_string();
+    match name.len() {
+        0..=LONGEST_NAME => name,
+        _ => format!("{}", blake3::hash(id.as_str().as_bytes())),
+    }
+}
+
+/// Writes a state beside the file, then gives it its name: whoever looks sees all of it or nothing.
+async fn write(file: &Path, state: &Whole) -> std::io::Result<()> {
+    let mut part = file.as_os_str().to_owned();
+    part.push(format!(".{}.part", std::process::id()));
+    let written = async {
+        let mut out = tokio::fs::File::create(&part).await?;
+        for chunk in state.chunks() {
+            out.write_all(chunk).await?;
+        }
+        out.sync_all().await?;
+        tokio::fs::rename(&part, file).await
+    };
+    let written: std::io::Result<()> = written.await;
+    if written.is_err() {
+        let _ = tokio::fs::remove_file(&part).await;
+    }
+    written
+}
+
+async fn send(args: Send) -> Result<(), Fault> {
+    let Send { file, id, to, chunk, within } = args;
+    let state = std::fs::read(&file).map_err(|e| TransferError::File(file.clone(), e))?;
+    let (log, _guard) = logger("send");
+    let node = Node::new(Config { chunk, ..Config::default() }, incarnation()?, log);
+    let bytes = state.len();
+    let moved = async {
+        let put = |e| TransferError::Put(file.clone(), e);
+        let reading = node.begin(id.clone()).map_err(|e| put(e.into()))?;
+        reading.put(state.into()).await.map_err(put)?;
+        node.push(&id, to).await.map_err(|e| TransferError::Push(id.clone(), e))
+    };
+    let end = timeout(Duration::from_secs(within), moved).await;
+    end.unwrap_or_else(|_| Err(TransferError::Time(id.clone(), within)))?;
+    println!("{id}: {bytes} bytes are at {to}");
+    Ok(())
+}
+
+async fn fetch(args: Fetch) -> Result<(), Fault> {
+    let Fetch { id, from, out, within } = args;
+    let (log, _guard) = logger("fetch");
+    let node = Node::new(Config::default(), incarnation()?, log);
+    let limit = Duration::from_secs(within);
+    let end = timeout(limit, node.fetch(&id, &from, Some(limit))).await;
+    let end = end.map_err(|_| TransferError::Time(id.clone(), within))?;
+    let state = end.map_err(|e| TransferError::Fetch(id.clone(), e))?;
+    write(&out, &state).await.map_err(|e| TransferError::File(out.clone(), e))?;
+    println!("{id}: {} bytes are in {}", state.length(), out.display());
+    Ok(())
+}
+
+async fn status(args: Status) -> Result<(), Fault> {
+    let status = ask(args.at, Duration::from_secs(2)).await.map_err(|e| TransferError::Status(args.at, e))?;
+    println!("{}", serde_json::to_string_pretty(&status).map_err(std::io::Error::other)?);
+    Ok(())
+}
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -6,6 +6,7 @@
 
 use frosttrail::setup::{self, Names, SetupError};
 use frosttrail::Settings;
+use frosttrail_transfer::service::{Config as Node, Inbox};
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde_json::Value;
@@ -144,7 +145,7 @@
     pub max_tokens: u64,
 }
 
-/// Reads a file of ours under `deploy/`.
+/// Reads a file of ours under `deploy/`, in the older form.
 fn deploy_file<T: DeserializeOwned>(path: &Path) -> Result<T, ConfigError> {
     let at = || path.to_path_buf();
     let text = std::fs::read_to_string(path).map_err(|e| ConfigError::Unreadable(at(), e))?;
@@ -190,3 +191,91 @@
         Ok(XdsConfig { server, refresh: Duration::from_millis(refresh_ms.max(1)) })
     }
 }
+
+/// A node of the transfer service, as its file has it. Sizes are in KiB and MiB, times in milliseconds.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TransferFile {
+    name: String,
+    listen: SocketAddr,
+    #[serde(default)]
+    store: Option<PathBuf>,
+    #[serde(default)]
+    chunk_kib: Option<u32>,
+    #[serde(default)]
+    window_kib: Option<u32>,
+    #[serde(default)]
+    in_flight_kib: Option<u64>,
+    #[serde(default)]
+    memory_mib: Option<u64>,
+    #[serde(default)]
+    held_mib: Option<u64>,
+    #[serde(default)]
+    connections: Option<usize>,
+    #[serde(default)]
+    hold_ms: Option<u64>,
+    #[serde(default)]
+    limit_ms: Option<u64>,
+    #[serde(default)]
+    silence_ms: Option<u64>,
+    #[serde(default)]
+    drain_ms: Option<u64>,
+}
+
+/// A node of the transfer service.
+#[derive(Clone, Debug)]
+pub struct TransferConfig {
+    /// Its name, in the log.
+    pub name: String,
+    /// Where other nodes connect.
+    pub listen: SocketAddr,
+    /// The folder for states that arrive; without one they are held for whoever fetches them.
+    pub store: Option<PathBuf>,
+    /// How long SIGTERM leaves to what is held.
+    pub drain: Duration,
+    /// The node's own settings.
+    pub node: Node,
+}
+
+impl TransferConfig {
+    /// Reads the file.
+    pub fn read(path: &Path) -> Result<Self, ConfigError> {
+        let at = || path.to_path_buf();
+        let wrong = |what: &str| ConfigError::Deploy(path.to_path_buf(), what.to_string());
+        let text = std::fs::read(path).map_err(|e| ConfigError::Unreadable(at(), e))?;
+        let file: TransferFile =
+            serde_json::from_slice(&text).map_err(|e| ConfigError::Malformed(at(), e))?;
+        let inbox = if file.store.is_some() { Inbox::Hand } else { Inbox::Hold };
+        let mut node = Node { inbox, ..Default::default() };
+        let set = |slot: &mut u64, value: Option<u64>, unit: u64| {
+            if let Some(value) = value {
+                *slot = value.saturating_mul(unit);
+            }
+        };
+        let kib = |value: u32, name| value.checked_mul(1 << 10).ok_or_else(|| wrong(name));
+        if let Some(chunk) = file.chunk_kib {
+            node.chunk = kib(chunk, "chunk_kib is too large")?;
+        }
+        if let Some(window) = file.window_kib {
+            node.taker.window = kib(window, "window_kib is too large")?;
+        }
+        set(&mut node.holder.in_flight, file.in_flight_kib, 1 << 10);
+        set(&mut node.taker.memory, file.memory_mib, 1 << 20);
+        set(&mut node.holder.bytes, file.held_mib, 1 << 20);
+        set(&mut node.times.hold, file.hold_ms, 1_000);
+        set(&mut node.times.limit, file.limit_ms, 1_000);
+        set(&mut node.times.silence, file.silence_ms, 1_000);
+        node.connections = file.connections.unwrap_or(node.connections);
+        if let Some(store) = file.store.as_ref().filter(|s| !s.is_dir()) {
+            return Err(wrong(&format!("store: {} is no folder", store.display())));
+        }
+        node.check().map_err(|e| wrong(&e.to_string()))?;
+        Ok(TransferConfig {
+            name: file.name,
+            listen: file.listen,
+            store: file.store,
+            drain: Duration::from_millis(file.drain_ms.unwrap_or(10_000)),
+            node,
+        })
+    }
+}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,229 +1,70 @@
-//! The conductor: reads its configuration, opens its doors, rereads the configuration on SIGHUP, and on
-//! SIGTERM closes its doors in good order.
+//! The program: what it is told on its command line, and what its end tells.
 
 #![forbid(unsafe_code)]
 
-use std::ffi::OsString;
-use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::ExitCode;
-use std::sync::Arc;
-use std::time::Duration;
-
-use frosttrail_core::{start, Clock, Conductor, Parts};
-use frosttrail_daemon::config::{ChatConfig, Config, ConfigError, XdsConfig};
-use frosttrail_daemon::discovery::{Discovery, Xds};
-use frosttrail_daemon::front::chat::Chat;
-use frosttrail_daemon::front::platform::Platform;
-use frosttrail_daemon::front::{Doors, Patience};
-use frosttrail_daemon::upstream::{Book, Limits, Upstream};
-use slog::{info, o, warn, Drain, Logger};
-use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
-use tokio_util::task::AbortOnDropHandle;
-
-/// Clients and the front notice a planned end within this time, in which new ones are still taken.
-const NOTICE: Duration = Duration::from_millis(900);
-/// What has not begun to stream this long after SIGTERM gets its final answer,
-const ANSWER_ALL: Duration = Duration::from_millis(2_900);
-/// and streams are cut this long after it: SIGKILL comes at 3.7 s or later.
-const LAST: Duration = Duration::from_millis(3_400);
-/// How long clients may take: a request is small and comes from near, idle connections cost memory and
-/// descriptors, and a client on a bad line may fall silent for some seconds while its answer streams.
-const PATIENCE: Patience = Patience {
-    arrive: Duration::from_millis(2_200),
-    idle: Duration::from_secs(5),
-    stall: Duration::from_secs(20),
-};
-/// A box's connection rests this long after an answer, in which what follows right behind has come.
-const SETTLE: Duration = Duration::from_millis(10);
-/// A reset comes back from a box, or from what lies before it, within this time.
-const STALE_WITHIN: Duration = Duration::from_millis(20);
-/// Descriptors for all that is neither a client nor a box: log, timers, discovery, listeners.
-const SPARE_SOCKETS: usize = 48;
+mod command;
 
-const USAGE: &str = "usage: frosttrail [--chat FILE] [--xds FILE]";
+use std::process::ExitCode;
 
-/// Why the daemon ends otherwise than well.
-#[derive(Debug, thiserror::Error)]
-enum Fault {
-    #[error("{USAGE}")]
-    Usage,
-    #[error("{0}")]
-    Config(#[from] ConfigError),
-    #[error("{0}: {1}")]
-    Bind(SocketAddr, std::io::Error),
-    #[error("{0}")]
-    Io(#[from] std::io::Error),
+use clap::error::ErrorKind;
+use clap::{Parser, Subcommand};
+use command::{serve, transfer, Fault};
+
+/// A conductor for two-stage language-model servers, and the tools beside it.
+///
+/// Without a command it serves, as `frosttrail serve` does: EDGE_CONFIG names the conductor's configuration.
+#[derive(Parser, Debug)]
+#[command(name = "frosttrail", version, args_conflicts_with_subcommands = true)]
+struct Line {
+    #[command(subcommand)]
+    command: Option<Command>,
+    #[command(flatten)]
+    serve: serve::Options,
 }
 
-impl Fault {
-    /// 2 for whoever started it to mend, 1 for the rest.
-    fn code(&self) -> ExitCode {
-        match self {
-            Fault::Usage | Fault::Config(_) => ExitCode::from(2),
-            Fault::Bind(..) | Fault::Io(_) => ExitCode::FAILURE,
-        }
-    }
+#[derive(Subcommand, Debug)]
+enum Command {
+    /// Conduct requests, as EDGE_CONFIG says, until SIGTERM.
+    Serve(serve::Options),
+    /// Move read state between boxes.
+    #[command(subcommand)]
+    Transfer(transfer::Command),
 }
 
 fn main() -> ExitCode {
-    match begin() {
+    let line = match Line::try_parse() {
+        Ok(line) => line,
+        Err(e) => return usage(&e),
+    };
+    let run = match line.command {
+        None => serve::serve(line.serve),
+        Some(Command::Serve(options)) => serve::serve(options),
+        Some(Command::Transfer(command)) => transfer::run(command),
+    };
+    match run {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             eprintln!("frosttrail: {fault}");
-            fault.code()
-        }
-    }
-}
-
-/// The files that switch parts on.
-#[derive(Default)]
-struct Options {
-    chat: Option<PathBuf>,
-    xds: Option<PathBuf>,
-}
-
-impl Options {
-    fn read(mut args: impl Iterator<Item = OsString>) -> Result<Self, Fault> {
-        let mut options = Options::default();
-        while let Some(flag) = args.next() {
-            let slot = match flag.to_str() {
-                Some("--chat") => &mut options.chat,
-                Some("--xds") => &mut options.xds,
-                _ => return Err(Fault::Usage),
-            };
-            *slot = Some(args.next().ok_or(Fault::Usage)?.into());
+            Fault::code(&fault)
         }
-        Ok(options)
     }
 }
 
-fn begin() -> Result<(), Fault> {
-    let options = Options::read(std::env::args_os().skip(1))?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    // Before all else: a signal that comes early must find its handler.
-    let signals = {
-        let _entered = runtime.enter();
-        Signals { terminate: signal(SignalKind::terminate())?, hangup: signal(SignalKind::hangup())? }
-    };
-    let config = Config::from_env()?;
-    let chat = options.chat.map(|file| ChatConfig::read(&file, &config.names)).transpose()?;
-    let xds = options.xds.map(|file| XdsConfig::read(&file)).transpose()?;
-    let (log, _guard) = logger(&config.name);
-    runtime.block_on(run(signals, config, chat, xds, log))
-}
-
-struct Signals {
-    terminate: Signal,
-    hangup: Signal,
-}
-
-/// A log that never holds the program up: lines that find no room are counted and dropped.
-fn logger(name: &str) -> (Logger, slog_async::AsyncGuard) {
-    let decorator = slog_term::PlainDecorator::new(std::io::stderr());
-    let lines = slog_term::FullFormat::new(decorator).build().fuse();
-    let level = match std::env::var("FROSTTRAIL_LOG").as_deref() {
-        Ok("debug") => slog::Level::Debug,
-        _ => slog::Level::Info,
-    };
-    let (drain, guard) = slog_async::Async::new(lines.filter_level(level).fuse()).build_with_guard();
-    (Logger::root(drain.fuse(), o!("name" => name.to_string())), guard)
-}
-
-async fn run(
-    mut signals: Signals,
-    config: Config,
-    chat: Option<ChatConfig>,
-    xds: Option<XdsConfig>,
-    log: Logger,
-) -> Result<(), Fault> {
-    let each = (config.sockets - SPARE_SOCKETS) / 2;
-    let doors = Doors::new(each, PATIENCE, log.clone());
-    let (listen, settings, names) = (config.listen, config.settings.clone(), Arc::new(config.names.clone()));
-    let (discovery, address) = watch::channel(config.discovery);
-    // It goes on beside an end that is planned: until then, drains are still learned of.
-    let _reloads =
-        AbortOnDropHandle::new(tokio::spawn(reload(signals.hangup, config.clone(), discovery, log.clone())));
-    let conductor = conductor(config, address, xds, each, &log);
-    let bind = |address| move |e| Fault::Bind(address, e);
-    doors.open(listen, Platform::new(conductor.clone(), names.clone())).map_err(bind(listen))?;
-    if let Some(chat) = chat {
-        let listen = chat.listen;
-        doors.open(listen, Chat::new(conductor.clone(), &settings, names, chat)).map_err(bind(listen))?;
-    }
-    signals.terminate.recv().await;
-    info!(log, "SIGTERM: closing");
-    doors.leave();
-    let orderly = async {
-        sleep(NOTICE).await;
-        doors.close().await;
-        conductor.released().await;
-    };
-    let answer_all = async {
-        sleep(ANSWER_ALL).await;
-        conductor.close();
-        std::future::pending::<()>().await;
-    };
-    let in_time = timeout(LAST, async {
-        tokio::select! {
-            () = orderly => {}
-            () = answer_all => {}
-        }
-    });
-    if in_time.await.is_err() {
-        info!(log, "closed before all was done"; "connections" => doors.connections());
-    }
-    Ok(())
-}
-
-/// Rereads the configuration at each SIGHUP. Discovery's address takes effect at once; what can't change
-/// while requests run is named in the log. A file that is no good changes nothing.
-async fn reload(mut hangup: Signal, held: Config, discovery: watch::Sender<SocketAddr>, log: Logger) {
-    while hangup.recv().await.is_some() {
-        match Config::from_env() {
-            Err(e) => warn!(log, "SIGHUP: the old configuration stays in force"; "why" => %e),
-            Ok(config) => {
-                let later = held.needs_restart(&config).join(" ");
-                info!(
-                    log, "SIGHUP: configuration read";
-                    "discovery" => %config.discovery, "at restart" => later
-                );
-                discovery
-                    .send_if_modified(|old| std::mem::replace(old, config.discovery) != config.discovery);
-            }
-        }
-    }
-}
-
-fn conductor(
-    config: Config,
-    address: watch::Receiver<SocketAddr>,
-    xds: Option<XdsConfig>,
-    connections: usize,
-    log: &Logger,
-) -> Conductor<Upstream> {
-    let clock = Clock::new();
-    let book = Arc::new(Book::default());
-    let limits = Limits {
-        connections,
-        connect_timeout: Duration::from_micros(config.settings.connect_timeout),
-        conn_idle: Duration::from_micros(config.settings.conn_idle),
-        settle: SETTLE,
-        stale_within: STALE_WITHIN,
-    };
-    let boxes = Arc::new(Upstream::new(book.clone(), limits));
-    let Config { name, known, names, settings, seed, .. } = config;
-    let log = log.clone();
-    match xds {
-        Some(xds) => {
-            let members = Xds::new(xds, name, names, clock, book, log.clone());
-            start(Parts { settings, seed, clock, boxes, members, log })
-        }
-        None => {
-            let members = Discovery::new(address, known, names, clock, book, log.clone());
-            start(Parts { settings, seed, clock, boxes, members, log })
+/// Help and version as the library words them, a mistake on one line like all else that whoever started the
+/// program has to mend.
+fn usage(error: &clap::Error) -> ExitCode {
+    match error.kind() {
+        ErrorKind::DisplayHelp
+        | ErrorKind::DisplayVersion
+        | ErrorKind::DisplayHelpOnMissingArgumentOrSubcommand => error.exit(),
+        _ => {
+            let text = error.to_string();
+            let end = |line: &&str| !line.starts_with("Usage") && !line.starts_with("For more");
+            let said: Vec<&str> = text.lines().take_while(end).map(str::trim).collect();
+            let said = said.join(" ");
+            let said = said.trim().trim_start_matches("error: ");
+            eprintln!("frosttrail: {said}; see frosttrail --help");
+            ExitCode::from(2)
         }
     }
 }
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -253,14 +253,12 @@
     }
 }
 
-struct Fixed(Option<News>);
+/// The list as the test tells it.
+struct Told(mpsc::UnboundedReceiver<News>);
 
-impl MemberList for Fixed {
+impl MemberList for Told {
     async fn next(&mut self) -> Option<News> {
-        match self.0.take() {
-            Some(news) => Some(news),
-            None => std::future::pending().await,
-        }
+        self.0.recv().await
     }
 }
 
@@ -282,7 +280,31 @@
             "resume": true, "self-prefill": false, "token-aim": [60_000.0, 80_000.0]}})
 }
 
-/// A conductor between stand-ins, with both fronts open.
+/// A conductor with both fronts open.
+pub struct Open {
+    pub platform: SocketAddr,
+    pub chat: SocketAddr,
+    pub conductor: Conductor<Upstream>,
+    pub doors: Doors,
+    pub news: mpsc::UnboundedSender<News>,
+}
+
+impl Open {
+    /// Before these boxes: name, kind and address.
+    pub fn before(boxes: &[(&str, usize, SocketAddr)], patience: Patience) -> Self {
+        let names = Arc::new(Names::new(&setup()).unwrap());
+        let settings = settings(&setup(), &names).unwrap();
+        let (news, conductor) = conductor(&settings, boxes);
+        let doors = Doors::new(8, patience, slog::Logger::root(slog::Discard, slog::o!()));
+        let config = ChatConfig { listen: any(), models: vec!["chat".into()], class: 1, max_tokens: 400 };
+        let platform = Platform::new(conductor.clone(), names.clone());
+        let chat = Chat::new(conductor.clone(), &settings, names, config);
+        let (platform, chat) = (doors.open(any(), platform).unwrap(), doors.open(any(), chat).unwrap());
+        Open { platform, chat, conductor, doors, news }
+    }
+}
+
+/// A conductor between stand-ins.
 pub struct Site {
     pub platform: SocketAddr,
     pub chat: SocketAddr,
@@ -290,6 +312,7 @@
     pub writer: StandIn,
     pub conductor: Conductor<Upstream>,
     pub doors: Doors,
+    pub news: mpsc::UnboundedSender<News>,
 }
 
 impl Site {
@@ -298,23 +321,10 @@
     }
 
     pub async fn with(patience: Patience) -> Self {
-        let names = Arc::new(Names::new(&setup()).unwrap());
-        let settings = settings(&setup(), &names).unwrap();
         let (reader, writer) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
         let boxes = [("reader", 0, reader.address), ("writer", 1, writer.address)];
-        let conductor = conductor(&settings, &boxes);
-        let doors = Doors::new(8, patience, slog::Logger::root(slog::Discard, slog::o!()));
-        let config = ChatConfig { listen: any(), models: vec!["chat".into()], class: 1, max_tokens: 400 };
-        let platform = Platform::new(conductor.clone(), names.clone());
-        let chat = Chat::new(conductor.clone(), &settings, names, config);
-        Site {
-            platform: doors.open(any(), platform).unwrap(),
-            chat: doors.open(any(), chat).unwrap(),
-            reader,
-            writer,
-            conductor,
-            doors,
-        }
+        let Open { platform, chat, conductor, doors, news } = Open::before(&boxes, patience);
+        Site { platform, chat, reader, writer, conductor, doors, news }
     }
 }
 
@@ -337,24 +347,27 @@
     Upstream::new(book, limits)
 }
 
-fn conductor(settings: &Settings, boxes: &[(&str, usize, SocketAddr)]) -> Conductor<Upstream> {
-    let entry = |(name, kind, _): &(&str, usize, SocketAddr)| Entry {
-        worker: Id::from(*name),
-        cell: 0,
-        kind: *kind,
-        zone: 0,
-        started: 0,
-        health: Health::Up,
-    };
-    let entries = boxes.iter().map(entry).collect();
-    start(Parts {
+/// A line of the list.
+pub fn entry(name: &str, kind: usize, health: Health) -> Entry {
+    Entry { worker: Id::from(name), cell: 0, kind, zone: 0, started: 0, health }
+}
+
+fn conductor(
+    settings: &Settings,
+    boxes: &[(&str, usize, SocketAddr)],
+) -> (mpsc::UnboundedSender<News>, Conductor<Upstream>) {
+    let entries = boxes.iter().map(|(name, kind, _)| entry(name, *kind, Health::Up)).collect();
+    let (news, told) = mpsc::unbounded_channel();
+    let _ = news.send(News { form: ListForm::Full, entries });
+    let conductor = start(Parts {
         settings: settings.clone(),
         seed: 7,
         clock: Clock::new(),
         boxes: Arc::new(upstream(boxes)),
-        members: Fixed(Some(News { form: ListForm::Full, entries })),
+        members: Told(told),
         log: slog::Logger::root(slog::Discard, slog::o!()),
-    })
+    });
+    (news, conductor)
 }
 
 /// What a client got: status, head, body, whether the answer was whole, and how many answers there were.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,3 +4,4 @@
 #![warn(missing_docs)]
 
 pub mod link;
+pub mod split;
--- /dev/null
+++ b/standins/src/split.rs
@@ -0,0 +1,217 @@
+//! Stand-in boxes whose state really moves: a reader that makes a state from the prompt and holds it in a
+//! transfer node, and a writer that fetches it and answers with what it finds in it. Both speak the
+//! platform's protocol to the conductor.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use frosttrail_transfer::service::{Config, Node, Whole};
+use frosttrail_transfer::wire::Id;
+use futures_util::{stream, Stream};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response};
+use hyper_util::rt::TokioIo;
+use slog::Logger;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+use tokio_util::task::AbortOnDropHandle;
+
+type Body = BoxBody<Bytes, Infallible>;
+
+/// The state that a reader makes of a prompt: so many bytes, which depend on all of it.
+pub fn state_of(prompt: &[u8], length: usize) -> Bytes {
+    let mut state = vec![0; length];
+    blake3::Hasher::new().update(prompt).finalize_xof().fill(&mut state);
+    state.into()
+}
+
+/// The tokens that a writer finds in a state: they depend on all of its bytes.
+pub fn tokens_of<'a>(chunks: impl IntoIterator<Item = &'a Bytes>) -> Vec<String> {
+    let mut hasher = blake3::Hasher::new();
+    for chunk in chunks {
+        hasher.update(chunk);
+    }
+    let hex = hasher.finalize().to_hex();
+    hex.as_bytes().chunks(8).map(|token| String::from_utf8_lossy(token).into_owned()).collect()
+}
+
+/// A stand-in reader. Dropping it ends it, as a crash would.
+pub struct Reader {
+    /// Where conductors send prompts.
+    pub http: SocketAddr,
+    /// Where writers fetch states.
+    pub transfer: SocketAddr,
+    /// What holds them.
+    pub node: Arc<Node>,
+    _serving: AbortOnDropHandle<()>,
+}
+
+impl Reader {
+    /// Makes states of so many bytes, and takes so long for it.
+    pub async fn start(
+        config: Config,
+        incarnation: u64,
+        length: usize,
+        takes: Duration,
+        log: Logger,
+    ) -> io::Result<Self> {
+        let node = Arc::new(Node::new(config, incarnation, log));
+        let transfer = node.listen(any()).await?;
+        let read = {
+            let node = node.clone();
+            move |id, prompt| read(node.clone(), id, prompt, length, takes)
+        };
+        let (http, serving) = serve(node.clone(), read).await?;
+        Ok(Reader { http, transfer, node, _serving: serving })
+    }
+}
+
+async fn read(node: Arc<Node>, id: Id, prompt: Bytes, length: usize, takes: Duration) -> Response<Body> {
+    let Ok(reading) = node.begin(id) else { return turned_away(503) };
+    sleep(takes).await;
+    match reading.put(state_of(&prompt, length)).await {
+        Ok(()) => answer(202, false, "{\"cached_tokens\":0}"),
+        Err(_) => answer(500, false, ""),
+    }
+}
+
+/// A stand-in writer. Dropping it ends it.
+pub struct Writer {
+    /// Where conductors send requests.
+    pub http: SocketAddr,
+    /// What fetches their states.
+    pub node: Arc<Node>,
+    _serving: AbortOnDropHandle<()>,
+}
+
+impl Writer {
+    /// Fetches states from these nodes, and says a token so often.
+    pub async fn start(
+        config: Config,
+        incarnation: u64,
+        readers: Vec<SocketAddr>,
+        token: Duration,
+        log: Logger,
+    ) -> io::Result<Self> {
+        let node = Arc::new(Node::new(config, incarnation, log));
+        let readers = Arc::new(readers);
+        let write = {
+            let node = node.clone();
+            move |id, _| {
+                let (node, readers) = (node.clone(), readers.clone());
+                async move {
+                    match node.fetch(&id, &readers, None).await {
+                        Ok(state) => stream_of(state, token),
+                        Err(_) => turned_away(410),
+                    }
+                }
+            }
+        };
+        let (http, serving) = serve(node.clone(), write).await?;
+        Ok(Writer { http, node, _serving: serving })
+    }
+}
+
+/// The stream of an answer; the state is held until its end.
+fn stream_of(state: Whole, every: Duration) -> Response<Body> {
+    let tokens = tokens_of(state.chunks());
+    let events = tokens.iter().map(|token| {
+        format!("data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{token}\"}},\"finish_reason\":null}}]}}\n\n")
+    });
+    let usage = format!("data: {{\"choices\":[],\"usage\":{{\"completion_tokens\":{}}}}}\n\n", tokens.len());
+    let all: Vec<String> = events.chain([usage, "data: [DONE]\n\n".to_string()]).collect();
+    let body = StreamBody::new(paced(all, every, state)).boxed();
+    let mut response = Response::new(body);
+    response
+        .headers_mut()
+        .insert("content-type", hyper::header::HeaderValue::from_static("text/event-stream"));
+    response
+}
+
+fn paced(
+    events: Vec<String>,
+    every: Duration,
+    state: Whole,
+) -> impl Stream<Item = Result<Frame<Bytes>, Infallible>> + Send + Sync {
+    stream::unfold((events.into_iter(), false, state), move |(mut events, begun, state)| async move {
+        let event = events.next()?;
+        if begun {
+            sleep(every).await;
+        }
+        Some((Ok(Frame::data(Bytes::from(event))), (events, true, state)))
+    })
+}
+
+/// Serves the protocol: requests by what this box does, and the call that lets go of a state.
+async fn serve<F, R>(node: Arc<Node>, does: F) -> io::Result<(SocketAddr, AbortOnDropHandle<()>)>
+where
+    F: Fn(Id, Bytes) -> R + Clone + Send + Sync + 'static,
+    R: std::future::Future<Output = Response<Body>> + Send + 'static,
+{
+    let listener = TcpListener::bind(any()).await?;
+    let address = listener.local_addr()?;
+    let serving = async move {
+        let mut connections = tokio::task::JoinSet::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            let (node, does) = (node.clone(), does.clone());
+            let service = service_fn(move |request| one(node.clone(), does.clone(), request));
+            connections.spawn(
+                hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service),
+            );
+            while connections.try_join_next().is_some() {}
+        }
+    };
+    Ok((address, AbortOnDropHandle::new(tokio::spawn(serving))))
+}
+
+async fn one<F, R>(
+    node: Arc<Node>,
+    does: F,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, hyper::Error>
+where
+    F: Fn(Id, Bytes) -> R,
+    R: std::future::Future<Output = Response<Body>>,
+{
+    let (head, body) = request.into_parts();
+    if head.method == Method::DELETE {
+        let id = head.uri.path().strip_prefix("/state/").and_then(|id| Id::new(id).ok());
+        return Ok(match id {
+            Some(id) => {
+                node.release(&id);
+                answer(204, false, "")
+            }
+            None => answer(400, false, ""),
+        });
+    }
+    let id = head.headers.get("x-txn").and_then(|id| id.to_str().ok()).and_then(|id| Id::new(id).ok());
+    let prompt = body.collect().await?.to_bytes();
+    Ok(match id {
+        Some(id) => does(id, prompt).await,
+        None => answer(404, false, ""),
+    })
+}
+
+fn turned_away(status: u16) -> Response<Body> {
+    answer(status, true, "")
+}
+
+fn answer(status: u16, turned_away: bool, body: &'static str) -> Response<Body> {
+    let mut response = Response::new(Full::new(Bytes::from_static(body.as_bytes())).boxed());
+    *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
+    if turned_away {
+        response.headers_mut().insert("x-turned-away", hyper::header::HeaderValue::from_static("1"));
+    }
+    response
+}
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
--- a/transfer/src/receiver.rs
+++ b/transfer/src/receiver.rs
@@ -49,7 +49,7 @@
     /// Prove this chunk and tell with [`Receiver::proved`].
     Prove(Chunk),
     /// The state is here and is this process's own. Its memory is given back with [`Receiver::give_back`].
-    Done(Token, State),
+    Done(Token, Id, State),
     /// It will not come.
     Failed(Token, Cause),
 }
@@ -70,12 +70,14 @@
 }
 
 /// A whole state, in chunks.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct State {
     /// The chunks in their order.
     pub chunks: Vec<Bytes>,
     /// Bytes in all.
     pub length: u64,
+    /// What proves it.
+    pub proof: Arc<Proof>,
 }
 
 /// A move whose chunks come.
@@ -372,9 +374,10 @@
         if self.attached(conn, token).is_none_or(|f| !matches!(f.stage, Stage::Whole(_))) {
             return;
         }
-        if let Some(Fetch { stage: Stage::Whole(chunks), .. }) = self.take(token) {
-            let length = chunks.iter().map(|c| c.len() as u64).sum();
-            self.out.push_back(Out::Done(token, State { chunks, length }));
+        if let Some(Fetch { id, stage: Stage::Whole(chunks), offer: Some(offer), .. }) = self.take(token) {
+            let Offer { proof, .. } = offer;
+            let length = proof.shape().length();
+            self.out.push_back(Out::Done(token, id, State { chunks, length, proof }));
         }
     }
 
--- a/transfer/src/sender.rs
+++ b/transfer/src/sender.rs
@@ -64,7 +64,7 @@
 
 #[derive(Debug)]
 struct Held {
-    state: Bytes,
+    chunks: Vec<Bytes>,
     proof: Arc<Proof>,
     lease: Lease,
     moving: Option<Flow>,
@@ -148,19 +148,34 @@
     /// read shows that it is no longer of use.
     pub fn put(&mut self, now: Micros, ticket: Ticket, state: Bytes, proof: Arc<Proof>) -> Result<(), Cause> {
         let id = self.reading.remove(&ticket).ok_or(Cause::Released)?;
+        let shape = proof.shape();
+        let cut = |index: u32| {
+            let start = index as usize * shape.chunk() as usize;
+            state.slice(start..start + shape.len_of(index) as usize)
+        };
+        self.hold(now, id, (0..shape.chunks()).map(cut).collect(), proof)
+    }
+
+    /// Holds a state that has come from elsewhere, whole and proven.
+    pub fn hold(&mut self, now: Micros, id: Id, chunks: Vec<Bytes>, proof: Arc<Proof>) -> Result<(), Cause> {
         if self.drained.is_some() {
             return Err(Cause::Drained);
         }
         self.free(&id, Cause::Superseded);
         let bytes = proof.shape().length();
-        if self.states.len() >= self.bounds.states || self.bytes + bytes > self.bounds.bytes {
+        if !self.room(bytes) {
             return Err(Cause::Full);
         }
         self.bytes += bytes;
-        self.states.insert(id, Held { state, proof, lease: Lease::new(now), moving: None });
+        self.states.insert(id, Held { chunks, proof, lease: Lease::new(now), moving: None });
         Ok(())
     }
 
+    /// Whether one more state of so many bytes may be held.
+    pub fn room(&self, bytes: u64) -> bool {
+        self.states.len() < self.bounds.states && self.bytes + bytes <= self.bounds.bytes
+    }
+
     /// A connection is there, greetings exchanged.
     pub fn up(&mut self, now: Micros, conn: Conn, hello: Hello) {
         let peer = Peer { process: hello.incarnation, heard: now, moves: BTreeMap::new() };
@@ -288,7 +303,7 @@
             Ok(()) => {
                 if let Some(held) = self.states.get_mut(&id) {
                     held.moving = None;
-                    held.state = Bytes::new();
+                    held.chunks = Vec::new();
                     self.bytes -= held.proof.shape().length();
                 }
                 self.out.push_back(Out::Given(id));
@@ -365,8 +380,7 @@
         let index = moving.todo.min()?;
         moving.todo.remove(index);
         self.link.ready(flow, moving.todo.min().map_or(0, |i| shape.len_of(i)));
-        let start = index as usize * shape.chunk() as usize;
-        let data = held.state.slice(start..start + shape.len_of(index) as usize);
+        let data = held.chunks.get(index as usize)?.clone();
         Some((moving.conn, moving.taker.token, index, data))
     }
 
--- a/transfer/src/service/hub.rs
+++ b/transfer/src/service/hub.rs
@@ -1,12 +1,12 @@
 //! Both machines and what hangs on them, behind one lock that is never held over a wait. Whoever feeds the
 //! machines carries out at once what they say.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use bytes::Bytes;
-use slog::{debug, info, Logger};
+use slog::{debug, info, warn, Logger};
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
@@ -15,7 +15,7 @@
 use super::ear::Clock;
 use super::node::{Arrived, Whole};
 use super::status::{Status, Totals};
-use super::Config;
+use super::{Config, Inbox};
 use crate::cause::Cause;
 use crate::receiver::{self, Chunk, Receiver, Route, State};
 use crate::sender::{self, Fault, Sender, Ticket};
@@ -62,7 +62,7 @@
     dialers: HashMap<Route, AbortOnDropHandle<()>>,
     fetches: HashMap<Token, oneshot::Sender<Result<Whole, Cause>>>,
     /// Moves that others have announced.
-    announced: HashMap<Token, Id>,
+    announced: HashSet<Token>,
     pushes: HashMap<Id, (Route, Pushed)>,
     inbox: Option<mpsc::UnboundedSender<Arrived>>,
     reports: Option<mpsc::Sender<(Id, Cause)>>,
@@ -94,7 +94,7 @@
             processes: HashMap::new(),
             dialers: HashMap::new(),
             fetches: HashMap::new(),
-            announced: HashMap::new(),
+            announced: HashSet::new(),
             pushes: HashMap::new(),
             inbox: None,
             reports: None,
@@ -165,7 +165,7 @@
                 receiver::Out::Say(conn, frame) => inner.say(conn, frame),
                 receiver::Out::Connect(route) => self.dial(inner, route),
                 receiver::Out::Prove(chunk) => chunks.push(chunk),
-                receiver::Out::Done(token, state) => self.done(inner, token, state),
+                receiver::Out::Done(token, id, state) => self.done(inner, token, id, state),
                 receiver::Out::Failed(token, cause) => {
                     inner.totals.failed += 1;
                     inner.announced.remove(&token);
@@ -206,15 +206,22 @@
         }
     }
 
-    fn done(self: &Arc<Self>, inner: &mut Inner, token: Token, state: State) {
+    fn done(self: &Arc<Self>, inner: &mut Inner, token: Token, id: Id, state: State) {
         inner.totals.arrived += 1;
+        if inner.announced.remove(&token) && self.config.inbox == Inbox::Hold {
+            // In one step: whoever comes for it next finds it.
+            let State { chunks, length, proof } = state;
+            inner.receiver.give_back(length);
+            match inner.sender.hold(self.clock.now(), id.clone(), chunks, proof) {
+                Ok(()) => info!(self.log, "held"; "request" => %id, "bytes" => length),
+                Err(cause) => warn!(self.log, "lost"; "request" => %id, "why" => %cause),
+            }
+            return;
+        }
         let whole = Whole::new(state, self.clone());
-        let unclaimed = match (inner.fetches.remove(&token), inner.announced.remove(&token)) {
+        let unclaimed = match (inner.fetches.remove(&token), &inner.inbox) {
             (Some(waits), _) => waits.send(Ok(whole)).err().and_then(Result::ok),
-            (None, Some(id)) => match &inner.inbox {
-                Some(inbox) => inbox.send(Arrived { id, state: whole }).err().map(|e| e.0.state),
-                None => Some(whole),
-            },
+            (None, Some(inbox)) => inbox.send(Arrived { id, state: whole }).err().map(|e| e.0.state),
             (None, None) => Some(whole),
         };
         if let Some(whole) = unclaimed {
@@ -325,16 +332,18 @@
     fn announce(&self, inner: &mut Inner, now: Micros, conn: Conn, id: Id) {
         let Some(route) = inner.lines.get(&conn).map(|l| l.route) else { return };
         // Said again after a cut: the move is under way.
-        if inner.announced.values().any(|known| *known == id) {
+        if inner.receiver.seeks(&id) {
             return;
         }
-        let fetch = match inner.inbox {
-            Some(_) => inner.receiver.fetch(now, id.clone(), route, None),
-            None => Err(Cause::Unwanted),
+        let fetch = match self.config.inbox {
+            Inbox::Closed => Err(Cause::Unwanted),
+            _ if inner.sender.draining() => Err(Cause::Drained),
+            Inbox::Hold if !inner.sender.room(inner.receiver.moves().2) => Err(Cause::Full),
+            Inbox::Hold | Inbox::Hand => inner.receiver.fetch(now, id.clone(), route, None),
         };
         match fetch {
             Ok(token) => {
-                inner.announced.insert(token, id);
+                inner.announced.insert(token);
             }
             Err(cause) => inner.say(conn, Frame::Refuse(id, cause)),
         }
--- a/transfer/src/service/mod.rs
+++ b/transfer/src/service/mod.rs
@@ -32,8 +32,58 @@
     pub greet: Duration,
     /// After which a connection without moves is closed.
     pub idle: Duration,
-    /// Whether states that others announce are fetched. They come out of [`Node::arrived`].
-    pub inbox: bool,
+    /// What becomes of states that others announce.
+    pub inbox: Inbox,
+}
+
+/// What becomes of states that others announce.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Inbox {
+    /// They are refused.
+    Closed,
+    /// They come out of [`Node::arrived`].
+    Hand,
+    /// They are held for whoever fetches them, like those that were read here.
+    Hold,
+}
+
+/// Settings that do not fit together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ConfigError {
+    /// The chunk size.
+    #[error("a chunk is a power of two from 4 KiB to 1 MiB")]
+    Chunk,
+    /// A window that holds no two chunks.
+    #[error("the window must hold two chunks")]
+    Window,
+    /// Nothing could ever be sent.
+    #[error("as much must be allowed in flight as one chunk has")]
+    InFlight,
+    /// A link that stalls could not be told from one that is gone before the state is freed.
+    #[error("silence must be at least three beats, and less than hold")]
+    Silence,
+    /// A state that is held longer than allowed in all.
+    #[error("hold must be at most the limit")]
+    Hold,
+    /// No connection.
+    #[error("at least one connection must be allowed")]
+    Connections,
+}
+
+impl Config {
+    /// Whether the settings fit together.
+    pub fn check(&self) -> Result<(), ConfigError> {
+        let (chunk, times) = (self.chunk, &self.times);
+        let checks = [
+            (crate::proof::Shape::new(1, chunk).is_ok(), ConfigError::Chunk),
+            (self.taker.window / 2 >= chunk, ConfigError::Window),
+            (self.holder.in_flight >= u64::from(chunk), ConfigError::InFlight),
+            (times.silence >= 3 * times.beat && times.silence < times.hold, ConfigError::Silence),
+            (times.hold <= times.limit, ConfigError::Hold),
+            (self.connections > 0, ConfigError::Connections),
+        ];
+        checks.into_iter().find(|(fits, _)| !fits).map_or(Ok(()), |(_, error)| Err(error))
+    }
 }
 
 impl Default for Config {
@@ -46,7 +96,7 @@
             connections: 256,
             greet: Duration::from_millis(500),
             idle: Duration::from_secs(30),
-            inbox: false,
+            inbox: Inbox::Closed,
         }
     }
 }
--- a/transfer/tests/hard_cases.rs
+++ b/transfer/tests/hard_cases.rs
@@ -3,7 +3,9 @@
 mod support;
 
 use frosttrail_transfer::cause::Cause;
-use frosttrail_transfer::wire::Want;
+use frosttrail_transfer::memory::{Memory, Room};
+use frosttrail_transfer::proof::Proof;
+use frosttrail_transfer::wire::{Offer, Want};
 use frosttrail_transfer::{receiver, sender};
 use support::*;
 
@@ -186,8 +188,9 @@
     world.cut_all();
     world.advance(SLICE);
     assert_eq!(end(&world, 0, token), Some(Ok(())));
-    // Not for ever: a note of who owns what is gone after a second, and so is the taker's copy.
     world.drop_states();
+    assert!(world.dropped(1), "given away, the holder's copy has gone");
+    // Not for ever: a note of who owns what is gone after a second, and so is the taker's copy.
     world.put(2, CHUNK as usize).unwrap();
     let token = world.fetch(0, 2, None).unwrap();
     while world.holder.held().0 == 1 {
@@ -315,6 +318,44 @@
     assert_eq!(end(&world, 0, token), Some(Err(Cause::TooLarge)));
 }
 
+#[test]
+fn a_small_state_does_not_pass_a_large_one_that_waits_for_memory() {
+    let mut memory = Memory::new(100);
+    assert_eq!(memory.want(1, 60, u64::MAX), Room::Now);
+    assert_eq!(memory.want(2, 80, u64::MAX), Room::Later);
+    assert_eq!(memory.want(3, 20, u64::MAX), Room::Later, "there is room, and it comes later");
+    assert_eq!(memory.want(4, 30, 7), Room::Now, "it is due first");
+    assert_eq!(memory.want(5, 101, 7), Room::Never);
+    memory.give_back(60);
+    assert_eq!((memory.admit(), memory.used()), (None, 30));
+    memory.give_back(30);
+    assert_eq!((memory.admit(), memory.admit(), memory.used()), (Some(2), Some(3), 100));
+}
+
+#[test]
+fn a_holder_that_offers_another_state_after_a_cut_is_not_believed() {
+    let mut world = world(1);
+    let taker = &mut world.takers[0].machine;
+    let token = taker.fetch(0, id(1), 1, None).unwrap();
+    let offer = |serial: u64, incarnation: u64| {
+        let proof = std::sync::Arc::new(Proof::of(&content(serial, LENGTH), CHUNK).unwrap());
+        Offer { token, incarnation, limit_ms: 1_000, proof }
+    };
+    for (serial, incarnation) in [(1, 8), (2, 7)] {
+        let token = taker.fetch(0, id(1), 1, None).unwrap();
+        let named = |o: Offer| Offer { token, ..o };
+        taker.up(0, 5, Some(1));
+        taker.offer(0, 5, named(offer(1, 7)));
+        taker.down(5);
+        taker.up(0, 6, Some(1));
+        taker.offer(0, 6, named(offer(serial, incarnation)));
+        let outs = std::iter::from_fn(|| taker.poll());
+        let failed = |o: receiver::Out| matches!(o, receiver::Out::Failed(t, Cause::Gone) if t == token);
+        assert!(outs.into_iter().any(failed), "{serial} {incarnation}");
+        taker.down(6);
+    }
+}
+
 #[test]
 fn takers_may_not_ask_for_what_there_is_not_nor_holders_send_what_is_not_allowed() {
     let (mut world, _) = under_way(2);
--- a/transfer/tests/service.rs
+++ b/transfer/tests/service.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use frosttrail_standins::link::{Event, Fault, Link, Way};
 use frosttrail_transfer::cause::Cause;
-use frosttrail_transfer::service::{ask, Config, FetchError, Node, Whole};
+use frosttrail_transfer::service::{ask, Config, FetchError, Inbox, Node, Whole};
 use frosttrail_transfer::wire::Id;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -250,6 +250,8 @@
         let fetch = pair.fetch("r1");
         if end == 0 {
             assert!(timeout(Duration::from_millis(100), fetch).await.is_err());
+            let status = pair.taker.status();
+            assert_eq!((status.fetching, status.memory), (0, 0), "given up with the future");
             // Nobody else comes for it; or somebody does, and it is there.
             sleep(Duration::from_millis(300)).await;
             pair.link.rate(0);
@@ -378,7 +380,7 @@
 #[tokio::test]
 async fn a_pushed_state_arrives_over_a_link_that_is_cut() {
     let state = content(1, 1_000_000);
-    let service = Node::new(Config { inbox: true, ..config() }, 2, log());
+    let service = Node::new(Config { inbox: Inbox::Hand, ..config() }, 2, log());
     let mut arrived = service.arrived();
     let link = Link::start(service.listen(any()).await.unwrap()).await.unwrap();
     link.script(&[300_000, 700_000].map(|at| Event { way: Way::Up, at, fault: Fault::Cut }));
@@ -400,6 +402,21 @@
     assert!(begin.elapsed() <= RULE);
 }
 
+#[tokio::test]
+async fn a_node_beside_a_box_holds_what_it_was_handed_for_whoever_fetches_it() {
+    let state = content(1, 1_000_000);
+    let pair = Pair::with(Config { inbox: Inbox::Hold, ..config() }).await;
+    let from = Node::new(config(), 9, log());
+    from.begin(id("r1")).unwrap().put(state.clone()).await.unwrap();
+    from.push(&id("r1"), pair.link.address).await.unwrap();
+    assert!(same(&pair.fetch("r1").await.unwrap(), &state));
+    assert_eq!((pair.holder.status().memory, pair.holder.status().state_bytes), (0, 0));
+    // Told to drain, it takes no more.
+    pair.holder.drain(RULE);
+    from.begin(id("r2")).unwrap().put(state).await.unwrap();
+    assert_eq!(from.push(&id("r2"), pair.link.address).await, Err(Cause::Drained));
+}
+
 #[tokio::test]
 async fn bad_input_ends_its_connection_with_one_line_and_touches_nothing_else() {
     let lines = Lines::default();
--- a/transfer/tests/support/mod.rs
+++ b/transfer/tests/support/mod.rs
@@ -119,6 +119,13 @@
         Ok(token)
     }
 
+    /// Whether the holder has let go of the bytes that were put last under the name.
+    pub fn dropped(&mut self, name: u8) -> bool {
+        let last = self.all.get_mut(&id(name)).and_then(Vec::pop);
+        drop(self.content.remove(&id(name)));
+        last.is_some_and(|bytes| bytes.is_unique())
+    }
+
     /// The taker's request has gone.
     pub fn drop_fetches(&mut self, taker: usize, name: u8) {
         let open = self.takers[taker].open.iter().filter(|(_, i)| **i == id(name));
@@ -199,7 +206,7 @@
                         let good = chunk.proof.proves(chunk.index, &chunk.data);
                         self.takers[taker].machine.proved(chunk, good);
                     }
-                    receiver::Out::Done(token, state) => self.end(taker, token, Ok(state)),
+                    receiver::Out::Done(token, _, state) => self.end(taker, token, Ok(state)),
                     receiver::Out::Failed(token, cause) => self.end(taker, token, Err(cause)),
                 }
             }
