--- a/daemon/src/command/transfer.rs
+++ b/daemon/src/command/transfer.rs
@@ -164,7 +164,7 @@
     Ok(())
 }
 
-/// What has arrived is kept in the folder, or held for whoever fetches it. Where the folder fails, it is held.
+/// Keeps in the folder what has arrived. Where that fails, or there is no folder, it is held for a taker.
 async fn take(node: &Node, Arrived { id, state }: Arrived, store: Option<&Path>, log: &Logger) {
     let bytes = state.length();
     if let Some(folder) = store {
--- a/standins/src/split.rs
+++ b/standins/src/split.rs
@@ -123,7 +123,8 @@
 fn stream_of(state: Whole, every: Duration) -> Response<Body> {
     let tokens = tokens_of(state.chunks());
     let events = tokens.iter().map(|token| {
-        format!("data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{token}\"}},\"finish_reason\":null}}]}}\n\n")
+        let choice = format!("{{\"index\":0,\"delta\":{{\"content\":\"{token}\"}},\"finish_reason\":null}}");
+        format!("data: {{\"choices\":[{choice}]}}\n\n")
     });
     let usage = format!("data: {{\"choices\":[],\"usage\":{{\"completion_tokens\":{}}}}}\n\n", tokens.len());
     let all: Vec<String> = events.chain([usage, "data: [DONE]\n\n".to_string()]).collect();
--- a/transfer/tests/service.rs
+++ b/transfer/tests/service.rs
@@ -344,9 +344,14 @@
     let (slow_id, from) = (id("slow"), [slow.address]);
     let stuck = stuck.fetch(&slow_id, &from, None);
     tokio::pin!(stuck);
+    let begun = async {
+        while pair.holder.status().in_flight == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
     tokio::select! {
         _ = &mut stuck => panic!("a second's worth is 20 kB"),
-        () = async { while pair.holder.status().in_flight == 0 { sleep(Duration::from_millis(1)).await } } => {}
+        () = begun => {}
     }
     let begin = Instant::now();
     assert!(same(&pair.fetch("r1").await.unwrap(), &state));
