--- a/transfer/benches/transfer.rs
+++ b/transfer/benches/transfer.rs
@@ -341,26 +341,68 @@
         link.stall(true);
         let from = [link.address];
         let moves: Vec<_> = names.iter().map(|n| node.fetch(n, &from, None)).collect();
-        let futures = ALLOCATED.allocated();
-        tokio::select! {
-            _ = futures_util::future::join_all(moves) => {}
-            () = sleep(Duration::from_millis(100)) => {}
+        // Counted while they are there.
+        let count = async {
+            sleep(Duration::from_millis(100)).await;
+            ALLOCATED.allocated() - base
+        };
+        let idle = tokio::select! {
+            _ = futures_util::future::join_all(moves) => 0,
+            count = count => count,
+        };
+        println!("  a move that waits for its holder's word, at the taker: {} B", idle / MOVES);
+    });
+}
+
+/// Moves that are half done: all that is allocated besides the chunks that are there.
+fn busy_memory() {
+    const MOVES: usize = 100;
+    runtime().block_on(async {
+        let config = Config { chunk: 16 << 10, ..patient(Config::default()) };
+        let names: Vec<Id> = (0..MOVES).map(id).collect();
+        let holder = Node::new(config, 1, log());
+        let link = Link::start(holder.listen(any()).await.unwrap()).await.unwrap();
+        for name in &names {
+            holder.begin(name.clone()).unwrap().put(Bytes::from_static(&[7; 1 << 20])).await.unwrap();
         }
-        let idle = ALLOCATED.allocated().saturating_sub(base);
+        let node = Node::new(config, 2, log());
+        drop(node.fetch(&id("none"), &[link.address], None).await);
+        let base = ALLOCATED.allocated();
+        link.script(&[Event { way: Way::Down, at: 50 * MB as u64, fault: Fault::Stall }]);
+        let from = [link.address];
+        let moves: Vec<_> = names.iter().map(|n| node.fetch(n, &from, None)).collect();
+        let count = async {
+            sleep(Duration::from_millis(300)).await;
+            let here: u64 = node.progress().iter().map(|(_, here, _)| here).sum();
+            (here, (ALLOCATED.allocated() - base) as i64 - here as i64)
+        };
+        let (here, more) = tokio::select! {
+            _ = futures_util::future::join_all(moves) => (0, 0),
+            count = count => count,
+        };
         println!(
-            "  a move that waits for its holder's word, at the taker: {} B",
-            idle.max(futures - base) / MOVES
+            "  a move half done, 64 chunks, both ends, chunks not counted: {} B ({} MiB are here)",
+            more / MOVES as i64,
+            here >> 20
         );
     });
 }
 
 fn main() {
     println!("{} cores", std::thread::available_parallelism().map_or(0, usize::from));
-    checksums();
-    goodput();
-    slowed();
-    fairness();
-    cut();
-    freed();
-    memory();
+    let parts: [(&str, fn()); 8] = [
+        ("checksums", checksums),
+        ("goodput", goodput),
+        ("slowed", slowed),
+        ("fairness", fairness),
+        ("cut", cut),
+        ("freed", freed),
+        ("memory", memory),
+        ("busy", busy_memory),
+    ];
+    // `-- NAME` runs one of them.
+    let wanted: Vec<String> = std::env::args().skip(1).filter(|a| !a.starts_with('-')).collect();
+    for (_, part) in parts.iter().filter(|(name, _)| wanted.is_empty() || wanted.iter().any(|w| w == name)) {
+        part();
+    }
 }
--- a/transfer/src/service/connection.rs
+++ b/transfer/src/service/connection.rs
@@ -22,8 +22,9 @@
 use crate::wire::{chunk_header, Codec, Frame, Hello, WireError, VERSION};
 use crate::Conn;
 
-/// Room for what is read at once.
-const READ: usize = 64 << 10;
+/// Room for what is read at first. Buffers are never made smaller than this, and a chunk keeps the one that
+/// it was read to: larger, and small chunks would hold much more memory than they have bytes.
+const READ: usize = 4 << 10;
 /// A write that gets nowhere for so long ends the connection: the other end lives and takes nothing.
 const STALL: Duration = Duration::from_secs(5);
 
