--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -32,6 +32,8 @@
     Probed(Id, Outcome, Option<Load>),
     /// The conductor is about to stop.
     Close,
+    /// This router's part of what all routers share.
+    Share(f64),
     /// Dropped once all that was told before has been seen to.
     Seen(oneshot::Sender<()>),
 }
@@ -90,6 +92,12 @@
         let _ = self.tell.send(Message::Close);
     }
 
+    /// This conductor's part of what all that send to the same boxes share: of 1. Until it is told, that is
+    /// one of the number in the settings.
+    pub fn share(&self, part: f64) {
+        let _ = self.tell.send(Message::Share(part));
+    }
+
     /// Resolves once every release that was asked for has arrived or been given up. Requests must have
     /// ended before.
     pub async fn released(&self) {
@@ -206,6 +214,7 @@
             Message::Probed(worker, outcome, load) => self.facade.probed(now, worker, outcome, load),
             Message::News(news) => self.news(news),
             Message::Close => self.facade.close(now),
+            Message::Share(part) => self.facade.share(now, part),
             Message::Seen(seen) => {
                 let _ = seen.send(());
                 return;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -191,6 +191,8 @@
     shed: Micros,
     bell: u64,
     watch_at: Option<Micros>,
+    /// As many routers like this one would share all there is: one part's inverse.
+    routers: f64,
 }
 
 /// FNV-1a with a finish: the same at every router and after every restart.
@@ -215,6 +217,7 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let quotas = settings.tenants.iter().map(|t| (t.quota_per_s, 0)).collect();
         let watch_at = settings.ask_within.map(|_| 0);
+        let routers = f64::from(settings.balancers);
         Router {
             settings,
             seed,
@@ -234,6 +237,7 @@
             shed: 0,
             bell: 0,
             watch_at,
+            routers,
         }
     }
 
@@ -252,6 +256,7 @@
             }
             Event::ClientGone { id } => self.end(&id, false, out),
             Event::Closing => self.close(out),
+            Event::Share { part } => self.routers = 1.0 / part.clamp(1e-6, 1.0),
             Event::Bell { token } if token == self.bell => {
                 self.sweep(out);
                 self.ring(out);
@@ -370,7 +375,7 @@
     /// This router's part of a customer's quota, as a bucket of one second.
     fn over_quota(&mut self, tenant: usize) -> bool {
         let Some(quota) = self.settings.tenants.get(tenant) else { return false };
-        let per_s = quota.quota_per_s / f64::from(self.settings.balancers);
+        let per_s = quota.quota_per_s / self.routers;
         let (level, at) = &mut self.quotas[tenant];
         *level = (*level + per_s * (self.now - *at) as f64 / 1e6).min(per_s.max(1.0));
         *at = self.now;
@@ -776,7 +781,7 @@
 
     /// This router's part of what all routers together should have out.
     fn part(&self, all: f64) -> f64 {
-        all / f64::from(self.settings.balancers)
+        all / self.routers
     }
 
     /// So many routers that each one's part of a worker is less than one request.
@@ -969,7 +974,7 @@
         let rates = self.workers.iter().filter(warm).map(|v| decay(v.rate, self.now - v.rate_at));
         let (sum, n) = rates.fold((0.0, 0.0_f64), |(s, n), r| (s + r, n + 1.0));
         let per_s = sum / n.max(1.0) * self.settings.cold_from * self.settings.fall_multiple * COLD_SHARE;
-        Some((1e6 / per_s.max(COLD_LEAST / f64::from(self.settings.balancers))) as Micros)
+        Some((1e6 / per_s.max(COLD_LEAST / self.routers)) as Micros)
     }
 
     /// A worker that turns up is empty to every router at once: each waits for a moment of its own
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -125,6 +125,11 @@
         self.handle(now, Event::Closing)
     }
 
+    /// The part of what all routers share that is this one's.
+    pub fn share(&mut self, now: Micros, part: f64) -> Verdicts {
+        self.handle(now, Event::Share { part })
+    }
+
     /// A probe came back.
     pub fn probed(&mut self, now: Micros, worker: Id, outcome: Outcome, load: Option<Load>) -> Verdicts {
         self.handle(now, Event::Probed { worker, outcome, load })
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -303,6 +303,11 @@
         /// The worker's load report, if one came along.
         load: Option<Load>,
     },
+    /// This router's part of what all routers share has changed: of 1, and never 0.
+    Share {
+        /// The part.
+        part: f64,
+    },
     /// The router is about to stop: each request that has not begun to stream is owed its answer now.
     Closing,
     /// A timer that was asked for.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -108,6 +108,31 @@
     assert!(sent(4) <= sent(1));
 }
 
+#[test]
+fn a_router_that_is_told_its_part_acts_like_one_of_as_many() {
+    let run = |balancers, part: Option<f64>| {
+        let mut b = Bench::new(Settings { balancers, ..Settings::example() }, &FLEET);
+        if let Some(part) = part {
+            b.step(Event::Share { part });
+        }
+        b.list(ListForm::Changes, vec![Entry { started: b.now, ..entry("r", 0) }]);
+        let mut all = Vec::new();
+        for i in 0..60 {
+            b.now += 10 * MS;
+            all.push(b.ask(query(&format!("q{i}"), 3_000)));
+        }
+        all
+    };
+    for of in [1, 3, 100] {
+        assert_eq!(run(7, Some(1.0 / f64::from(of))), run(of, None));
+    }
+    assert_ne!(run(1, Some(0.01)), run(1, None), "a smaller part is a smaller part");
+    // Nothing that a part can't be does harm.
+    for part in [0.0, -1.0, 7.0, f64::INFINITY] {
+        run(2, Some(part));
+    }
+}
+
 #[test]
 fn a_state_is_let_go_when_no_writer_can_be_named() {
     let mut b = Bench::new(Settings::example(), &FLEET);
