--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -82,6 +82,11 @@
         self.tickets.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// How many requests have come since the start.
+    pub fn calls(&self) -> u64 {
+        self.tickets.load(Ordering::Relaxed)
+    }
+
     /// Whether there is a member to send to.
     pub fn able(&self) -> bool {
         *self.able.borrow()
--- a/daemon/src/command/mod.rs
+++ b/daemon/src/command/mod.rs
@@ -7,6 +7,7 @@
 use std::process::ExitCode;
 
 use frosttrail_daemon::config::ConfigError;
+use rand::TryRngCore;
 use slog::{o, Drain, Logger};
 use tokio::runtime::Runtime;
 
@@ -33,6 +34,12 @@
     }
 }
 
+/// A process's name, which no other has.
+fn incarnation() -> Result<u64, Fault> {
+    let drawn = rand::rngs::OsRng.try_next_u64();
+    Ok(drawn.map_err(|e| std::io::Error::other(e.to_string()))?)
+}
+
 fn runtime() -> std::io::Result<Runtime> {
     tokio::runtime::Builder::new_current_thread().enable_all().build()
 }
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -7,19 +7,20 @@
 use std::time::Duration;
 
 use frosttrail_core::{start, Clock, Conductor, Parts};
-use frosttrail_daemon::config::{ChatConfig, Config, XdsConfig};
+use frosttrail_daemon::config::{self, ChatConfig, Config, XdsConfig};
 use frosttrail_daemon::discovery::{Discovery, Xds};
 use frosttrail_daemon::front::chat::Chat;
 use frosttrail_daemon::front::platform::Platform;
 use frosttrail_daemon::front::{Doors, Patience};
 use frosttrail_daemon::upstream::{Book, Limits, Upstream};
+use frosttrail_membership::service::{self, Membership};
 use slog::{info, warn, Logger};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
-use super::{logger, runtime, Fault};
+use super::{incarnation, logger, runtime, Fault};
 
 /// Clients and the front notice a planned end within this time, in which new ones are still taken.
 const NOTICE: Duration = Duration::from_millis(900);
@@ -41,6 +42,11 @@
 /// Descriptors for all that is neither a client nor a box: log, timers, discovery, listeners.
 const SPARE_SOCKETS: usize = 48;
 
+/// Requests are counted this often, for this instance's share of the traffic.
+const COUNT: Duration = Duration::from_millis(500);
+/// For a goodbye to those that share the boxes.
+const GOODBYE: Duration = Duration::from_millis(100);
+
 /// The files that switch parts on.
 #[derive(clap::Args, Debug, Default)]
 pub struct Options {
@@ -50,6 +56,9 @@
     /// Take members from the xDS server that this file names, in place of the platform's discovery.
     #[arg(long, value_name = "FILE")]
     xds: Option<PathBuf>,
+    /// Settle with the instances that this file names what part of the boxes is this one's.
+    #[arg(long, value_name = "FILE")]
+    membership: Option<PathBuf>,
 }
 
 /// Runs the conductor until SIGTERM.
@@ -63,8 +72,16 @@
     let config = Config::from_env()?;
     let chat = options.chat.map(|file| ChatConfig::read(&file, &config.names)).transpose()?;
     let xds = options.xds.map(|file| XdsConfig::read(&file)).transpose()?;
+    let membership = options.membership.map(|file| config::membership(&file)).transpose()?;
     let (log, _guard) = logger(&config.name);
-    runtime.block_on(run(signals, config, chat, xds, log))
+    runtime.block_on(run(signals, config, Switched { chat, xds, membership }, log))
+}
+
+/// The parts that files have switched on.
+struct Switched {
+    chat: Option<ChatConfig>,
+    xds: Option<XdsConfig>,
+    membership: Option<service::Config>,
 }
 
 struct Signals {
@@ -75,8 +92,7 @@
 async fn run(
     mut signals: Signals,
     config: Config,
-    chat: Option<ChatConfig>,
-    xds: Option<XdsConfig>,
+    Switched { chat, xds, membership }: Switched,
     log: Logger,
 ) -> Result<(), Fault> {
     let each = (config.sockets - SPARE_SOCKETS) / 2;
@@ -93,6 +109,10 @@
         let listen = chat.listen;
         doors.open(listen, Chat::new(conductor.clone(), &settings, names, chat)).map_err(bind(listen))?;
     }
+    let membership = match membership {
+        Some(config) => Some(join(config, &conductor, &log).await?),
+        None => None,
+    };
     signals.terminate.recv().await;
     info!(log, "SIGTERM: closing");
     doors.leave();
@@ -115,9 +135,43 @@
     if in_time.await.is_err() {
         info!(log, "closed before all was done"; "connections" => doors.connections());
     }
+    if let Some((membership, _shares)) = membership {
+        // Nothing is sent from here any more: what it had is the others'.
+        let _ = timeout(GOODBYE, membership.leave()).await;
+    }
     Ok(())
 }
 
+/// Takes part among those that share the boxes, and tells the decisions what part is theirs.
+async fn join(
+    config: service::Config,
+    conductor: &Conductor<Upstream>,
+    log: &Logger,
+) -> Result<(Membership, AbortOnDropHandle<()>), Fault> {
+    let listen = config.listen;
+    let membership = Membership::start(config, incarnation()?, log.clone()).await;
+    let membership = membership.map_err(|e| Fault::Bind(listen, e))?;
+    let (mut view, traffic, conductor) = (membership.view(), membership.traffic(), conductor.clone());
+    conductor.share(view.borrow_and_update().part);
+    let shares = tokio::spawn(async move {
+        let mut counted = 0;
+        loop {
+            tokio::select! {
+                changed = view.changed() => match changed {
+                    Ok(()) => conductor.share(view.borrow_and_update().part),
+                    Err(_) => return,
+                },
+                () = sleep(COUNT) => {
+                    let calls = conductor.calls();
+                    traffic.count(calls - counted);
+                    counted = calls;
+                }
+            }
+        }
+    });
+    Ok((membership, AbortOnDropHandle::new(shares)))
+}
+
 /// Rereads the configuration at each SIGHUP. Discovery's address takes effect at once; what can't change
 /// while requests run is named in the log. A file that is no good changes nothing.
 async fn reload(mut hangup: Signal, held: Config, discovery: watch::Sender<SocketAddr>, log: Logger) {
--- a/daemon/src/command/transfer.rs
+++ b/daemon/src/command/transfer.rs
@@ -10,13 +10,12 @@
 use frosttrail_transfer::service::{ask, Arrived, Config, FetchError, Node, PutError, StatusError, Whole};
 use frosttrail_transfer::wire::{Id, IdError};
 use percent_encoding::{utf8_percent_encode, AsciiSet, NON_ALPHANUMERIC};
-use rand::TryRngCore;
 use slog::{error, info, Logger};
 use tokio::io::AsyncWriteExt;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::time::timeout;
 
-use super::{logger, runtime, Fault};
+use super::{incarnation, logger, runtime, Fault};
 
 /// What of an id stays as it is in a file's name.
 const PLAIN: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'_');
@@ -123,12 +122,6 @@
     }
 }
 
-/// A process's name, which no other has.
-fn incarnation() -> Result<u64, Fault> {
-    let drawn = rand::rngs::OsRng.try_next_u64();
-    Ok(drawn.map_err(|e| std::io::Error::other(e.to_string()))?)
-}
-
 async fn serve(
     config: TransferConfig,
     (mut terminate, mut hangup): (Signal, Signal),
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -6,6 +6,9 @@
 
 use frosttrail::setup::{self, Names, SetupError};
 use frosttrail::Settings;
+use frosttrail_membership::gossip::Role;
+use frosttrail_membership::service::Config as Membership;
+use frosttrail_membership::Terms;
 use frosttrail_transfer::service::{Config as Node, Inbox};
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
@@ -279,3 +282,29 @@
         })
     }
 }
+
+/// How the conductor takes part among those that share its boxes.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MembershipFile {
+    listen: SocketAddr,
+    voters: Vec<SocketAddr>,
+    key: String,
+    most: u32,
+}
+
+/// Reads how the conductor takes part in a membership.
+pub fn membership(path: &Path) -> Result<Membership, ConfigError> {
+    let at = || path.to_path_buf();
+    let text = std::fs::read(path).map_err(|e| ConfigError::Unreadable(at(), e))?;
+    let file: MembershipFile = serde_json::from_slice(&text).map_err(|e| ConfigError::Malformed(at(), e))?;
+    let config = Membership {
+        listen: file.listen,
+        voters: file.voters,
+        key: file.key,
+        role: Role::Daemon,
+        terms: Terms { most: file.most, ..Terms::default() },
+    };
+    config.check().map_err(|e| ConfigError::Deploy(at(), e.to_string()))?;
+    Ok(config)
+}
--- a/daemon/tests/platform.rs
+++ b/daemon/tests/platform.rs
@@ -8,10 +8,14 @@
 use std::time::Duration;
 
 use frosttrail_daemon::front::Patience;
+use frosttrail_membership::gossip::Role;
+use frosttrail_membership::service::{Config as Shared, Membership, View};
+use frosttrail_membership::Terms;
 use serde_json::{json, Value};
 use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// Longer than anything here should take, and shorter than what must not be waited for.
 const LATEST: Duration = Duration::from_secs(20);
@@ -324,6 +328,43 @@
     running.ends_well().await;
 }
 
+#[tokio::test]
+async fn a_daemon_shares_with_the_membership_that_its_file_names_and_leaves_in_order() {
+    let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let voter = socket.local_addr().unwrap();
+    let key = "what this test shares".to_string();
+    let terms = Terms { lease: 600_000, renew: 200_000, again: 50_000, drift: 0.02, most: 64 };
+    let shared = Shared { listen: voter, voters: vec![voter], key: key.clone(), role: Role::Plugin, terms };
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let here = Membership::on(socket, voter, shared, 1, log);
+    let mut view = here.view();
+    let file = std::env::temp_dir().join(format!("frosttrail-membership-{}.json", std::process::id()));
+    let text = json!({"listen": "127.0.0.1:0", "voters": [voter], "key": key, "most": 64});
+    std::fs::write(&file, text.to_string()).unwrap();
+    let mut command = program("member", &config("127.0.0.1:0", "127.0.0.1:9").to_string());
+    command.arg("--membership").arg(&file);
+    let running = Running::start(command);
+    let both =
+        |v: &View| v.peers.len() == 1 && v.peers[0].role == Role::Daemon && (0.2..0.8).contains(&v.part);
+    timeout(LATEST, view.wait_for(both)).await.unwrap().unwrap();
+    running.signal("-TERM");
+    timeout(LATEST, view.wait_for(|v| v.peers.is_empty() && v.part > 0.85)).await.unwrap().unwrap();
+    running.ends_well().await;
+    // What is wrong with the file is said on one line.
+    for (key, value) in
+        [("key", json!("short")), ("voters", json!([])), ("most", json!(0)), ("what", json!(1))]
+    {
+        let mut bad = text.clone();
+        bad[key] = value;
+        std::fs::write(&file, bad.to_string()).unwrap();
+        let mut command = program("bad-member", &config("127.0.0.1:0", "127.0.0.1:9").to_string());
+        let output = command.arg("--membership").arg(&file).output().unwrap();
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{said}");
+        assert!(said.contains(key), "{said}");
+    }
+}
+
 #[tokio::test]
 async fn sighup_rereads_the_configuration_and_a_bad_file_changes_nothing() {
     let moved = StandIn::start(Does::Says(200, false, "{\"rev\":2,\"all\":true,\"targets\":[]}")).await;
--- a/membership/src/service.rs
+++ b/membership/src/service.rs
@@ -47,6 +47,45 @@
     pub terms: Terms,
 }
 
+/// Settings that do not fit together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ConfigError {
+    /// No keeper could ever be elected.
+    #[error("voters: at least one is needed")]
+    Voters,
+    /// One that is named twice would have two votes.
+    #[error("voters: one is named twice")]
+    Twice,
+    /// Packets of anybody would count.
+    #[error("key: at least 16 characters are needed")]
+    Key,
+    /// Floors would add up to more than is set aside.
+    #[error("most: at least as many as there are voters")]
+    Most,
+    /// The others could not reach it.
+    #[error("listen: an address at which the others reach this instance is needed")]
+    Listen,
+}
+
+impl Config {
+    /// Whether the settings fit together.
+    pub fn check(&self) -> Result<(), ConfigError> {
+        let mut voters = self.voters.clone();
+        voters.sort();
+        voters.dedup();
+        // The others learn of a port that the system chose; a voter's stands in their files.
+        let reached = !self.listen.ip().is_unspecified();
+        let checks = [
+            (!voters.is_empty(), ConfigError::Voters),
+            (voters.len() == self.voters.len(), ConfigError::Twice),
+            (self.key.len() >= 16, ConfigError::Key),
+            (self.terms.most as usize >= voters.len(), ConfigError::Most),
+            (reached, ConfigError::Listen),
+        ];
+        checks.into_iter().find(|(fits, _)| !fits).map_or(Ok(()), |(_, error)| Err(error))
+    }
+}
+
 /// What it may take, and who is there.
 #[derive(Clone, Debug, PartialEq)]
 pub struct View {
@@ -63,9 +102,9 @@
 pub struct Traffic(Arc<AtomicU64>);
 
 impl Traffic {
-    /// One has come.
-    pub fn count(&self) {
-        self.0.fetch_add(1, Ordering::Relaxed);
+    /// So many have come.
+    pub fn count(&self, requests: u64) {
+        self.0.fetch_add(requests, Ordering::Relaxed);
     }
 }
 
--- a/membership/tests/model.rs
+++ b/membership/tests/model.rs
@@ -2,188 +2,13 @@
 //! that falls apart; their clocks run apart too. At every moment the parts of all add up to at most 1, and
 //! once it is quiet each has what it should.
 
-use std::collections::{BTreeMap, BinaryHeap};
-use std::net::SocketAddr;
+mod support;
 
-use frosttrail_membership::instance::Instance;
-use frosttrail_membership::message::Message;
-use frosttrail_membership::{Micros, Terms};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
-use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
+use support::*;
 
-/// Places at which an instance may run; the first three vote.
+/// Places at which an instance may run.
 const PLACES: usize = 8;
-const VOTERS: usize = 3;
-
-struct Node {
-    instance: Instance,
-    place: usize,
-    /// Its clock against the true one.
-    rate: f64,
-    offset: Micros,
-    wake: Micros,
-    /// So many have run at its place before.
-    life: u32,
-}
-
-impl Node {
-    fn local(&self, now: Micros) -> Micros {
-        self.offset + (now as f64 * self.rate) as Micros
-    }
-}
-
-/// In flight: when it arrives, its place in the order, from, to, what.
-struct Letter(Micros, u64, usize, usize, Message);
-
-impl PartialEq for Letter {
-    fn eq(&self, other: &Self) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-
-impl Eq for Letter {}
-
-impl PartialOrd for Letter {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Letter {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (other.0, other.1).cmp(&(self.0, self.1))
-    }
-}
-
-struct World {
-    now: Micros,
-    terms: Terms,
-    nodes: BTreeMap<usize, Node>,
-    letters: BinaryHeap<Letter>,
-    serial: u64,
-    rng: SmallRng,
-    /// Lost, in percent.
-    loss: u32,
-    delay: Micros,
-    /// Which side of a cut each place is on.
-    side: [bool; PLACES],
-    lives: [u32; PLACES],
-    most: f64,
-}
-
-fn at(place: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, place as u8 + 1], 7946))
-}
-
-impl World {
-    fn new(seed: u64) -> Self {
-        World {
-            now: 1_000_000,
-            terms: Terms { most: PLACES as u32, ..Terms::default() },
-            nodes: BTreeMap::new(),
-            letters: BinaryHeap::new(),
-            serial: 0,
-            rng: SmallRng::seed_from_u64(seed),
-            loss: 0,
-            delay: 5_000,
-            side: [false; PLACES],
-            lives: [0; PLACES],
-            most: 0.0,
-        }
-    }
-
-    fn join(&mut self, place: usize) {
-        if self.nodes.contains_key(&place) {
-            return;
-        }
-        self.lives[place] += 1;
-        let rate = 1.0 + self.rng.random_range(-0.004..0.004);
-        let offset = self.rng.random_range(0..1_000_000_000);
-        let process = place as u64 * 1_000 + u64::from(self.lives[place]);
-        let local = offset + (self.now as f64 * rate) as Micros;
-        let voters = (0..VOTERS).map(at).collect();
-        let mut instance = Instance::new(local, process, at(place), voters, self.terms);
-        instance.traffic(10.0 * (1.0 + place as f64));
-        let node = Node { instance, place, rate, offset, wake: self.now, life: self.lives[place] };
-        self.nodes.insert(place, node);
-    }
-
-    fn kill(&mut self, place: usize) {
-        self.nodes.remove(&place);
-    }
-
-    fn leave(&mut self, place: usize) {
-        let Some(mut node) = self.nodes.remove(&place) else { return };
-        let mut out = Vec::new();
-        let local = node.local(self.now);
-        node.instance.leave(local, &mut out);
-        assert_eq!(node.instance.part(local), 0.0);
-        self.post(place, out);
-    }
-
-    fn post(&mut self, from: usize, out: Vec<(SocketAddr, Message)>) {
-        for (to, message) in out {
-            let Some(to) = (0..PLACES).find(|p| at(*p) == to) else { continue };
-            if self.rng.random_range(0..100) < self.loss {
-                continue;
-            }
-            let arrives = self.now + 100 + self.rng.random_range(0..=self.delay);
-            self.serial += 1;
-            self.letters.push(Letter(arrives, self.serial, from, to, message));
-        }
-    }
-
-    fn parts(&self) -> f64 {
-        self.nodes.values().map(|n| n.instance.part(n.local(self.now))).sum()
-    }
-
-    fn check(&mut self) {
-        let parts = self.parts();
-        self.most = self.most.max(parts);
-        assert!(parts <= 1.0 + 1e-9, "all parts together are {parts} at {}", self.now);
-    }
-
-    fn run(&mut self, time: Micros) {
-        let end = self.now + time;
-        loop {
-            let wake = self.nodes.values().map(|n| n.wake).min().unwrap_or(Micros::MAX);
-            let letter = self.letters.peek().map_or(Micros::MAX, |l| l.0);
-            let next = wake.min(letter);
-            // Just before something happens is when leases that were thought ended would show.
-            self.now = next.min(end).max(self.now);
-            self.check();
-            if next > end {
-                return;
-            }
-            if letter <= wake {
-                let Some(Letter(_, _, from, to, message)) = self.letters.pop() else { return };
-                if self.side[from] != self.side[to] {
-                    continue;
-                }
-                let Some(node) = self.nodes.get_mut(&to) else { continue };
-                let mut out = Vec::new();
-                let local = node.local(self.now);
-                node.instance.receive(local, at(from), message, &mut out);
-                node.wake = self.now;
-                self.post(to, out);
-            } else {
-                let Some(node) = self.nodes.values_mut().min_by_key(|n| (n.wake, n.place)) else { return };
-                let (place, mut out) = (node.place, Vec::new());
-                let local = node.local(self.now);
-                let next = node.instance.tick(local, &mut out);
-                let ahead = ((next - local) as f64 / node.rate) as Micros + 1;
-                node.wake = self.now + ahead.min(1_000_000);
-                self.post(place, out);
-            }
-            self.check();
-        }
-    }
-
-    fn keepers(&self) -> usize {
-        self.nodes.values().filter(|n| n.instance.is_keeper(n.local(self.now))).count()
-    }
-}
 
 #[derive(Clone, Copy, Debug)]
 enum Step {
@@ -216,7 +41,7 @@
 }
 
 fn run(seed: u64, steps: Vec<Step>) {
-    let mut world = World::new(seed);
+    let mut world = World::new(seed, PLACES);
     for step in steps {
         match step {
             Step::Join(place) => world.join(place),
@@ -225,8 +50,8 @@
             Step::Run(ms) => world.run(u64::from(ms) * 1_000),
             Step::Loss(percent) => world.loss = percent,
             Step::Delay(ms) => world.delay = u64::from(ms) * 1_000,
-            Step::Cut(sides) => world.side = std::array::from_fn(|p| sides >> p & 1 == 1),
-            Step::Whole => world.side = [false; PLACES],
+            Step::Cut(sides) => world.side = (0..PLACES).map(|p| (sides >> p) & 1 == 1).collect(),
+            Step::Whole => world.side = vec![false; PLACES],
             Step::Traffic(place, per_second) => {
                 if let Some(node) = world.nodes.get_mut(&place) {
                     node.instance.traffic(f64::from(per_second));
@@ -236,7 +61,7 @@
         world.check();
     }
     // Quiet, and a majority of voters is there: each gets what it should.
-    (world.loss, world.delay, world.side) = (0, 5_000, [false; PLACES]);
+    (world.loss, world.delay, world.side) = (0, 5_000, vec![false; PLACES]);
     world.join(0);
     world.join(1);
     world.run(15_000_000);
@@ -259,7 +84,7 @@
 #[test]
 fn a_voter_that_has_restarted_does_not_help_a_second_keeper_into_place() {
     for seed in 0..20 {
-        let mut world = World::new(seed);
+        let mut world = World::new(seed, PLACES);
         for place in [0, 1, 2, 5] {
             world.join(place);
         }
@@ -277,7 +102,7 @@
 }
 
 fn settled(places: &[usize]) -> World {
-    let mut world = World::new(3);
+    let mut world = World::new(3, PLACES);
     for place in places {
         world.join(*place);
     }
@@ -312,14 +137,14 @@
 fn neither_side_of_a_partition_takes_the_whole() {
     let mut world = settled(&[0, 1, 2, 3, 4, 5]);
     // Place 2, a voter, and two without a vote are cut off.
-    world.side = [false, false, true, false, true, true, false, false];
+    world.side = vec![false, false, true, false, true, true, false, false];
     world.run(10_000_000);
     let floor = world.terms.floor();
     for place in [2, 4, 5] {
         assert_eq!(part(&world, place), floor, "on the side with fewer voters");
     }
     assert!([0, 1, 3].iter().map(|p| part(&world, *p)).sum::<f64>() > 0.85);
-    world.side = [false; PLACES];
+    world.side = vec![false; PLACES];
     world.run(3_000_000);
     assert!(part(&world, 4) > 0.1 && world.keepers() == 1);
 }
