--- a/membership/benches/settle.rs
+++ b/membership/benches/settle.rs
@@ -43,8 +43,8 @@
         world.kill(instances);
         let killed = until(&mut world, |w| w.parts() > whole * 0.98 && part(w, 1) > before);
         println!(
-            "{instances} instances: {whole:.3} of the whole in use; a join has nine tenths of an even half after \
-             {joined} ms (all settled {join_whole} ms later), a kill is made up for after {killed} ms"
+            "{instances} instances: {whole:.3} of the whole in use; a join has nine tenths of an even half \
+             after {joined} ms (all settled {join_whole} ms later), a kill is made up for after {killed} ms"
         );
     }
 }
