Reach boxes over gRPC: attempts on h2 with the table's outcomes, and a client in a program

rpc/src/upstream: one connection a box with many streams, another where the box allows no more; the request is queued through flow control, and counts as written once the socket has taken anything after its last byte was queued. No resend. rpc/src/client.rs: generate() gives a stream or a typed error. Fixed lists of members.

--- /dev/null
+++ b/rpc/src/client.rs
@@ -0,0 +1,136 @@
+//! What a program sees that chooses boxes in its own process: a request goes in, a stream of events or a
+//! typed error comes out. Dropping the call, or the stream, gives the request up.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use frosttrail::setup::Names;
+use frosttrail::{Id, Query};
+use frosttrail_core::{Answer as Final, AnswerStream, Broken, CallError, Conductor, Request};
+use futures_core::Stream;
+
+use crate::proto;
+use crate::upstream::{Answer, Call, Upstream};
+
+/// A request.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    /// Fresh on every try, a repeat included.
+    pub id: String,
+    /// The class, as the settings name it. One that is never sent twice is what to take where in doubt.
+    pub class: String,
+    /// The conversation.
+    pub conversation: String,
+    /// Names an opening that the prompt shares with other conversations, and its length in tokens.
+    pub prefix: Option<(String, u64)>,
+    /// Tokens of the whole prompt.
+    pub prompt_tokens: u64,
+    /// Most tokens that the answer may have.
+    pub max_tokens: u64,
+    /// How long the first event is waited for.
+    pub patience: Duration,
+    /// A repeat of an earlier try.
+    pub resent: bool,
+    /// Back for the rest of a stream that broke.
+    pub came_back: bool,
+    /// What the box needs to read.
+    pub body: Bytes,
+}
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum GenerateError {
+    /// It has not run; trying again is harmless.
+    #[error("refused; come back after {retry_after:?}")]
+    Refused {
+        /// When to come back; zero for no advice.
+        retry_after: Duration,
+    },
+    /// It may have run.
+    #[error("failed; it may have run")]
+    Failed,
+    /// Another request with this id has not ended.
+    #[error("a request with this id has not ended")]
+    IdInUse,
+    /// The settings know no such class.
+    #[error("no such class")]
+    Class,
+    /// An id, a conversation or a body is longer than may travel, or missing.
+    #[error("id and conversation have 1 to 1,024 bytes, the request at most 256 KiB")]
+    Size,
+}
+
+/// The longest id of a request or a conversation.
+const MOST_ID: usize = 1_024;
+
+/// A conductor in this process.
+#[derive(Clone)]
+pub struct Client {
+    conductor: Conductor<Upstream>,
+    classes: Vec<String>,
+}
+
+impl Client {
+    /// Speaks for a conductor whose settings have these names.
+    pub fn new(conductor: Conductor<Upstream>, names: &Names) -> Self {
+        Client { conductor, classes: names.classes().to_vec() }
+    }
+
+    /// Takes a request to the first event of its answer, or to its one final error.
+    pub async fn generate(&self, ask: Ask) -> Result<Events, GenerateError> {
+        let request = self.request(ask)?;
+        match self.conductor.call(request).await {
+            Ok(Final::Served(events)) => Ok(Events(events)),
+            Ok(Final::Refused { retry_after, .. }) => Err(GenerateError::Refused { retry_after }),
+            Ok(Final::Failed { .. }) => Err(GenerateError::Failed),
+            Err(CallError::IdInUse) => Err(GenerateError::IdInUse),
+        }
+    }
+
+    fn request(&self, ask: Ask) -> Result<Request<Call>, GenerateError> {
+        let class = self.classes.iter().position(|c| *c == ask.class).ok_or(GenerateError::Class)?;
+        let fits = |text: &str| (1..=MOST_ID).contains(&text.len());
+        if !fits(&ask.id) || !fits(&ask.conversation) {
+            return Err(GenerateError::Size);
+        }
+        let (prefix, prefix_tokens) = ask.prefix.unzip();
+        let query = Query {
+            id: Id::from(ask.id.as_str()),
+            session: Id::from(ask.conversation.as_str()),
+            prefix: prefix.as_deref().map(Id::from),
+            prefix_tokens: prefix_tokens.unwrap_or(0),
+            prompt_tokens: ask.prompt_tokens,
+            max_tokens: ask.max_tokens,
+            class,
+            tenant: None,
+            budget: ask.patience.as_micros() as u64,
+            resent: ask.resent,
+            came_back: ask.came_back,
+        };
+        let call = Call::new(&proto::Request {
+            id: ask.id,
+            class: ask.class,
+            conversation: ask.conversation,
+            prefix: prefix.unwrap_or_default(),
+            prefix_tokens: query.prefix_tokens,
+            prompt_tokens: query.prompt_tokens,
+            max_tokens: query.max_tokens,
+            body: ask.body.to_vec(),
+        });
+        Ok(Request { query, call: call.ok_or(GenerateError::Size)? })
+    }
+}
+
+/// The events of an answer as they come. It ends well only where the box's stream did.
+#[derive(Debug)]
+pub struct Events(AnswerStream<Answer>);
+
+impl Stream for Events {
+    type Item = Result<Bytes, Broken>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        self.0.poll_next(cx)
+    }
+}
--- a/rpc/src/lib.rs
+++ b/rpc/src/lib.rs
@@ -4,7 +4,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod client;
+pub mod members;
 pub mod outcome;
+pub mod upstream;
 
 /// The service's definition, compiled.
 #[allow(missing_docs, clippy::all)]
--- /dev/null
+++ b/rpc/src/members.rs
@@ -0,0 +1,55 @@
+//! Members that are told once and stay.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use frosttrail::{Entry, Health, Id, ListForm, Settings};
+use frosttrail_core::{MemberList, News};
+
+use crate::upstream::Book;
+
+/// One of them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Its id, the same at every conductor.
+    pub id: String,
+    /// Where it is.
+    pub at: SocketAddr,
+    /// Its kind, an index into [`Settings::roles`].
+    pub kind: usize,
+    /// Its zone.
+    pub zone: usize,
+    /// Its rack.
+    pub cell: u64,
+}
+
+/// A list that does not change.
+pub struct Fixed(Option<News>);
+
+impl Fixed {
+    /// Enters the members into the book.
+    pub fn new(members: &[Member], settings: &Settings, book: &Arc<Book>) -> Self {
+        let known = members.iter().filter_map(|m| Some((m, settings.roles.get(m.kind)?)));
+        let entries = known.map(|(m, role)| {
+            book.set(Id::from(m.id.as_str()), m.at, *role);
+            Entry {
+                worker: Id::from(m.id.as_str()),
+                cell: m.cell,
+                kind: m.kind,
+                zone: m.zone,
+                started: 0,
+                health: Health::Up,
+            }
+        });
+        Fixed(Some(News { form: ListForm::Full, entries: entries.collect() }))
+    }
+}
+
+impl MemberList for Fixed {
+    async fn next(&mut self) -> Option<News> {
+        match self.0.take() {
+            Some(news) => Some(news),
+            None => std::future::pending().await,
+        }
+    }
+}
--- /dev/null
+++ b/rpc/src/upstream/meter.rs
@@ -0,0 +1,83 @@
+//! Counts the bytes that a socket has taken. A stream whose connection has written nothing since its last
+//! byte was queued has surely not been written; more can't be told from outside of the library.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// What a socket has taken.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Taken(Arc<AtomicU64>);
+
+impl Taken {
+    /// Whether both count the same socket.
+    pub(super) fn is(&self, other: &Taken) -> bool {
+        Arc::ptr_eq(&self.0, &other.0)
+    }
+
+    pub(super) fn bytes(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// A socket that counts.
+#[derive(Debug)]
+pub(super) struct Meter<S> {
+    inner: S,
+    taken: Taken,
+}
+
+impl<S> Meter<S> {
+    pub(super) fn new(inner: S) -> (Self, Taken) {
+        let taken = Taken::default();
+        (Meter { inner, taken: taken.clone() }, taken)
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Meter<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Meter<S> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.inner).poll_write(cx, buf);
+        if let Poll::Ready(Ok(bytes)) = &written {
+            self.taken.0.fetch_add(*bytes as u64, Ordering::Relaxed);
+        }
+        written
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        if let Poll::Ready(Ok(bytes)) = &written {
+            self.taken.0.fetch_add(*bytes as u64, Ordering::Relaxed);
+        }
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/rpc/src/upstream/mod.rs
@@ -0,0 +1,127 @@
+//! The way to boxes over gRPC: attempts and their outcomes, on HTTP/2.
+
+mod attempt;
+mod connection;
+mod messages;
+mod meter;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, RwLock};
+use std::time::Duration;
+
+use bytes::Bytes;
+use frosttrail::{Id, Load, Outcome, Role};
+use frosttrail_core::{Boxes, Reply};
+
+use crate::proto;
+pub use attempt::Answer;
+use attempt::Calls;
+use connection::Pool;
+pub use messages::never_ran;
+
+/// A box: where it is and what it does.
+struct Known {
+    at: SocketAddr,
+    role: Role,
+    pool: Arc<Pool>,
+}
+
+/// Which boxes there are, shared by the list of members, which tells of them, and the way to them.
+#[derive(Default)]
+pub struct Book {
+    boxes: RwLock<HashMap<Id, Known>>,
+}
+
+impl Book {
+    /// A box is there, or elsewhere than before.
+    pub fn set(&self, id: Id, at: SocketAddr, role: Role) {
+        let mut boxes = self.boxes.write().unwrap_or_else(|e| e.into_inner());
+        if boxes.get(&id).is_none_or(|known| known.at != at) {
+            boxes.insert(id, Known { at, role, pool: Arc::default() });
+        }
+    }
+
+    /// A box is gone; what runs on its connections goes on.
+    pub fn remove(&self, id: &Id) {
+        self.boxes.write().unwrap_or_else(|e| e.into_inner()).remove(id);
+    }
+
+    fn get(&self, id: &Id) -> Option<(SocketAddr, Role, Arc<Pool>)> {
+        let boxes = self.boxes.read().unwrap_or_else(|e| e.into_inner());
+        boxes.get(id).map(|known| (known.at, known.role, known.pool.clone()))
+    }
+}
+
+/// A request as it travels to boxes, written out once.
+#[derive(Clone, Debug)]
+pub struct Call {
+    framed: Bytes,
+}
+
+impl Call {
+    /// `None`: longer than a message may be.
+    pub fn new(request: &proto::Request) -> Option<Self> {
+        let framed = messages::framed(request);
+        (framed.len() <= MOST_REQUEST).then_some(Call { framed })
+    }
+}
+
+/// The longest request, as on the platform's wire.
+const MOST_REQUEST: usize = 256 << 10;
+
+/// The way to boxes.
+pub struct Upstream {
+    book: Arc<Book>,
+    connect: Duration,
+}
+
+impl Upstream {
+    /// `connect`: a connection that has not come up within this time never will.
+    pub fn new(book: Arc<Book>, connect: Duration) -> Self {
+        Upstream { book, connect }
+    }
+
+    fn calls(&self, worker: &Id) -> Option<(Calls, Role)> {
+        let (at, role, pool) = self.book.get(worker)?;
+        Some((Calls { at, pool, connect: self.connect }, role))
+    }
+}
+
+impl Boxes for Upstream {
+    type Call = Call;
+    type Events = Answer;
+
+    async fn attempt(&self, worker: &Id, _: &Id, call: &Call, wait: Duration) -> Reply<Answer> {
+        match self.calls(worker) {
+            Some((calls, Role::Read)) => calls.read(call.framed.clone(), wait).await,
+            Some((calls, Role::Write | Role::Both)) => calls.write(call.framed.clone(), wait).await,
+            None => Reply::Ended(Outcome::NoConnection, None),
+        }
+    }
+
+    async fn release(&self, worker: &Id, request: &Id) -> bool {
+        let Some((calls, _)) = self.calls(worker) else { return false };
+        let request = proto::ReleaseRequest { id: request.to_string() };
+        calls.unary::<proto::Released>("Release", messages::framed(&request), RELEASE).await.is_ok()
+    }
+
+    async fn probe(&self, worker: &Id) -> (Outcome, Option<Load>) {
+        let Some((calls, _)) = self.calls(worker) else { return (Outcome::NoConnection, None) };
+        let request = messages::framed(&proto::ProbeRequest {});
+        match calls.unary::<proto::Load>("Probe", request, PROBE).await {
+            Ok(load) => (Outcome::Served, Some(load_of(load))),
+            Err((outcome, load)) => (outcome, load.map(load_of)),
+        }
+    }
+}
+
+/// For one box to take a release; whoever asks has less patience.
+const RELEASE: Duration = Duration::from_millis(500);
+/// For a probe.
+const PROBE: Duration = Duration::from_millis(500);
+
+fn load_of(load: proto::Load) -> Load {
+    let proto::Load { memory, waiting_ktokens, slots, queued } = load;
+    Load { memory, waiting_ktokens, slots, queued }
+}
