--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -104,8 +104,7 @@
     /// Reads a file.
     pub fn read(path: &Path) -> Result<Self, ConfigError> {
         let at = || path.to_path_buf();
-        let text = std::fs::read(path).map_err(|e| ConfigError::Unreadable(at(), e))?;
-        let file: File = serde_json::from_slice(&text).map_err(|e| ConfigError::Malformed(at(), e))?;
+        let file: File = json_file(path)?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(at()))?;
         let settings = |e| ConfigError::Settings(at(), e);
         let names = Names::new(&file.settings).map_err(settings)?;
@@ -125,6 +124,13 @@
     }
 }
 
+/// Reads a file of JSON.
+fn json_file<T: DeserializeOwned>(path: &Path) -> Result<T, ConfigError> {
+    let at = || path.to_path_buf();
+    let text = std::fs::read(path).map_err(|e| ConfigError::Unreadable(at(), e))?;
+    serde_json::from_slice(&text).map_err(|e| ConfigError::Malformed(at(), e))
+}
+
 /// Where the chat front listens, and what it assumes of requests that do not say.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -243,11 +249,8 @@
 impl TransferConfig {
     /// Reads the file.
     pub fn read(path: &Path) -> Result<Self, ConfigError> {
-        let at = || path.to_path_buf();
         let wrong = |what: &str| ConfigError::Deploy(path.to_path_buf(), what.to_string());
-        let text = std::fs::read(path).map_err(|e| ConfigError::Unreadable(at(), e))?;
-        let file: TransferFile =
-            serde_json::from_slice(&text).map_err(|e| ConfigError::Malformed(at(), e))?;
+        let file: TransferFile = json_file(path)?;
         let inbox = if file.store.is_some() { Inbox::Hand } else { Inbox::Hold };
         let mut node = Node { inbox, ..Default::default() };
         let set = |slot: &mut u64, value: Option<u64>, unit: u64| {
@@ -295,9 +298,7 @@
 
 /// Reads how the conductor takes part in a membership.
 pub fn membership(path: &Path) -> Result<Membership, ConfigError> {
-    let at = || path.to_path_buf();
-    let text = std::fs::read(path).map_err(|e| ConfigError::Unreadable(at(), e))?;
-    let file: MembershipFile = serde_json::from_slice(&text).map_err(|e| ConfigError::Malformed(at(), e))?;
+    let file: MembershipFile = json_file(path)?;
     let config = Membership {
         listen: file.listen,
         voters: file.voters,
@@ -305,6 +306,6 @@
         role: Role::Daemon,
         terms: Terms { most: file.most, ..Terms::default() },
     };
-    config.check().map_err(|e| ConfigError::Deploy(at(), e.to_string()))?;
+    config.check().map_err(|e| ConfigError::Deploy(path.to_path_buf(), e.to_string()))?;
     Ok(config)
 }
--- a/membership/src/instance.rs
+++ b/membership/src/instance.rs
@@ -86,9 +86,9 @@
     pub fn leave(&mut self, now: Micros, out: &mut Out) {
         self.left = true;
         let bye = self.holder.leave();
-        let to: Vec<SocketAddr> = self.keeper.map_or_else(|| self.voters.clone(), |k| vec![k]);
-        for at in to {
-            self.say(now, at, bye.clone(), out);
+        match self.keeper {
+            Some(keeper) => self.say(now, keeper, bye, out),
+            None => self.say_to_voters(now, &bye, out),
         }
     }
 
@@ -128,9 +128,7 @@
         }
         let next = if seat.next_try > now { seat.next_try } else { now + self.terms.again };
         let next = if seat.keeper.is_some() { next.min(now + self.terms.again) } else { next };
-        for (to, message) in said {
-            self.say(now, to, message, out);
-        }
+        self.say_all(now, said, out);
         if let Some(say) = say {
             self.tell_voters(now, say, out);
         }
@@ -142,9 +140,7 @@
             Say::Prepare(ballot) => Message::Prepare(ballot),
             Say::Propose(ballot, lease) => Message::Propose(ballot, lease),
         };
-        for at in self.voters.clone() {
-            self.say(now, at, message.clone(), out);
-        }
+        self.say_to_voters(now, &message, out);
     }
 
     fn ask(&mut self, now: Micros, out: &mut Out) {
@@ -154,11 +150,7 @@
         let message = self.holder.ask(now, self.traffic);
         match self.keeper.filter(|_| has) {
             Some(keeper) => self.say(now, keeper, message, out),
-            None => {
-                for at in self.voters.clone() {
-                    self.say(now, at, message.clone(), out);
-                }
-            }
+            None => self.say_to_voters(now, &message, out),
         }
     }
 
@@ -171,6 +163,18 @@
         }
     }
 
+    fn say_all(&mut self, now: Micros, said: Out, out: &mut Out) {
+        for (to, message) in said {
+            self.say(now, to, message, out);
+        }
+    }
+
+    fn say_to_voters(&mut self, now: Micros, message: &Message, out: &mut Out) {
+        for at in self.voters.clone() {
+            self.say(now, at, message.clone(), out);
+        }
+    }
+
     /// Takes a message. What makes no sense here is passed over.
     pub fn receive(&mut self, now: Micros, from: SocketAddr, message: Message, out: &mut Out) {
         match message {
@@ -208,9 +212,7 @@
                     Some(keeper) => keeper.ask(now, from, process, ask, traffic, applied, &mut said),
                     None => said.push((from, Message::Elsewhere(self.keeper.filter(|k| *k != self.at)))),
                 }
-                for (to, message) in said {
-                    self.say(now, to, message, out);
-                }
+                self.say_all(now, said, out);
             }
             Message::Grant { process, ask, mark, part, lasts } => {
                 if process == self.holder.process() && self.holder.grant(now, ask, mark, part, lasts) {
@@ -229,9 +231,7 @@
                 if let Some(keeper) = self.keeper_now(now) {
                     keeper.bye(now, process, &mut said);
                 }
-                for (to, message) in said {
-                    self.say(now, to, message, out);
-                }
+                self.say_all(now, said, out);
             }
         }
     }
--- a/membership/src/keeper.rs
+++ b/membership/src/keeper.rs
@@ -173,14 +173,4 @@
         let mark = Mark { term, number };
         out.push((member.at, Message::Grant { process, ask: member.ask, mark, part, lasts }));
     }
-
-    /// Instances that have asked lately.
-    pub fn members(&self) -> usize {
-        self.members.len()
-    }
-
-    /// What may be in use in all.
-    pub fn out(&self) -> f64 {
-        self.members.values().map(Member::out).sum()
-    }
 }
--- a/transfer/benches/transfer.rs
+++ b/transfer/benches/transfer.rs
@@ -87,6 +87,15 @@
     config
 }
 
+/// A link of a rate, on a thread of its own.
+fn slow_link(to: SocketAddr, rate: usize) -> (SocketAddr, tokio::sync::oneshot::Sender<()>) {
+    beside(move || async move {
+        let link = Link::start(to).await.unwrap();
+        link.rate(rate as u64);
+        (link.address, Box::new(link) as Box<dyn std::any::Any>)
+    })
+}
+
 fn goodput() {
     let state = content(1, 64 * MB);
     let mut plain = Vec::new();
@@ -162,11 +171,7 @@
         let config = patient(Config::default());
         let states = vec![(id("r"), state.clone())];
         let (at, _end) = beside(move || holder(config, states));
-        let (link, _link) = beside(move || async move {
-            let link = Link::start(at).await.unwrap();
-            link.rate(rate as u64);
-            (link.address, Box::new(link) as Box<dyn std::any::Any>)
-        });
+        let (link, _link) = slow_link(at, rate);
         runtime().block_on(async {
             let node = Node::new(config, 8, log());
             let begin = Instant::now();
@@ -183,11 +188,7 @@
     let config = Config { chunk: 16 << 10, ..patient(Config::default()) };
     let states = (0..MOVES).map(|n| (id(n), content(n as u64, MB / 2))).collect();
     let (at, _end) = beside(move || holder(config, states));
-    let (link, _link) = beside(move || async move {
-        let link = Link::start(at).await.unwrap();
-        link.rate(rate as u64);
-        (link.address, Box::new(link) as Box<dyn std::any::Any>)
-    });
+    let (link, _link) = slow_link(at, rate);
     runtime().block_on(async {
         let node = Node::new(config, 8, log());
         let begin = Instant::now();
--- a/transfer/src/service/hub.rs
+++ b/transfer/src/service/hub.rs
@@ -294,19 +294,14 @@
 
     /// A frame has come. An error ends the connection.
     pub(crate) fn frame(self: &Arc<Self>, conn: Conn, frame: Frame) -> Result<(), Fault> {
-        self.feed(|inner, now| match frame {
-            Frame::Want(want) => inner.sender.want(now, conn, want),
-            Frame::Ask(token, ranges) => inner.sender.ask(conn, token, &ranges),
-            Frame::Chunk(token, index, data) => inner.receiver.chunk(conn, token, index, data),
-            other => {
-                self.plain(inner, now, conn, other);
-                Ok(())
-            }
-        })
+        self.feed(|inner, now| self.take(inner, now, conn, frame))
     }
 
-    fn plain(self: &Arc<Self>, inner: &mut Inner, now: Micros, conn: Conn, frame: Frame) {
+    fn take(&self, inner: &mut Inner, now: Micros, conn: Conn, frame: Frame) -> Result<(), Fault> {
         match frame {
+            Frame::Want(want) => inner.sender.want(now, conn, want)?,
+            Frame::Ask(token, ranges) => inner.sender.ask(conn, token, &ranges)?,
+            Frame::Chunk(token, index, data) => inner.receiver.chunk(conn, token, index, data)?,
             Frame::Offer(offer) => inner.receiver.offer(now, conn, offer),
             Frame::Credit(bytes) => inner.sender.credit(conn, bytes),
             Frame::Complete(token) => inner.sender.complete(now, conn, token),
@@ -325,8 +320,8 @@
             }
             Frame::Drain(left_ms) => info!(self.log, "a holder drains"; "left_ms" => left_ms),
             Frame::Hello(_) | Frame::Beat | Frame::Status(_) => {}
-            Frame::Want(_) | Frame::Ask(..) | Frame::Chunk(..) => {}
         }
+        Ok(())
     }
 
     fn announce(&self, inner: &mut Inner, now: Micros, conn: Conn, id: Id) {
