Close an attempt's socket when the attempt is dropped, before a refusal goes out

An attempt at a reader has no effect once it has ended. Here it had not: dropping a Link only marked the task that owns the socket for abort (AbortOnDropHandle in daemon/src/upstream/link.rs), and the front wrote the 503 in the same turn, before that task was reached.

Change: the socket is shared by the library's task and the Link; dropping the Link takes it out and closes it. Test: a_dropped_connection_is_closed_before_anything_else_happens; without the fix its peer sees nothing.

The module is untouched.

--- a/daemon/src/upstream/link.rs
+++ b/daemon/src/upstream/link.rs
@@ -1,5 +1,6 @@
 //! One connection to a box, which knows how much of a request has left this machine.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -137,57 +138,70 @@
     }
 }
 
-/// The socket, which notes what is written.
+/// A connection's socket, for as long as the connection is not dropped.
+type Socket = Arc<Mutex<Option<TokioIo<TcpStream>>>>;
+
+/// The socket as the library has it, which notes what is written. The library's task may outlive the
+/// connection by a moment; the socket does not.
 struct Wire {
-    io: TokioIo<TcpStream>,
+    socket: Socket,
     carried: Carried,
 }
 
+impl Wire {
+    fn with<T>(
+        &self,
+        io: impl FnOnce(Pin<&mut TokioIo<TcpStream>>) -> Poll<std::io::Result<T>>,
+    ) -> Poll<std::io::Result<T>> {
+        match lock(&self.socket).as_mut() {
+            Some(socket) => io(Pin::new(socket)),
+            None => Poll::Ready(Err(ErrorKind::NotConnected.into())),
+        }
+    }
+}
+
 impl Read for Wire {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<std::io::Result<()>> {
-        ready!(Pin::new(&mut self.io).poll_read(cx, buf))?;
+        ready!(self.with(|io| io.poll_read(cx, buf)))?;
         lock(&self.carried).read();
         Poll::Ready(Ok(()))
     }
 }
 
 impl Write for Wire {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        let bytes = ready!(Pin::new(&mut self.io).poll_write(cx, buf))?;
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<std::io::Result<usize>> {
+        let bytes = ready!(self.with(|io| io.poll_write(cx, buf)))?;
         lock(&self.carried).wrote(bytes);
         Poll::Ready(Ok(bytes))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        let bytes = ready!(Pin::new(&mut self.io).poll_write_vectored(cx, bufs))?;
+        let bytes = ready!(self.with(|io| io.poll_write_vectored(cx, bufs)))?;
         lock(&self.carried).wrote(bytes);
         Poll::Ready(Ok(bytes))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
+        // As every TCP socket of the library's is.
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        ready!(Pin::new(&mut self.io).poll_flush(cx))?;
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        ready!(self.with(|io| io.poll_flush(cx)))?;
         lock(&self.carried).flushed();
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        self.with(|io| io.poll_shutdown(cx))
     }
 }
 
@@ -200,8 +214,10 @@
     Http(#[from] hyper::Error),
 }
 
-/// A connection. Dropping it closes the socket, which gives up whatever is out on it.
+/// A connection. Dropping it closes the socket there and then, which gives up whatever is out on it: the
+/// answer that a request gets next must not overtake the end of its attempt.
 pub(super) struct Link {
+    socket: Socket,
     sender: SendRequest<Outgoing>,
     carried: Carried,
     /// More has come on it than belonged to its answers.
@@ -217,7 +233,8 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let carried = Carried::default();
-        let wire = Wire { io: TokioIo::new(stream), carried: carried.clone() };
+        let socket = Socket::new(Mutex::new(Some(TokioIo::new(stream))));
+        let wire = Wire { socket: socket.clone(), carried: carried.clone() };
         // A header that can't be read, as a load report may be, spoils nothing else.
         let mut builder = Builder::new();
         builder.ignore_invalid_headers_in_responses(true).max_buf_size(BUFFER);
@@ -227,6 +244,7 @@
             let _ = connection.await;
         });
         Ok(Link {
+            socket,
             sender,
             carried,
             tainted: Arc::default(),
@@ -279,6 +297,12 @@
     }
 }
 
+impl Drop for Link {
+    fn drop(&mut self) {
+        lock(&self.socket).take();
+    }
+}
+
 /// Why there is no answer to a request.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum SendError {
@@ -297,3 +321,25 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io::Read as _;
+
+    use tokio::sync::Semaphore;
+
+    use super::*;
+
+    /// No task runs between the drop and the look at the box's side: whatever the conductor writes next,
+    /// as a refusal, comes after the end of the attempt.
+    #[tokio::test]
+    async fn a_dropped_connection_is_closed_before_anything_else_happens() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let permit = Arc::new(Semaphore::new(1)).try_acquire_owned().unwrap();
+        let link = Link::open(listener.local_addr().unwrap(), permit).await.unwrap();
+        let (mut box_side, _) = listener.accept().unwrap();
+        box_side.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        drop(link);
+        assert_eq!(box_side.read(&mut [0; 1]).map_err(|e| e.kind()), Ok(0), "the connection has ended");
+    }
+}
