Send cold boxes a share of what would go to them, not each router's rare slots

A router waited 1 / (0.42 of a warm peer's rate from here) between sends to a cold box (brain.rs, cold_gap): with 300 routers 48 s and more, where a box is cold for 13 s; a router that had just started had no rates and waited 300 s. Ruled out: failing attempts (1.97 a request) and idle conductors (the busiest used 0.05 of 0.17 of a core).

Change: where a part is below one request, of the sessions whose first choice a cold box would be, that share goes there at once; only requests that have just come, so that a backlog does not fall on it together, and no overflow. The rare slots stay, at one send a second of all routers. hash.rs takes the hashes and Outcome::never_ran the table, without a change. Test: routers_that_see_little_or_have_just_started_fill_a_cold_worker_all_the_same fails without it (13 % for 31 %); the tests that bound what a cold box is sent pass as they were.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::hash::{hash, mix, share_of};
 use crate::interface::*;
 
 /// Reads of all routers together at one reader (and what waits at a mixed server), and the tokens past
@@ -21,8 +22,7 @@
 /// sites +0.017, -0.019, +0.004), and all routers together want this many to wait at one worker.
 const REST_AIM: f64 = 0.25;
 const WAIT_SLOTS: f64 = 4.0;
-/// A part grows by this share with each wait that cost little of the aim, to at most so many times an even
-/// one, and halves with each that cost more: traffic is uneven, and some see several times the mean.
+/// A part grows by this share with each short wait, to so many even ones, and halves with each long one.
 const PART_GROWS: f64 = 0.1;
 const PART_MOST: f64 = 8.0;
 /// Share of its part of the writers for its part of the readers that a cell keeps of what it reads: some
@@ -200,23 +200,6 @@
     routers: f64,
 }
 
-/// FNV-1a with a finish: the same at every router and after every restart.
-fn hash(text: &str, salt: u64) -> u64 {
-    let step = |h: u64, b: &u8| (h ^ u64::from(*b)).wrapping_mul(0x0000_0100_0000_01b3);
-    mix(text.as_bytes().iter().fold(0xcbf2_9ce4_8422_2325 ^ salt, step))
-}
-
-fn mix(mut h: u64) -> u64 {
-    h = (h ^ (h >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    h = (h ^ (h >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-    h ^ (h >> 33)
-}
-
-/// A hash as a share of one.
-fn share_of(hash: u64) -> f64 {
-    hash as f64 / u64::MAX as f64
-}
-
 impl Router {
     /// A router that knows no worker yet.
     pub fn new(settings: Settings, seed: u64) -> Self {
@@ -423,7 +406,7 @@
         let (phase, prompt) = (request.phase, request.query.prompt_tokens);
         let reading = self.workers[w].role == Stage::Read;
         let stage = request.stage;
-        if !reading && !never_ran(outcome) && request.ran.is_none() {
+        if !reading && !outcome.never_ran() && request.ran.is_none() {
             request.ran = Some((w, sent));
         }
         if outcome == Outcome::ReadDone {
@@ -681,11 +664,9 @@
     /// No held request can leave, whichever it is: to look for a place for each, at each event, costs a
     /// router with a backlog more than its share of a core, and all that it answers comes late.
     fn stalled(&self) -> bool {
-        let usable =
-            |w: &usize| self.workers[*w].up && self.workers[*w].role != Stage::Write && self.healthy(*w);
-        let readers: Vec<usize> = (0..self.workers.len()).filter(usable).collect();
-        let whole = readers.iter().any(|&w| self.workers[w].role == Stage::Whole);
-        !whole && !self.settings.self_prefill && self.part_full(&readers, Stage::Read)
+        let readers: Vec<usize> = self.listed(Stage::Read).filter(|&w| self.healthy(w)).collect();
+        let whole = self.settings.self_prefill || self.listed(Stage::Whole).next().is_some();
+        !whole && self.part_full(&readers, Stage::Read)
     }
 
     /// The worker with which a held request leaves now, if any.
@@ -705,20 +686,8 @@
         let readers = self.candidates(request, Stage::Read);
         let no_readers = readers.is_empty();
         let short = |w: &usize| no_readers || self.cost(&request.query, *w) <= LONG_READ;
-        // What a session's last prompt left at the server that read it outweighs the prefix: its next
-        // turn goes there, wherever overflow or a failure had sent the last.
         let last = self.kept.get(&request.query.session).map(|k| k.0);
-        // Many routers see a session's turns at one each: by its hash they meet at one of the prefix's homes.
-        let session = hash(&request.query.session, 2);
-        let homes = if self.many() { HOMES } else { 1 };
-        let home = |mut all: Vec<usize>| {
-            let score = |w: usize, key: u64| std::cmp::Reverse(mix(self.workers[w].hash ^ key));
-            all.sort_by_cached_key(|&w| score(w, request.key));
-            let homes = homes.min(all.len());
-            all[..homes].sort_by_cached_key(|&w| score(w, session));
-            all.sort_by_key(|&w| Some(w) != last);
-            all.into_iter().find(room)
-        };
+        let home = |all: Vec<usize>| self.homes(request, all).into_iter().find(room);
         let mut mixed = self.candidates(request, Stage::Whole);
         mixed.retain(short);
         let mixed = if self.part_full(&mixed, Stage::Whole) { None } else { home(mixed) };
@@ -748,26 +717,46 @@
         }
     }
 
+    /// Workers in the order in which a prefix hashes to them. Many routers see a session's turns at one
+    /// each: by its hash they meet at one of the prefix's homes. What a session's last prompt left at the
+    /// server that read it outweighs the prefix: its next turn goes there, wherever the last had to go.
+    fn homes(&self, request: &Request, mut all: Vec<usize>) -> Vec<usize> {
+        let session = hash(&request.query.session, 2);
+        let score = |w: usize, key: u64| std::cmp::Reverse(mix(self.workers[w].hash ^ key));
+        all.sort_by_cached_key(|&w| score(w, request.key));
+        let homes = if self.many() { HOMES } else { 1 }.min(all.len());
+        all[..homes].sort_by_cached_key(|&w| score(w, session));
+        let last = self.kept.get(&request.query.session).map(|k| k.0);
+        all.sort_by_key(|&w| Some(w) != last);
+        all
+    }
+
     /// The writer for a state: fewest own streams, then the reader's cell, then its zone.
     fn pick_writer(&self, request: &Request) -> Option<usize> {
-        let at = &self.workers[request.state?];
+        let near = self.nearness(request, request.state?);
         let writers = self.candidates(request, Stage::Write);
         let mixed = self.candidates(request, Stage::Whole);
-        let draw = if self.many() { hash(&request.query.id, self.seed) } else { self.seed };
-        let keeps = self.cell_shares();
-        let keeps = |cell: u64| keeps.get(&cell).copied().unwrap_or(1.0);
-        let stays = !self.many() || share_of(draw) < keeps(at.cell);
-        let near = |cell: u64| if stays { cell == at.cell } else { keeps(cell) > 1.0 };
         // Those with room first; if all are at cap it goes and queues, where it rests the shortest.
         let rank = |&w: &usize| {
             let v = &self.workers[w];
             let full = if self.has_room(w, request) { 0 } else { v.rest.max(self.now) };
-            let tie = (v.streams, !near(v.cell), v.zone != at.zone, mix(v.hash ^ draw));
+            let tie = (v.streams, near(v));
             (request.failed.contains(&w), full > 0, v.role == Stage::Whole, full, tie)
         };
         writers.into_iter().chain(mixed).min_by_key(rank)
     }
 
+    /// Order of writers for a state at this reader, before anything that changes by the moment.
+    fn nearness(&self, request: &Request, at: usize) -> impl Fn(&Worker) -> (bool, bool, u64) + '_ {
+        let at = &self.workers[at];
+        let draw = if self.many() { hash(&request.query.id, self.seed) } else { self.seed };
+        let keeps = self.cell_shares();
+        let keeps = move |cell: u64| keeps.get(&cell).copied().unwrap_or(1.0);
+        let stays = !self.many() || share_of(draw) < keeps(at.cell);
+        let near = move |cell: u64| if stays { cell == at.cell } else { keeps(cell) > 1.0 };
+        move |v| (!near(v.cell), v.zone != at.zone, mix(v.hash ^ draw))
+    }
+
     /// Share of what it reads that each cell's own writers can take. Many routers have no stream at most
     /// writers, so that the tie to the reader's cell decides: a cell with many readers would pile all that
     /// they read on its few writers. Also for a cell that lost writers; crosses cells more than it must
@@ -830,10 +819,13 @@
 
     // Health.
 
+    fn listed(&self, role: Stage) -> impl Iterator<Item = usize> + '_ {
+        (0..self.workers.len()).filter(move |&w| self.workers[w].up && self.workers[w].role == role)
+    }
+
     /// Workers of a role that may take this request: usable ones, or in a panic all listed.
     fn candidates(&self, request: &Request, role: Stage) -> Vec<usize> {
-        let listed =
-            || (0..self.workers.len()).filter(|&w| self.workers[w].up && self.workers[w].role == role);
+        let listed = || self.listed(role);
         // What cannot be reached is no part of what a panic may pass over, while other zones answer.
         let cut = |w: usize| self.cut_off(&self.workers[w].zone);
         let whole = listed().all(cut);
@@ -852,7 +844,8 @@
     /// The rules' guards on a send: drain, effect, cold.
     fn may_take(&self, request: &Request, w: usize) -> bool {
         let worker = &self.workers[w];
-        if !worker.up || (self.cold_gap(w).is_some() && self.now < worker.cold_next) {
+        let cold = self.cold_gap(w).is_some() && self.now < worker.cold_next;
+        if !worker.up || (cold && !self.warms(request, w)) {
             return false;
         }
         match (self.class(request).effect, request.ran) {
@@ -992,7 +985,7 @@
             return None;
         }
         // What warm peers of the role take from here bounds from below what it can do when warm.
-        let usual = |v: &&Worker| v.up && v.started + self.settings.warm_within < self.now;
+        let usual = |v: &&Worker| !self.many() && v.up && v.started + self.settings.warm_within < self.now;
         let warm = |v: &&Worker| v.role == worker.role && usual(v);
         let rates = self.workers.iter().filter(warm).map(|v| decay(v.rate, self.now - v.rate_at));
         let (sum, n) = rates.fold((0.0, 0.0_f64), |(s, n), r| (s + r, n + 1.0));
@@ -1000,6 +993,27 @@
         Some((1e6 / per_s.max(COLD_LEAST / self.routers)) as Micros)
     }
 
+    /// Where parts are below one request, a router's time between sends to a cold worker is longer than it
+    /// stays cold: together they sent it a tenth of what they may, and the warm ones drowned. There, of what
+    /// it would get if it were warm the same share goes at once, whatever this router has measured: of what
+    /// has just come, as all that is held would come together, and no overflow, which has no bound.
+    fn warms(&self, request: &Request, w: usize) -> bool {
+        let share = self.settings.cold_from * self.settings.fall_multiple * COLD_SHARE;
+        let worker = &self.workers[w];
+        let drawn = share_of(hash(&request.query.session, worker.hash)) < share;
+        if !self.many() || self.now > request.since || !drawn {
+            return false;
+        }
+        let first = match request.state {
+            Some(at) => {
+                let near = self.nearness(request, at);
+                self.listed(worker.role).min_by_key(|&v| near(&self.workers[v]))
+            }
+            None => self.homes(request, self.listed(worker.role).collect()).first().copied(),
+        };
+        first == Some(w)
+    }
+
     /// A worker that turns up is empty to every router at once: each waits for a moment of its own
     /// within its time between sends, so that the first sends do not fall together.
     fn warm_up(&mut self, w: usize) {
@@ -1041,18 +1055,12 @@
     }
 }
 
-/// Tokens that an answer's stream is likely to hold in a writer's memory.
-fn footprint(query: &Query) -> u64 {
-    query.prompt_tokens + query.max_tokens / 4
-}
-
 /// What is left of a rate after some time; its window is four seconds.
 fn decay(rate: f64, passed: Micros) -> f64 {
     rate * (-(passed as f64) / 4e6).exp()
 }
 
-/// Outcomes that prove that the attempt never ran.
-fn never_ran(outcome: Outcome) -> bool {
-    use Outcome::*;
-    matches!(outcome, TurnedAway | StateLost | NoConnection | NotSent | ReadDone)
+/// Tokens that an answer's stream is likely to hold in a writer's memory.
+fn footprint(query: &Query) -> u64 {
+    query.prompt_tokens + query.max_tokens / 4
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -76,6 +76,14 @@
     NotSent,
 }
 
+impl Outcome {
+    /// Whether it proves that the attempt never ran; a read has no effect, however it ends.
+    pub fn never_ran(self) -> bool {
+        use Outcome::*;
+        matches!(self, TurnedAway | StateLost | NoConnection | NotSent | ReadDone)
+    }
+}
+
 /// What the list of workers says of one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Health {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 
 mod brain;
 mod facade;
+mod hash;
 mod interface;
 pub mod setup;
 
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -130,6 +130,27 @@
     }
 }
 
+/// Each router sees two requests a second and most have never sent to this worker: what one alone may send
+/// must add up to the share that all together may.
+#[test]
+fn routers_that_see_little_or_have_just_started_fill_a_cold_worker_all_the_same() {
+    for (back, before) in [("r0", 15), ("w0", 15), ("r0", 0), ("w0", 0)] {
+        let settings = large();
+        let mut side = Side::new(&settings, &fleet(10, 10));
+        side.run(before * SEC);
+        let from = side.now;
+        let kind = usize::from(back.starts_with('w'));
+        side.tell(&[Entry { started: from, ..entry(back, kind) }]);
+        side.run(8 * SEC);
+        let to = |worker: &str| side.sent.iter().filter(|s| &*s.1 == worker && s.0 >= from).count();
+        let peers: usize = (1..10).map(|i| to(&format!("{}{i}", &back[..1]))).sum();
+        let (cold, warm) = (to(back), peers / 9);
+        // Half of what it may be sent, were a warm one at its limit; most of that is to arrive.
+        let due = warm as f64 * settings.cold_from * settings.fall_multiple / 2.0;
+        assert!(cold as f64 >= 0.8 * due, "{back} after {before} s: {cold} sends, a warm peer has {warm}");
+    }
+}
+
 #[test]
 fn a_new_worker_that_looks_empty_to_all_draws_no_herd() {
     let mut side = Side::new(&large(), &fleet(10, 10));
