Ask lost discovery again after drawn waits that grow with the fleet, not in step

Fault: daemon/src/discovery/platform.rs, Agent::next: waits of 50 ms doubling to 800 ms, the same for all, so that 91 conductors asked with over 100 calls a second for as long as discovery refused, and it refused because they asked. Ruled out: the watch's own time-outs (it was refused, not silent) and the parsing of lists (the 9 read theirs).

Change: discovery/backoff.rs, without I/O or clock, draws each wait; its bound grows with the instances that the settings name (20 ms each, 2 s at most, four times that after failures) and is what it was for two or three.

--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -8,7 +8,7 @@
 
 use frosttrail_core::{start, Clock, Conductor, Parts};
 use frosttrail_daemon::config::{self, ChatConfig, Config, XdsConfig};
-use frosttrail_daemon::discovery::{Discovery, Xds};
+use frosttrail_daemon::discovery::{Backoff, Discovery, Xds};
 use frosttrail_daemon::front::chat::Chat;
 use frosttrail_daemon::front::platform::Platform;
 use frosttrail_daemon::front::{Doors, Patience};
@@ -216,7 +216,8 @@
             start(Parts { settings, seed, clock, boxes, members, log })
         }
         None => {
-            let members = Discovery::new(address, known, names, clock, book, log.clone());
+            let backoff = Backoff::new(settings.balancers, seed);
+            let members = Discovery::new(address, known, backoff, names, clock, book, log.clone());
             start(Parts { settings, seed, clock, boxes, members, log })
         }
     }
--- a/daemon/src/discovery/mod.rs
+++ b/daemon/src/discovery/mod.rs
@@ -1,8 +1,10 @@
 //! Where the list of members comes from: the platform's discovery, or a server that speaks Envoy's xDS.
 
+mod backoff;
 mod http;
 mod platform;
 mod xds;
 
+pub use backoff::Backoff;
 pub use platform::{Discovery, Listing};
 pub use xds::Xds;
--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -14,19 +14,17 @@
 use hyper::body::Incoming;
 use hyper::{Method, StatusCode, Uri};
 use serde::Deserialize;
-use slog::{info, warn, Logger};
+use slog::{debug, info, warn, Logger};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
+use super::backoff::Backoff;
 use super::http::{call, whole, Called, ListError};
 use crate::upstream::Book;
 
 /// The agent sends an empty line every 2 s; this long without a byte means that the watch is dead.
 const SILENCE: Duration = Duration::from_secs(5);
-/// Waits between watches: a little, doubling up to the most.
-const BACKOFF: Duration = Duration::from_millis(50);
-const BACKOFF_MOST: Duration = Duration::from_millis(800);
 /// No line of a list is longer.
 const LINE_MOST: usize = 4 << 20;
 
@@ -63,6 +61,7 @@
     /// The agent's address; it changes where a new configuration names another.
     address: watch::Receiver<SocketAddr>,
     agent: Agent,
+    backoff: Backoff,
     names: Names,
     clock: Clock,
     book: Arc<Book>,
@@ -75,13 +74,14 @@
     pub fn new(
         mut address: watch::Receiver<SocketAddr>,
         known: Listing,
+        backoff: Backoff,
         names: Names,
         clock: Clock,
         book: Arc<Book>,
         log: Logger,
     ) -> Self {
         let agent = Agent::new(*address.borrow_and_update(), Some(known.rev));
-        Discovery { address, agent, names, clock, book, log, known: Some(known) }
+        Discovery { address, agent, backoff, names, clock, book, log, known: Some(known) }
     }
 
     fn news(&self, listing: Listing, form: ListForm) -> News {
@@ -115,7 +115,7 @@
                     self.agent = Agent::new(to, None);
                     continue;
                 }
-                listing = self.agent.next(&self.log) => listing,
+                listing = self.agent.next(&mut self.backoff, &self.log) => listing,
             };
             let form = if listing.all { ListForm::Full } else { ListForm::Changes };
             return Some(self.news(listing, form));
@@ -137,32 +137,30 @@
     /// The version held; without one the whole list is asked for.
     rev: Option<u64>,
     watch: Option<Watch>,
-    /// How long to wait before the next try, if the last has brought nothing.
-    backoff: Option<Duration>,
 }
 
 impl Agent {
     fn new(address: SocketAddr, rev: Option<u64>) -> Self {
-        Agent { address, rev, watch: None, backoff: None }
+        Agent { address, rev, watch: None }
     }
 
     /// The next list or change. Asks on for as long as there is none.
-    async fn next(&mut self, log: &Logger) -> Listing {
+    async fn next(&mut self, backoff: &mut Backoff, log: &Logger) -> Listing {
         loop {
             match self.listing().await {
                 Ok(listing) => {
-                    self.backoff = None;
+                    backoff.succeeded();
                     self.rev = Some(listing.rev);
                     return listing;
                 }
                 Err(e) => {
                     self.watch = None;
                     // One line for each outage.
-                    if self.backoff.is_none() {
+                    if backoff.is_fresh() {
                         info!(log, "watch again"; "why" => %e, "rev" => self.rev);
                     }
-                    let wait = self.backoff.unwrap_or(BACKOFF);
-                    self.backoff = Some((wait * 2).min(BACKOFF_MOST));
+                    let wait = backoff.failed();
+                    debug!(log, "watch failed"; "why" => %e, "again_in" => ?wait);
                     sleep(wait).await;
                 }
             }
--- a/daemon/tests/discovery.rs
+++ b/daemon/tests/discovery.rs
@@ -9,7 +9,7 @@
 use frosttrail::{Entry, Health, Id, ListForm};
 use frosttrail_core::{Clock, MemberList, News};
 use frosttrail_daemon::config::XdsConfig;
-use frosttrail_daemon::discovery::{Discovery, Listing, Xds};
+use frosttrail_daemon::discovery::{Backoff, Discovery, Listing, Xds};
 use frosttrail_daemon::upstream::Book;
 use serde_json::{json, Value};
 use support::*;
@@ -53,7 +53,15 @@
     agent.next(Does::StallsAfter(&[WHOLE_LIST_PARTS.0, WHOLE_LIST_PARTS.1]));
     let book = Arc::new(Book::default());
     let (_address, at) = watch::channel(agent.address);
-    let mut list = Discovery::new(at, known("decode", 0), names(), Clock::new(), book.clone(), log());
+    let mut list = Discovery::new(
+        at,
+        known("decode", 0),
+        Backoff::new(2, 7),
+        names(),
+        Clock::new(),
+        book.clone(),
+        log(),
+    );
     let first = list.next().await.unwrap();
     assert_eq!((first.form, states(&first)), (ListForm::WarmCopy, vec![("a", Health::Up)]));
     assert_eq!((first.entries[0].kind, first.entries[0].cell, first.entries[0].started), (1, 3, 0));
@@ -76,7 +84,8 @@
     old.next(Does::StallsAfter(&[LEAVES]));
     let (address, at) = watch::channel(old.address);
     let book = Arc::new(Book::default());
-    let mut list = Discovery::new(at, known("decode", 0), names(), Clock::new(), book, log());
+    let mut list =
+        Discovery::new(at, known("decode", 0), Backoff::new(2, 7), names(), Clock::new(), book, log());
     let mut forms = vec![list.next().await.unwrap().form, list.next().await.unwrap().form];
     address.send(new.address).unwrap();
     forms.extend([list.next().await.unwrap().form, list.next().await.unwrap().form]);
