Ask a reader what it holds before a read, where a router's part of it is below one

Fault: src/brain.rs, homes() and part_full(): all routers send one prefix to the same three readers, each meets one of them once in many seconds, and what it learns there (ease, ready) holds back its reads to all others. Ruled out: want of capacity (226k tokens a second read of about 700k that 50 readers do), failing boxes (2 % of reads), the writers (0.05 s to a first token throughout), the processor (0.01 of a core in the busiest second).

Change: where parts are below one and the settings allow probes, the first home is asked and the read goes there, or on to the next where it holds WAIT_SLOTS or more; to the least full after three; to none past READ_SLOTS. A reader that is not there costs a probe, no attempt. A probe's connection serves the read that follows.

--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -199,6 +199,8 @@
         let verdicts = match message {
             Message::Pick(query, ticket, verdicts) => {
                 let id = query.id.clone();
+                debug!(self.log, "request"; "id" => %id, "class" => query.class, "budget" => query.budget,
+                    "tokens" => query.prompt_tokens, "again" => query.resent);
                 let Some(picked) = self.facade.pick(now, query) else { return };
                 self.seats.insert(id, Seat { ticket, verdicts, sent_to: Vec::new(), release: None });
                 picked
@@ -207,6 +209,7 @@
                 if self.seats.get(&id).is_none_or(|seat| seat.ticket != ticket) {
                     return;
                 }
+                debug!(self.log, "report"; "id" => %id, "is" => ?report);
                 let left = report == Report::Left;
                 let verdicts = self.facade.report(now, &id, report);
                 self.carry_out(verdicts);
@@ -234,6 +237,7 @@
             self.up.clear();
         }
         for entry in &entries {
+            debug!(self.log, "member"; "is" => ?entry);
             match entry.health {
                 Health::Gone => self.up.remove(&entry.worker),
                 Health::Up | Health::Draining => self.up.insert(entry.worker.clone()),
--- a/daemon/src/upstream/calls.rs
+++ b/daemon/src/upstream/calls.rs
@@ -49,7 +49,7 @@
         let (link, answer) = call(pool, worker, &Method::GET, "/_load").await?;
         let status = answer.status();
         let body = Limited::new(answer.into_body(), BODY_MOST).collect().await.ok()?.to_bytes();
-        pool.keep(worker, link);
+        pool.keep_settled(worker, link);
         Some((status, body))
     };
     match timeout(PROBE, asked).await {
--- a/daemon/src/upstream/pool.rs
+++ b/daemon/src/upstream/pool.rs
@@ -106,11 +106,22 @@
 
     /// Keeps a connection whose answer has come whole, and lets go of those that are past use, also of
     /// boxes to which nothing goes any more.
-    pub(super) fn keep(&self, worker: &Id, mut link: Link) {
+    pub(super) fn keep(&self, worker: &Id, link: Link) {
+        self.keep_from(worker, link, Instant::now());
+    }
+
+    /// Keeps a connection on which a small call has been answered: no stream's rest can follow on it, and the
+    /// request that the call was for goes out next.
+    pub(super) fn keep_settled(&self, worker: &Id, link: Link) {
+        let now = Instant::now();
+        self.keep_from(worker, link, now.checked_sub(self.limits.settle).unwrap_or(now));
+    }
+
+    fn keep_from(&self, worker: &Id, mut link: Link, idle_since: Instant) {
         if link.is_spent() {
             return;
         }
-        link.idle_since = Instant::now();
+        link.idle_since = idle_since;
         let mut idle = lock(&self.idle);
         idle.retain(|_, links| {
             links.retain(|link| !link.is_spent() && self.is_young(link));
--- a/rpc/src/upstream/mod.rs
+++ b/rpc/src/upstream/mod.rs
@@ -122,6 +122,6 @@
 const PROBE: Duration = Duration::from_millis(500);
 
 fn load_of(load: proto::Load) -> Load {
-    let proto::Load { memory, waiting_ktokens, slots, queued } = load;
-    Load { memory, waiting_ktokens, slots, queued }
+    let proto::Load { memory, waiting_ktokens, slots, queued, outstanding } = load;
+    Load { memory, waiting_ktokens, slots, queued, outstanding }
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -18,18 +18,13 @@
 /// A worker rests after `full`, at first this long, doubling up to the most.
 const FULL_REST: Micros = 200_000;
 const REST_MOST: Micros = 12_000_000;
-/// Where parts are below one request: a wait of over this share of the aim rests the worker (0.4: later
-/// sites +0.017, -0.019, +0.004), and all routers together want this many to wait at one worker.
+/// Where parts are below one request: a wait of over this share of the aim rests the worker, and all routers
+/// together want this many to wait at one worker.
 const REST_AIM: f64 = 0.25;
 const WAIT_SLOTS: f64 = 4.0;
-/// A part grows by this share with each short wait, to so many even ones, and halves with each long one.
-const PART_GROWS: f64 = 0.1;
-const PART_MOST: f64 = 8.0;
-/// Share of its part of the writers for its part of the readers that a cell keeps of what it reads: some
-/// more than even, as the cell's own port is cheap (1.0: later sites -0.009, -0.008, -0.038).
+/// Share of its part of the writers for its part of the readers that a cell keeps of what it reads.
 const CELL_SHARE: f64 = 1.5;
-/// Streams of all routers together at one writer, and at a mixed server, whose reads stall its
-/// streams: each router caps its own at its part.
+/// Streams of all routers together at one writer, and at a mixed server, whose reads stall its streams.
 const WRITE_SLOTS: f64 = 80.0;
 const MIXED_SLOTS: f64 = 30.0;
 /// Readers that a prefix hashes to where parts are below one request; the session's hash picks one.
@@ -42,20 +37,16 @@
 const LONG_READ: u64 = 3_000;
 /// A session's last reader is remembered this long: about as long as a worker's memory keeps it.
 const KEEP: Micros = 60_000_000;
-/// Held this long is starved, or for this share of the aim: at the aim it is given up (0.4: ktm -0.016,
-/// gpdsa -0.012).
+/// Held this long is starved, or for this share of the aim: at the aim it is given up.
 const STARVED: Micros = 2_000_000;
 const STARVED_SHARE: f64 = 0.7;
 /// Share of a client's patience after which a held request beyond its customer's quota is refused.
 const SURPLUS_SHARE: f64 = 0.1;
-/// One starved request leaves ahead in this time, so that a backlog does not promote itself whole; where
-/// parts are below one, in as much more time as they are smaller.
+/// One starved request leaves ahead in this time, in more where parts are below one request.
 const PROMOTE_EVERY: Micros = 100_000;
 /// A request that has used up its attempts is told to come back within this time.
 const SPENT_RETRY: Micros = 200_000;
-/// Sweep of what is held and waits.
 const SWEEP: Micros = 10_000;
-/// Weight of a new sample in the averages.
 const BLEND: f64 = 0.1;
 /// Tokens' worth of fixed cost in a stage's pace.
 const FIXED_TOKENS: f64 = 500.0;
@@ -71,17 +62,22 @@
 const OPEN_MOST: Micros = 8_000_000;
 /// Share of a role that may be out of use before its breakers are passed over (panic threshold).
 const PANIC_SHARE: f64 = 0.5;
-/// Workers of one zone that fail in a row, without an answer from there, before the zone is cut off.
+/// Workers of one zone that fail in a row, with no answer from there, before it is cut off.
 const ZONE_TRIP: usize = 3;
-/// Slow start: share of a cold worker's budget that is used, the rest is for chance: many routers send
-/// each at its own moment. A router that has measured nothing yet takes its part of one send a second.
+/// Slow start: share of a cold worker's budget that is used, the rest is for chance. A router that has
+/// measured nothing yet takes its part of one send a second.
 const COLD_SHARE: f64 = 0.5;
 const COLD_LEAST: f64 = 1.0;
+/// Where parts are below one request: what a reader says that it holds counts for this long, as long as a
+/// probe may take, and so many that a prefix hashes to are asked before the least full of them is taken.
+const SAID_FOR: Micros = 250_000;
+const ASK_MOST: usize = 3;
 
 /// Where a request stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Phase {
     /// Waits here for room.
+    #[default]
     Held,
     /// Out at a reader.
     Reading,
@@ -95,6 +91,7 @@
     Done,
 }
 
+#[derive(Default)]
 struct Request {
     query: Query,
     key: u64,
@@ -149,6 +146,10 @@
     /// Reads done and answers begun lately, a second.
     rate: f64,
     rate_at: Micros,
+    /// What it last said that it holds for all routers, and when; a probe is out.
+    holds: f64,
+    said: Micros,
+    asked: bool,
 }
 
 /// What a router's workers in one zone have shown it together.
@@ -183,9 +184,8 @@
     held: Vec<Id>,
     pace: [f64; 3],
     zones: BTreeMap<usize, Zone>,
-    /// When the next may leave for each role, and how many even parts of it are this router's for now.
+    /// When the next may leave for each role.
     ready: [Micros; 3],
-    parts: [f64; 3],
     /// When some worker of each role was last heard.
     heard: [Micros; 3],
     quotas: Vec<(f64, Micros)>,
@@ -218,7 +218,6 @@
             pace: [100.0, 50.0, 150.0],
             zones: BTreeMap::new(),
             ready: [0; 3],
-            parts: [1.0; 3],
             heard: [0; 3],
             quotas,
             kept: BTreeMap::new(),
@@ -254,12 +253,40 @@
                     return;
                 }
             }
-            // Load reports, probes and places ahead decide nothing: own counts did better.
-            Event::Place { .. } | Event::Probed { .. } | Event::Bell { .. } => {}
+            Event::Probed { worker, outcome, load } => self.probed(&worker, outcome, load, out),
+            Event::Place { .. } | Event::Bell { .. } => {}
         }
         self.release(out);
     }
 
+    /// A reader says what all routers together have there.
+    fn probed(&mut self, id: &Id, outcome: Outcome, load: Option<Load>, out: &mut Vec<Action>) {
+        let Some(&w) = self.index.get(id) else { return };
+        self.workers[w].asked = false;
+        self.workers[w].said = self.now;
+        self.workers[w].holds = match outcome {
+            Outcome::Served => load.and_then(|l| l.outstanding).unwrap_or(0.0),
+            Outcome::NoConnection | Outcome::NoAnswer => READ_SLOTS,
+            // It drains, or too many ask it: the last that is taken.
+            _ => READ_SLOTS - 1.0,
+        };
+        match outcome {
+            Outcome::NoConnection | Outcome::NoAnswer => self.failed(w, TRIP, out),
+            _ => self.heard(w),
+        }
+    }
+
+    /// Routers that meet a reader once in many seconds can't know from their own reads what all the others
+    /// have there.
+    fn asks(&self) -> bool {
+        self.many() && self.settings.may_probe
+    }
+
+    fn known(&self, w: usize) -> Option<f64> {
+        let worker = &self.workers[w];
+        (worker.said > 0 && self.now < worker.said + SAID_FOR).then_some(worker.holds)
+    }
+
     fn ring(&mut self, out: &mut Vec<Action>) {
         self.bell += 1;
         out.push(Action::Timer { delay: SWEEP.max(self.settings.tick), token: self.bell });
@@ -289,7 +316,6 @@
             let worker = &mut self.workers[w];
             (worker.up, worker.cell, worker.zone) = (entry.health == Health::Up, entry.cell, entry.zone);
             if known.is_none() || entry.started > worker.started {
-                // Started anew: what was known of its health is of its earlier life.
                 worker.started = entry.started;
                 (worker.fails, worker.open_until) = (0, 0);
                 self.zones.remove(&worker.zone);
@@ -301,8 +327,7 @@
         }
     }
 
-    /// Where servers are replaced under new ids, those of old ones would be kept for ever. What has gone,
-    /// and is no part of an open request, leaves its place to the next that comes.
+    /// What has gone, and is no part of an open request, leaves its place to the next that comes.
     fn forget_gone(&mut self) {
         let mut named = vec![false; self.workers.len()];
         for r in self.requests.values() {
@@ -341,18 +366,10 @@
             arrived: self.now,
             deadline: self.now + query.budget,
             since: self.now,
-            phase: Phase::Held,
-            attempts: 0,
-            out: None,
-            state: None,
-            ran: None,
-            failed: Vec::new(),
             over_quota,
             aim,
-            stage: Stage::Read,
-            silent: false,
-            crowded: false,
             query,
+            ..Request::default()
         };
         let id = request.query.id.clone();
         self.held.push(id.clone());
@@ -361,7 +378,6 @@
         self.advance(&id, out);
     }
 
-    /// This router's part of a customer's quota, as a bucket of one second.
     fn over_quota(&mut self, tenant: usize) -> bool {
         let Some(quota) = self.settings.tenants.get(tenant) else { return false };
         let per_s = quota.quota_per_s / self.routers;
@@ -467,7 +483,6 @@
         self.advance(id, out);
     }
 
-    /// Notes where a session's prompt was read.
     fn keep(&mut self, id: &Id, w: usize) {
         let Some(request) = self.requests.get(id) else { return };
         let (session, tokens) = (request.query.session.clone(), request.query.prompt_tokens);
@@ -528,6 +543,7 @@
         worker.tokens += tokens;
         worker.pending = worker.pending.or(Some(now));
         worker.silent += 1;
+        worker.holds += 1.0;
         if let Some(gap) = gap {
             worker.cold_next = now + gap;
         }
@@ -595,9 +611,8 @@
         &self.settings.classes[request.query.class]
     }
 
-    /// Held for so long that it is given up, against a backlog that is served late whole: what it would take
-    /// is worth more to those that can still be in time. Beyond its customer's quota that comes early. Also
-    /// for lost workers and bursts; harms where late answers are worth much and few others wait.
+    /// Held for so long that it is given up, against a backlog that is served late whole. Beyond its customer's
+    /// quota that comes early. Harms where late answers are worth much and few others wait.
     fn hopeless(&self, r: &Request) -> bool {
         let patience = (r.deadline - r.arrived) as f64 * SURPLUS_SHARE;
         let little = r.over_quota && self.settings.over_share_worth < 1.0;
@@ -626,7 +641,7 @@
     // Leaving: shortest prompt first, starved ones ahead, one at a time.
 
     fn release(&mut self, out: &mut Vec<Action>) {
-        if self.held.is_empty() || self.stalled() {
+        if self.held.is_empty() {
             return;
         }
         let line = |id: &Id| {
@@ -649,26 +664,21 @@
         for (_, _, arrived, id) in order {
             let Some(request) = self.requests.get(&id) else { continue };
             let Some(w) = self.place(request) else { continue };
+            if self.asks() && self.workers[w].role == Stage::Read && self.known(w).is_none() {
+                if !std::mem::replace(&mut self.workers[w].asked, true) {
+                    out.push(Action::Probe { worker: self.workers[w].id.clone() });
+                }
+                continue;
+            }
             if self.send(&id, w, out) {
                 self.held.retain(|h| *h != id);
                 if Some(&id) == ahead.as_ref() && self.now > arrived + STARVED / 4 {
                     self.promoted = self.now;
                 }
-                if self.stalled() {
-                    return;
-                }
             }
         }
     }
 
-    /// No held request can leave, whichever it is: to look for a place for each, at each event, costs a
-    /// router with a backlog more than its share of a core, and all that it answers comes late.
-    fn stalled(&self) -> bool {
-        let readers: Vec<usize> = self.listed(Stage::Read).filter(|&w| self.healthy(w)).collect();
-        let whole = self.settings.self_prefill || self.listed(Stage::Whole).next().is_some();
-        !whole && self.part_full(&readers, Stage::Read)
-    }
-
     /// The worker with which a held request leaves now, if any.
     fn place(&self, request: &Request) -> Option<usize> {
         let two_stages = request.attempts + 2 <= self.settings.max_attempts;
@@ -682,7 +692,6 @@
         let full = self.part_full(&writers, Stage::Write);
         let writer = writers.into_iter().filter(room).min_by_key(|&w| self.workers[w].streams);
         let writer = writer.filter(|_| !full && (coming == 0 || spare >= f64::from(coming + 1)));
-        // A long read would stall every stream of a mixed server: such prompts go to readers.
         let readers = self.candidates(request, Stage::Read);
         let no_readers = readers.is_empty();
         let short = |w: &usize| no_readers || self.cost(&request.query, *w) <= LONG_READ;
@@ -691,8 +700,11 @@
         let mut mixed = self.candidates(request, Stage::Whole);
         mixed.retain(short);
         let mixed = if self.part_full(&mixed, Stage::Whole) { None } else { home(mixed) };
-        let read_full = self.part_full(&readers, Stage::Read);
-        let reader = if two_stages && !read_full { home(readers) } else { None };
+        let reader = match two_stages && !self.part_full(&readers, Stage::Read) {
+            true if self.asks() => self.least_full(request, readers),
+            true => home(readers),
+            false => None,
+        };
         match (reader, writer, mixed) {
             (Some(r), Some(_), _) if Some(r) == last => Some(r),
             (_, _, Some(m)) if Some(m) == last => Some(m),
@@ -705,8 +717,7 @@
             }
             (Some(r), Some(_), None) => Some(r),
             (_, _, Some(m)) => Some(m),
-            // Readers are gone, or so full that the aim is at risk: a writer that can read by itself
-            // takes a short prompt whole.
+            // Readers are gone or full: a writer that can read by itself takes a short prompt whole.
             (None, Some(_), None) if self.settings.self_prefill => {
                 let waited = self.now - request.arrived > self.class(request).aim / 4;
                 let mut able = self.candidates(request, Stage::Write);
@@ -717,9 +728,17 @@
         }
     }
 
-    /// Workers in the order in which a prefix hashes to them. Many routers see a session's turns at one
-    /// each: by its hash they meet at one of the prefix's homes. What a session's last prompt left at the
-    /// server that read it outweighs the prefix: its next turn goes there, wherever the last had to go.
+    /// The first home that is not known to be full, else the least full of those that were asked.
+    fn least_full(&self, request: &Request, readers: Vec<usize>) -> Option<usize> {
+        let full = |w: usize| self.known(w).unwrap_or(0.0);
+        let room = |&w: &usize| self.has_room(w, request) && full(w) < READ_SLOTS;
+        let all: Vec<usize> = self.homes(request, readers).into_iter().filter(room).take(ASK_MOST).collect();
+        let first = all.iter().copied().find(|&w| full(w) < WAIT_SLOTS);
+        first.or_else(|| all.into_iter().min_by(|&a, &b| full(a).total_cmp(&full(b))))
+    }
+
+    /// Workers in the order in which a prefix hashes to them, the one that read the session's last prompt first.
+    /// Many routers see a session's turns at one each: by its hash they meet at one of the prefix's homes.
     fn homes(&self, request: &Request, mut all: Vec<usize>) -> Vec<usize> {
         let session = hash(&request.query.session, 2);
         let score = |w: usize, key: u64| std::cmp::Reverse(mix(self.workers[w].hash ^ key));
@@ -746,7 +765,6 @@
         writers.into_iter().chain(mixed).min_by_key(rank)
     }
 
-    /// Order of writers for a state at this reader, before anything that changes by the moment.
     fn nearness(&self, request: &Request, at: usize) -> impl Fn(&Worker) -> (bool, bool, u64) + '_ {
         let at = &self.workers[at];
         let draw = if self.many() { hash(&request.query.id, self.seed) } else { self.seed };
@@ -758,9 +776,7 @@
     }
 
     /// Share of what it reads that each cell's own writers can take. Many routers have no stream at most
-    /// writers, so that the tie to the reader's cell decides: a cell with many readers would pile all that
-    /// they read on its few writers. Also for a cell that lost writers; crosses cells more than it must
-    /// where other cells are slow.
+    /// writers, so that a cell with many readers would pile all that they read on its few writers.
     fn cell_shares(&self) -> BTreeMap<u64, f64> {
         let mut cells: BTreeMap<u64, [f64; 3]> = BTreeMap::new();
         for v in self.workers.iter().filter(|v| v.up) {
@@ -775,9 +791,8 @@
     /// what waits there: else a router always finds one more worker that it has nothing out at.
     fn part_full(&self, peers: &[usize], stage: Stage) -> bool {
         let waits: u32 = peers.iter().map(|&w| self.workers[w].silent).sum();
-        let parts = self.part(READ_SLOTS) * peers.len() as f64 * self.parts[stage as usize];
-        let over = waits > 0 && f64::from(waits + 1) > parts;
-        self.many() && (over || self.now < self.ready[stage as usize])
+        let over = waits > 0 && f64::from(waits + 1) > self.part(READ_SLOTS) * peers.len() as f64;
+        self.many() && !self.asks() && (over || self.now < self.ready[stage as usize])
     }
 
     /// Under the own cap, in number and in tokens; an empty worker always has room for one.
@@ -787,7 +802,6 @@
         self.now >= worker.rest && (empty || self.spare(w, request) >= 1.0)
     }
 
-    /// This router's part of what all routers together should have out.
     fn part(&self, all: f64) -> f64 {
         all / self.routers
     }
@@ -797,7 +811,6 @@
         self.part(READ_SLOTS) < 1.0
     }
 
-    /// How many requests like this one fit under the own caps.
     fn spare(&self, w: usize, request: &Request) -> f64 {
         let worker = &self.workers[w];
         let slots = [READ_SLOTS, WRITE_SLOTS, MIXED_SLOTS][worker.role as usize];
@@ -864,9 +877,7 @@
     }
 
     /// Some workers of this zone failed one after another and none answered: rather the zone's network or
-    /// power than each of them. Their own breakers take many requests of each router to find that out,
-    /// and then try each worker again by itself. One trial at a time is for all of the zone. Also for a
-    /// lost rack or a zone that hangs; harms when several there fail by chance between two answers.
+    /// power than each of them. One trial at a time is for all of the zone.
     fn cut_off(&self, zone: &usize) -> bool {
         self.zones.get(zone).is_some_and(|z| z.failed.len() >= ZONE_TRIP && self.now < z.next)
     }
@@ -876,7 +887,6 @@
         (span as f64 * (0.5 + share_of(mix(self.workers[w].hash ^ self.seed ^ self.now)))) as Micros
     }
 
-    /// The next trial in a zone that failed.
     fn await_zone(&mut self, w: usize) {
         let (now, spread) = (self.now, self.spread(OPEN_FIRST, w));
         let zone = self.zones.entry(self.workers[w].zone).or_default();
@@ -901,7 +911,6 @@
         (self.pace[stage as usize] * (tokens as f64 + FIXED_TOKENS) * times) as Micros
     }
 
-    /// Blends a time into the stage's pace.
     fn sample(&mut self, stage: Stage, elapsed: Micros, tokens: u64) {
         let usual = &mut self.pace[stage as usize];
         *usual += (elapsed as f64 / (tokens as f64 + FIXED_TOKENS) - *usual) * BLEND;
@@ -920,28 +929,23 @@
         self.heard(w);
     }
 
-    /// Parts of less than one request are kept in time. A role whose parts together are below one rests
-    /// after each wait until, on average, no more of this router's wait there than its part; a single worker
-    /// rests where the wait cost much of the aim. Long is measured by the aim: the usual grows with a jam and
-    /// would hold nothing back. The role counts twice the usual at most: one that hangs is not the role. Also
-    /// for a hot home and a slow worker; leaves room unused where few routers are left to use it.
+    /// Parts of less than one request are kept in time. A worker rests where the wait cost much of the aim; for
+    /// routers that can't ask, a role whose parts together are below one rests after each wait until, on
+    /// average, no more of this router's wait there than its part: by twice the usual wait at most.
     fn ease(&mut self, w: usize, elapsed: Micros) {
         if !self.many() {
             return;
         }
         let role = self.workers[w].role;
-        let peers = self.workers.iter().filter(|v| v.up && v.role == role).count();
+        let peers = self.listed(role).count();
         let rest = |t: Micros, part: f64| REST_MOST.min((t as f64 * (1.0 / part - 1.0).max(0.0)) as Micros);
         let usual = elapsed.min(self.patience(role, 2_000, 2.0));
         let one = self.now + rest(elapsed, self.part(READ_SLOTS));
         let aim = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0);
         let long = elapsed as f64 > aim as f64 * REST_AIM;
-        let parts = &mut self.parts[role as usize];
-        *parts = (*parts * if long { 0.5 } else { 1.0 + PART_GROWS }).clamp(1.0, PART_MOST);
-        let parts = *parts * peers as f64;
-        let all = self.now + rest(usual, self.part(WAIT_SLOTS) * parts);
+        let all = self.now + rest(usual, self.part(WAIT_SLOTS) * peers as f64);
         let worker = &mut self.workers[w];
-        if worker.fails < TRIP {
+        if worker.fails < TRIP && !self.settings.may_probe {
             self.ready[role as usize] = self.ready[role as usize].max(all);
         }
         if long {
@@ -994,14 +998,14 @@
     }
 
     /// Where parts are below one request, a router's time between sends to a cold worker is longer than it
-    /// stays cold: together they sent it a tenth of what they may, and the warm ones drowned. There, of what
-    /// it would get if it were warm the same share goes at once, whatever this router has measured: of what
-    /// has just come, as all that is held would come together, and no overflow, which has no bound.
+    /// stays cold. There, of what it would get if it were warm, a share goes at once: of what has just come, as
+    /// all that is held would come together, and no overflow, which has no bound.
     fn warms(&self, request: &Request, w: usize) -> bool {
         let share = self.settings.cold_from * self.settings.fall_multiple * COLD_SHARE;
         let worker = &self.workers[w];
         let drawn = share_of(hash(&request.query.session, worker.hash)) < share;
-        if !self.many() || self.now > request.since || !drawn {
+        let wait = if self.asks() { SAID_FOR } else { 0 };
+        if !self.many() || self.now > request.since + wait || !drawn {
             return false;
         }
         let first = match request.state {
@@ -1046,7 +1050,6 @@
     }
 }
 
-/// The stage that a role is there for.
 fn stage_of(role: Role) -> Stage {
     match role {
         Role::Read => Stage::Read,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -136,6 +136,8 @@
     pub slots: Option<f64>,
     /// Requests that wait.
     pub queued: Option<f64>,
+    /// Requests that it holds, states that wait to be fetched among them.
+    pub outstanding: Option<f64>,
 }
 
 /// A class of requests.
@@ -222,7 +224,7 @@
 }
 
 /// A client's request.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Default, Clone, Debug, PartialEq)]
 pub struct Query {
     /// Its id; a client's next try has a fresh one.
     pub id: Id,
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -244,5 +244,6 @@
         waiting_ktokens: column("x1"),
         slots: column("utilization"),
         queued: column("backlog"),
+        outstanding: column("outstanding").or_else(|| column("inflight")),
     })
 }
