--- a/src/brain.rs
+++ b/src/brain.rs
@@ -611,7 +611,7 @@
         &self.settings.classes[request.query.class]
     }
 
-    /// Held for so long that it is given up, against a backlog that is served late whole. Beyond its customer's
+    /// Held for so long that it is given up, against a backlog that is served late whole. Beyond its tenant's
     /// quota that comes early. Harms where late answers are worth much and few others wait.
     fn hopeless(&self, r: &Request) -> bool {
         let patience = (r.deadline - r.arrived) as f64 * SURPLUS_SHARE;
@@ -737,7 +737,7 @@
         first.or_else(|| all.into_iter().min_by(|&a, &b| full(a).total_cmp(&full(b))))
     }
 
-    /// Workers in the order in which a prefix hashes to them, the one that read the session's last prompt first.
+    /// Workers in the order in which a prefix hashes to them, the one with the session's last prompt first.
     /// Many routers see a session's turns at one each: by its hash they meet at one of the prefix's homes.
     fn homes(&self, request: &Request, mut all: Vec<usize>) -> Vec<usize> {
         let session = hash(&request.query.session, 2);
@@ -929,8 +929,8 @@
         self.heard(w);
     }
 
-    /// Parts of less than one request are kept in time. A worker rests where the wait cost much of the aim; for
-    /// routers that can't ask, a role whose parts together are below one rests after each wait until, on
+    /// Parts of less than one request are kept in time. A worker rests where the wait cost much of the aim;
+    /// for routers that can't ask, a role whose parts together are below one rests after each wait until, on
     /// average, no more of this router's wait there than its part: by twice the usual wait at most.
     fn ease(&mut self, w: usize, elapsed: Micros) {
         if !self.many() {
@@ -998,8 +998,8 @@
     }
 
     /// Where parts are below one request, a router's time between sends to a cold worker is longer than it
-    /// stays cold. There, of what it would get if it were warm, a share goes at once: of what has just come, as
-    /// all that is held would come together, and no overflow, which has no bound.
+    /// stays cold. There, of what it would get if it were warm, a share goes at once: of what has just come,
+    /// as all that is held would come together, and no overflow, which has no bound.
     fn warms(&self, request: &Request, w: usize) -> bool {
         let share = self.settings.cold_from * self.settings.fall_multiple * COLD_SHARE;
         let worker = &self.workers[w];
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -286,7 +286,7 @@
     }
 }
 
-/// Unless they can ask, routers that have a hundredth of the traffic each pile all of one prefix on its homes.
+/// Unless they can ask, routers with a hundredth of the traffic each pile all of one prefix on its homes.
 #[test]
 fn routers_that_ask_spread_one_prefix_over_as_many_readers_as_it_takes() {
     let most = |settings: &Settings| {
