--- a/daemon/tests/connection.rs
+++ b/daemon/tests/connection.rs
@@ -254,3 +254,18 @@
     assert_eq!(attempt(&upstream(&[("box", 0, address)])).await, Outcome::NoConnection);
     assert_eq!(attempt(&upstream(&[])).await, Outcome::NoConnection, "an address that was never told");
 }
+
+/// A probe tells what the box holds, and its connection serves the request that it was for at once: a second
+/// one would cost the box a handshake for each read, and boxes take few.
+#[tokio::test]
+async fn the_request_behind_a_probe_goes_out_on_the_probes_connection() {
+    let stand_in = StandIn::start(READ).await;
+    let upstream = upstream_that_settles(&[("box", 0, stand_in.address)], Duration::from_secs(5));
+    stand_in.next(Does::Says(200, false, "{\"inflight\":3,\"x0\":0.5}"));
+    let (outcome, load) = upstream.probe(&Id::from("box")).await;
+    assert_eq!((outcome, load.and_then(|l| l.outstanding)), (Outcome::Served, Some(3.0)));
+    assert_eq!(attempt(&upstream).await, Outcome::ReadDone);
+    assert_eq!(*stand_in.accepted.lock().unwrap(), 1);
+    assert_eq!(attempt(&upstream).await, Outcome::ReadDone);
+    assert_eq!(*stand_in.accepted.lock().unwrap(), 2, "a read's own answer is left alone first");
+}
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -333,6 +333,11 @@
 }
 
 pub fn upstream(boxes: &[(&str, usize, SocketAddr)]) -> Upstream {
+    upstream_that_settles(boxes, Duration::ZERO)
+}
+
+/// One that leaves connections alone for so long after an answer.
+pub fn upstream_that_settles(boxes: &[(&str, usize, SocketAddr)], settle: Duration) -> Upstream {
     let book = Arc::new(Book::default());
     for (name, _, address) in boxes {
         book.set(Id::from(*name), *address);
@@ -341,7 +346,7 @@
         connections: 16,
         connect_timeout: Duration::from_millis(250),
         conn_idle: Duration::from_secs(30),
-        settle: Duration::ZERO,
+        settle,
         stale_within: Duration::from_secs(5),
     };
     Upstream::new(book, limits)
