Count a state's time from its read, and ask the next box beside one that is silent

Ruled out: long waits with an attempt written (NoAnswer 0.7 to 3.8 s, 30 requests) broke nothing; their time begins anew. Lines at fault: brain.rs result() set request.since at every outcome and advance() counted release / 2 from it, also where no box had been reached; core/src/release.rs asked box by box, last sent to first; owner.rs called a release off with every Send, also where that Send found nobody either. Change: a state's time begins with its read and with attempts that reached a box (brain.rs); it is dropped after release / 2. The next box is asked beside a silent one after release / 10; the order is core/src/standing.rs, pure: heard last first, silent last, zones in turn. After an attempt that reached nobody the next one waits for the release, release / 2 at most. A read that failed with nothing held asks for no release.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -15,6 +15,7 @@
 mod owner;
 mod release;
 mod request;
+mod standing;
 mod traits;
 
 pub use clock::Clock;
--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -1,11 +1,11 @@
 //! The task that owns the decisions, and the handle by which others speak to it.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
-use frosttrail::{Facade, Health, Id, ListForm, Load, Outcome, Query, Report, Settings, Verdict, Verdicts};
+use frosttrail::{Facade, Id, Load, Outcome, Query, Report, Settings, Verdict, Verdicts};
 use slog::{debug, info, Logger};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::AbortHandle;
@@ -13,19 +13,32 @@
 
 use crate::clock::Clock;
 use crate::release::release;
+use crate::standing::Standing;
 use crate::traits::{Boxes, MemberList, News};
 
 /// How long a release is tried beyond the settings' time: a box that was cut off still holds the state.
 const RELEASE_MORE: Duration = Duration::from_secs(4);
+/// Share of the settings' time after which the next box is asked beside one that has not answered.
+const RELEASE_PACE: u32 = 10;
+/// Share of it that the request's next attempt waits for a release to end.
+const RELEASE_WAIT: u32 = 2;
 
 /// Tells calls apart, also where two name the same id: the second is turned down, and what it says must
 /// not touch the first.
 pub(crate) type Ticket = u64;
 
+/// A verdict as its request gets it.
+#[derive(Debug)]
+pub(crate) struct Order {
+    pub(crate) verdict: Verdict,
+    /// Resolves once the release before it has ended.
+    pub(crate) after: Option<oneshot::Receiver<()>>,
+}
+
 /// What the owner is told.
 pub(crate) enum Message {
     /// A request has come; its verdicts go to the sender, which is dropped if the id is taken.
-    Pick(Query, Ticket, mpsc::UnboundedSender<Verdict>),
+    Pick(Query, Ticket, mpsc::UnboundedSender<Order>),
     /// Something became of a request.
     Report(Id, Ticket, Report),
     News(News),
@@ -59,6 +72,8 @@
     pub(crate) tell: mpsc::UnboundedSender<Message>,
     pub(crate) boxes: Arc<B>,
     pub(crate) clock: Clock,
+    /// How long an attempt waits for the release before it.
+    pub(crate) release_wait: Duration,
     tickets: Arc<AtomicU64>,
     able: watch::Receiver<bool>,
     releases: TaskTracker,
@@ -70,6 +85,7 @@
             tell: self.tell.clone(),
             boxes: self.boxes.clone(),
             clock: self.clock,
+            release_wait: self.release_wait,
             tickets: self.tickets.clone(),
             able: self.able.clone(),
             releases: self.releases.clone(),
@@ -122,17 +138,17 @@
     let (tell, inbox) = mpsc::unbounded_channel();
     let (able_tx, able) = watch::channel(false);
     let releases = TaskTracker::new();
-    let within = Duration::from_micros(settings.release) + RELEASE_MORE;
+    let release = Duration::from_micros(settings.release);
     let owner = Owner {
         facade: Facade::new(settings, seed),
         clock,
         boxes: boxes.clone(),
         tell: tell.downgrade(),
         seats: HashMap::new(),
-        up: BTreeSet::new(),
+        standing: Standing::default(),
         able: able_tx,
         releases: releases.clone(),
-        within,
+        release,
         log,
     };
     tokio::spawn(owner.run(inbox));
@@ -144,16 +160,29 @@
             let _ = tell.send(Message::News(next));
         }
     });
-    Conductor { tell, boxes, clock, tickets: Arc::default(), able, releases }
+    let release_wait = release / RELEASE_WAIT;
+    Conductor { tell, boxes, clock, release_wait, tickets: Arc::default(), able, releases }
 }
 
 /// A request that is open: where its verdicts go, and the boxes it went to, latest first.
 struct Seat {
     ticket: Ticket,
-    verdicts: mpsc::UnboundedSender<Verdict>,
+    verdicts: mpsc::UnboundedSender<Order>,
     sent_to: Vec<Id>,
-    /// The release that is under way, if one is.
-    release: Option<AbortHandle>,
+    /// How the last attempt ended.
+    last: Option<Outcome>,
+    /// The release that is under way, if one is, and what waits for its end.
+    release: Option<(AbortHandle, Option<oneshot::Receiver<()>>)>,
+}
+
+impl Seat {
+    /// A release that is late would take the state of the attempt that has just ended well. What it was for
+    /// goes with the first event, or with the release that follows.
+    fn call_off_release(&mut self) {
+        if let Some((release, _)) = self.release.take() {
+            release.abort();
+        }
+    }
 }
 
 struct Owner<B> {
@@ -162,11 +191,12 @@
     boxes: Arc<B>,
     tell: mpsc::WeakUnboundedSender<Message>,
     seats: HashMap<Id, Seat>,
-    /// Members that run, for releases.
-    up: BTreeSet<Id>,
+    /// The members, for releases.
+    standing: Standing,
     able: watch::Sender<bool>,
     releases: TaskTracker,
-    within: Duration,
+    /// The settings' time for what is held.
+    release: Duration,
     log: Logger,
 }
 
@@ -202,12 +232,23 @@
                 debug!(self.log, "request"; "id" => %id, "class" => query.class, "budget" => query.budget,
                     "tokens" => query.prompt_tokens, "again" => query.resent);
                 let Some(picked) = self.facade.pick(now, query) else { return };
-                self.seats.insert(id, Seat { ticket, verdicts, sent_to: Vec::new(), release: None });
+                self.seats
+                    .insert(id, Seat { ticket, verdicts, sent_to: Vec::new(), release: None, last: None });
                 picked
             }
             Message::Report(id, ticket, report) => {
-                if self.seats.get(&id).is_none_or(|seat| seat.ticket != ticket) {
-                    return;
+                let Some(seat) = self.seats.get_mut(&id).filter(|seat| seat.ticket == ticket) else { return };
+                let outcome = match &report {
+                    Report::Started => Outcome::Served,
+                    Report::Ended { outcome, .. } => *outcome,
+                    Report::Left => Outcome::CalledOff,
+                };
+                if let Some(worker) = seat.sent_to.first() {
+                    self.standing.told(worker, outcome, now);
+                }
+                seat.last = Some(outcome);
+                if matches!(outcome, Outcome::Served | Outcome::ReadDone) {
+                    seat.call_off_release();
                 }
                 debug!(self.log, "report"; "id" => %id, "is" => ?report);
                 let left = report == Report::Left;
@@ -219,7 +260,10 @@
                 }
                 return;
             }
-            Message::Probed(worker, outcome, load) => self.facade.probed(now, worker, outcome, load),
+            Message::Probed(worker, outcome, load) => {
+                self.standing.told(&worker, outcome, now);
+                self.facade.probed(now, worker, outcome, load)
+            }
             Message::News(news) => self.news(news),
             Message::Close => self.facade.close(now),
             Message::Share(part) => self.facade.share(now, part),
@@ -233,19 +277,14 @@
 
     fn news(&mut self, news: News) -> Verdicts {
         let News { form, entries } = news;
-        if matches!(form, ListForm::Full | ListForm::WarmCopy) {
-            self.up.clear();
-        }
         for entry in &entries {
             debug!(self.log, "member"; "is" => ?entry);
-            match entry.health {
-                Health::Gone => self.up.remove(&entry.worker),
-                Health::Up | Health::Draining => self.up.insert(entry.worker.clone()),
-            };
         }
-        info!(self.log, "members"; "form" => ?form, "entries" => entries.len(), "up" => self.up.len());
+        self.standing.members(form, &entries);
+        let up = self.standing.count();
+        info!(self.log, "members"; "form" => ?form, "entries" => entries.len(), "up" => up);
         let verdicts = self.facade.members(self.clock.now(), form, entries);
-        self.able.send_replace(!self.up.is_empty());
+        self.able.send_replace(up > 0);
         verdicts
     }
 
@@ -259,40 +298,47 @@
         for (id, verdict) in verdicts.requests {
             debug!(self.log, "verdict"; "id" => %id, "is" => ?verdict);
             let Some(seat) = self.seats.get_mut(&id) else { continue };
-            match verdict {
+            let after = match verdict {
                 Verdict::Release => {
-                    let order = seat.sent_to.clone();
-                    let release = self.release(id.clone(), order);
+                    seat.call_off_release();
+                    let sent_to = seat.sent_to.clone();
+                    let release = self.release(id.clone(), &sent_to);
                     if let Some(seat) = self.seats.get_mut(&id) {
                         seat.release = Some(release);
                     }
                     continue;
                 }
                 Verdict::Send { ref worker, .. } => {
-                    // A release that is late would take the new attempt's state. What it was for goes with
-                    // the first event, or with the release that follows on this attempt.
-                    if let Some(release) = seat.release.take() {
-                        release.abort();
-                    }
                     seat.sent_to.insert(0, worker.clone());
+                    if !matches!(seat.last, Some(Outcome::NoConnection | Outcome::ReadDone)) {
+                        // Held from now on only; the next release sees to it, if the first event does not. A
+                        // box may pass a release on to others, where it would meet the new attempt.
+                        seat.call_off_release();
+                    }
+                    // No box has heard of the request for a while: what is held must not wait for longer.
+                    seat.release.as_mut().and_then(|release| release.1.take())
                 }
-                _ => {}
-            }
+                _ => None,
+            };
             // A request that has just gone says so itself, in a message that lies in the inbox.
-            let _ = seat.verdicts.send(verdict);
+            let _ = seat.verdicts.send(Order { verdict, after });
         }
     }
 
-    fn release(&self, id: Id, mut order: Vec<Id>) -> AbortHandle {
-        let others = self.up.iter().filter(|w| !order.contains(w)).cloned().collect::<Vec<_>>();
-        order.extend(others);
-        let (boxes, within, log) = (self.boxes.clone(), self.within, self.log.clone());
+    fn release(&self, id: Id, sent_to: &[Id]) -> (AbortHandle, Option<oneshot::Receiver<()>>) {
+        let order = self.standing.order(sent_to);
+        let (boxes, log, time) = (self.boxes.clone(), self.log.clone(), self.release);
+        let (ended, end) = oneshot::channel();
         let task = self.releases.spawn(async move {
-            if !release(boxes, id.clone(), order, within).await {
-                info!(log, "a release reached no box"; "id" => %id);
+            let _ended: oneshot::Sender<()> = ended;
+            let begin = tokio::time::Instant::now();
+            let pace = time / RELEASE_PACE;
+            match release(boxes, id.clone(), order, pace, time + RELEASE_MORE).await {
+                Some(by) => debug!(log, "released"; "id" => %id, "by" => %by, "after" => ?begin.elapsed()),
+                None => info!(log, "a release reached no box"; "id" => %id),
             }
         });
-        task.abort_handle()
+        (task.abort_handle(), Some(end))
     }
 
     fn probe(&self, worker: Id) {
--- a/core/src/release.rs
+++ b/core/src/release.rs
@@ -4,28 +4,49 @@
 use std::time::Duration;
 
 use frosttrail::Id;
-use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio::task::JoinSet;
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 use crate::traits::Boxes;
 
-/// One box has this long to take the call: a cut-off one must not use up the time of the rule.
+/// One box has this long to take the call.
 const EACH: Duration = Duration::from_millis(200);
-/// Between rounds over all boxes.
-const PAUSE: Duration = Duration::from_millis(20);
+/// So many boxes are asked at once at most.
+const AT_ONCE: usize = 4;
+/// After one that said no.
+const PAUSE: Duration = Duration::from_millis(5);
 
-/// Calls boxes in turn until one has taken the release, or `within` has passed. Any box can let go of all
-/// that is held for a request, wherever it is; those it was sent to come first. True if it arrived.
-pub(crate) async fn release<B: Boxes>(boxes: Arc<B>, id: Id, order: Vec<Id>, within: Duration) -> bool {
+/// Calls boxes until one has taken the release, or `within` has passed; gives that one. Any box can let go
+/// of all that is held for a request, wherever it is. One that has not answered within `pace` keeps its time,
+/// and the next is asked beside it: a zone that is silent must not use up the time of the rule.
+pub(crate) async fn release<B: Boxes>(
+    boxes: Arc<B>,
+    id: Id,
+    order: Vec<Id>,
+    pace: Duration,
+    within: Duration,
+) -> Option<Id> {
     let end = Instant::now() + within;
     let rounds = async {
+        let (mut turn, mut due) = (order.into_iter().cycle(), Instant::now());
+        let mut calls = JoinSet::new();
         loop {
-            for worker in &order {
-                if timeout(EACH, boxes.release(worker, &id)).await == Ok(true) {
-                    return true;
+            tokio::select! {
+                biased;
+                Some(taken) = calls.join_next() => match taken {
+                    Ok(Some(worker)) => return Some(worker),
+                    _ => due = due.min(Instant::now() + PAUSE),
+                },
+                () = sleep_until(due), if calls.len() < AT_ONCE => {
+                    let (worker, id, boxes) = (turn.next()?, id.clone(), boxes.clone());
+                    calls.spawn(async move {
+                        let taken = timeout(EACH, boxes.release(&worker, &id)).await == Ok(true);
+                        taken.then_some(worker)
+                    });
+                    due = Instant::now() + pace;
                 }
             }
-            sleep(PAUSE).await;
         }
     };
-    timeout_at(end, rounds).await.unwrap_or(false)
+    timeout_at(end, rounds).await.unwrap_or(None)
 }
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -7,9 +7,10 @@
 
 use bytes::Bytes;
 use frosttrail::{Id, Load, Micros, Outcome, Query, Report, Verdict};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
 
-use crate::owner::{Conductor, Message, Ticket};
+use crate::owner::{Conductor, Message, Order, Ticket};
 use crate::traits::{Boxes, Events, Reply, Step};
 
 /// A stream that says nothing for this long has lost its box: a machine that vanished ends no
@@ -63,7 +64,7 @@
 struct Seat {
     id: Id,
     ticket: Ticket,
-    verdicts: mpsc::UnboundedReceiver<Verdict>,
+    verdicts: mpsc::UnboundedReceiver<Order>,
     tell: mpsc::UnboundedSender<Message>,
 }
 
@@ -90,7 +91,7 @@
     /// The outcome has been reported; more verdicts follow.
     Again(Outcome),
     /// The decisions have ended it while it was out.
-    Verdict(Verdict),
+    Order(Order),
 }
 
 impl<B: Boxes> Conductor<B> {
@@ -107,12 +108,12 @@
             return Err(CallError::IdInUse);
         }
         let mut last = None;
-        while let Some(verdict) = next {
+        while let Some(Order { verdict, after }) = next {
             next = match verdict {
                 Verdict::Send { worker, stop_at } => {
-                    match self.attempt(&mut seat, &worker, stop_at, &call).await {
+                    match self.attempt(&mut seat, &worker, stop_at, after, &call).await {
                         Next::Stream(events) => return Ok(Answer::Served(AnswerStream::new(seat, events))),
-                        Next::Verdict(verdict) => Some(verdict),
+                        Next::Order(order) => Some(order),
                         Next::Again(outcome) => {
                             last = Some(outcome);
                             seat.verdicts.recv().await
@@ -130,23 +131,34 @@
         Ok(Answer::Failed { last })
     }
 
-    /// One attempt, until it ends, by its time at the latest, or the decisions end it.
+    /// One attempt, until it ends, by its time at the latest, or the decisions end it. What was held for the
+    /// request before is let go first: a late release would take what this attempt leaves.
     async fn attempt(
         &self,
         seat: &mut Seat,
         worker: &Id,
         stop_at: Micros,
+        after: Option<oneshot::Receiver<()>>,
         call: &B::Call,
     ) -> Next<B::Events> {
-        let wait = Duration::from_micros(stop_at.saturating_sub(self.clock.now()));
         let reply = {
             let id = seat.id.clone();
+            let attempt = async {
+                if let Some(released) = after {
+                    // An error is an end too: the task that has it has gone.
+                    let _ = timeout(self.release_wait, released).await;
+                }
+                let wait = Duration::from_micros(stop_at.saturating_sub(self.clock.now()));
+                self.boxes.attempt(worker, &id, call, wait).await
+            };
             tokio::select! {
                 biased;
-                reply = self.boxes.attempt(worker, &id, call, wait) => reply,
-                verdict = seat.verdicts.recv() => match verdict {
-                    None | Some(Verdict::Cancel) => Reply::Ended(Outcome::CalledOff, None),
-                    Some(verdict) => return Next::Verdict(verdict),
+                reply = attempt => reply,
+                order = seat.verdicts.recv() => match order {
+                    None | Some(Order { verdict: Verdict::Cancel, .. }) => {
+                        Reply::Ended(Outcome::CalledOff, None)
+                    }
+                    Some(order) => return Next::Order(order),
                 },
             }
         };
@@ -184,7 +196,10 @@
     /// The next events; `None` at the end.
     pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
         let Some(seat) = &mut self.seat else { return Poll::Ready(None) };
-        let moved = matches!(seat.verdicts.poll_recv(cx), Poll::Ready(None | Some(Verdict::Move)));
+        let moved = matches!(
+            seat.verdicts.poll_recv(cx),
+            Poll::Ready(None | Some(Order { verdict: Verdict::Move, .. }))
+        );
         let step = match self.events.poll_step(cx) {
             Poll::Ready(step) => step,
             Poll::Pending if moved => Step::Broken(Outcome::CalledOff),
--- /dev/null
+++ b/core/tests/held.rs
@@ -0,0 +1,237 @@
+//! Whatever boxes do not answer: a state that was read is taken by an attempt that reaches a box, or a
+//! release has reached one that runs, within the settings' time and what sockets add to it. Truth is counted at the
+//! boxes; time is paused.
+
+use std::collections::HashMap;
+use std::future::{pending, poll_fn, Future};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use frosttrail::{Entry, Health, Id, ListForm, Load, Outcome, Query, Role, Settings};
+use frosttrail_core::{start, Answer, Boxes, Clock, Events, MemberList, News, Parts, Reply, Request, Step};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use tokio::time::{sleep, timeout, Instant};
+
+/// What sockets add to the settings' time, and a little for the calls themselves.
+const ADDED: Duration = Duration::from_millis(300);
+const CONNECT: Duration = Duration::from_millis(250);
+const NAMES: [&str; 8] = ["r1", "r2", "r3", "r4", "w1", "w2", "w3", "w4"];
+
+/// How a box is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Is {
+    Well,
+    /// Takes a state, then turns the request away.
+    Full,
+    /// New connections never come up.
+    Gone,
+    /// New connections are refused.
+    Down,
+    /// Takes requests and answers none.
+    Mute,
+}
+
+impl Arbitrary for Is {
+    fn arbitrary(g: &mut Gen) -> Self {
+        *g.choose(&[Is::Well, Is::Full, Is::Gone, Is::Gone, Is::Gone, Is::Down, Is::Mute]).unwrap()
+    }
+}
+
+#[derive(Default)]
+struct World {
+    are: HashMap<Id, Is>,
+    /// Since when a state waits that no attempt has.
+    held: Option<Instant>,
+    worst: Duration,
+    reads: u32,
+}
+
+impl World {
+    fn taken(&mut self) -> bool {
+        let since = self.held.take();
+        self.worst = self.worst.max(since.map_or(Duration::ZERO, |at| at.elapsed()));
+        since.is_some()
+    }
+}
+
+#[derive(Clone, Default)]
+struct Table(Arc<Mutex<World>>);
+
+impl Table {
+    fn with<T>(&self, f: impl FnOnce(&mut World) -> T) -> T {
+        f(&mut self.0.lock().unwrap())
+    }
+
+    fn is(&self, worker: &Id) -> Is {
+        self.with(|w| w.are[worker])
+    }
+}
+
+struct Over;
+
+impl Events for Over {
+    fn poll_step(&mut self, _: &mut Context<'_>) -> Poll<Step> {
+        Poll::Ready(Step::End)
+    }
+}
+
+impl Boxes for Table {
+    type Call = ();
+    type Events = Over;
+
+    async fn attempt(&self, worker: &Id, _: &Id, _: &(), wait: Duration) -> Reply<Over> {
+        let (is, reads) = (self.is(worker), worker.starts_with('r'));
+        let ended = |outcome| Reply::Ended(outcome, None);
+        match is {
+            Is::Gone => {
+                sleep(CONNECT.min(wait)).await;
+                return ended(Outcome::NoConnection);
+            }
+            Is::Down => return ended(Outcome::NoConnection),
+            Is::Mute => {
+                self.with(World::taken);
+                sleep(wait).await;
+                // A writer that never began still leaves the state where it was.
+                self.with(|w| w.held = w.reads.gt(&0).then(Instant::now));
+                return ended(Outcome::NoAnswer);
+            }
+            Is::Well | Is::Full => {}
+        }
+        if reads {
+            sleep(Duration::from_millis(30)).await;
+            self.with(|w| (w.held, w.reads) = (Some(Instant::now()), w.reads + 1));
+            return Reply::Read { kept_tokens: 0, load: None };
+        }
+        if !self.with(World::taken) {
+            return ended(Outcome::StateLost);
+        }
+        sleep(Duration::from_millis(5)).await;
+        if is == Is::Full {
+            self.with(|w| w.held = Some(Instant::now()));
+            return ended(Outcome::TurnedAway);
+        }
+        Reply::Stream(Over)
+    }
+
+    async fn release(&self, worker: &Id, _: &Id) -> bool {
+        match self.is(worker) {
+            Is::Well | Is::Full => {
+                sleep(Duration::from_millis(1)).await;
+                self.with(World::taken);
+                true
+            }
+            Is::Down => false,
+            Is::Gone | Is::Mute => pending().await,
+        }
+    }
+
+    async fn probe(&self, _: &Id) -> (Outcome, Option<Load>) {
+        (Outcome::Served, None)
+    }
+}
+
+struct Fixed(Option<News>);
+
+impl MemberList for Fixed {
+    async fn next(&mut self) -> Option<News> {
+        match self.0.take() {
+            Some(news) => Some(news),
+            None => pending().await,
+        }
+    }
+}
+
+/// One request through a fleet of which each box is as it is; how long its state waited at worst.
+async fn longest(are: [Is; 8], release: Duration) -> Duration {
+    let table = Table::default();
+    table.with(|w| w.are = NAMES.iter().map(|n| Id::from(*n)).zip(are).collect());
+    let settings = Settings {
+        roles: vec![Role::Read, Role::Write],
+        memory_tokens: vec![200_000; 2],
+        release: release.as_micros() as u64,
+        ..Settings::example()
+    };
+    let entry = |(n, name): (usize, &&str)| Entry {
+        worker: (*name).into(),
+        cell: n as u64 % 2,
+        kind: n / 4,
+        zone: n % 2,
+        started: 0,
+        health: Health::Up,
+    };
+    let entries = NAMES.iter().enumerate().map(entry).collect();
+    let conductor = start(Parts {
+        settings,
+        seed: 7,
+        clock: Clock::new(),
+        boxes: Arc::new(table.clone()),
+        members: Fixed(Some(News { form: ListForm::Full, entries })),
+        log: slog::Logger::root(slog::Discard, slog::o!()),
+    });
+    sleep(Duration::from_millis(15)).await;
+    let query = Query {
+        id: "id-1".into(),
+        session: "s".into(),
+        prefix: None,
+        prefix_tokens: 0,
+        prompt_tokens: 1_000,
+        max_tokens: 100,
+        class: 0,
+        tenant: None,
+        budget: 5_000_000,
+        resent: false,
+        came_back: false,
+    };
+    let answer = timeout(Duration::from_secs(6), conductor.call(Request { query, call: () })).await;
+    if let Answer::Served(mut events) = answer.expect("an answer in time").unwrap() {
+        while poll_fn(|cx| events.poll_next(cx)).await.is_some() {}
+    }
+    sleep(Duration::from_secs(2)).await;
+    table.with(|w| {
+        w.taken();
+        w.worst
+    })
+}
+
+fn paused<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    runtime.unwrap().block_on(test)
+}
+
+fn in_time(are: [Is; 8], release_ms: u64) {
+    // Where nothing runs, nothing can take the call.
+    if !are.iter().any(|is| matches!(is, Is::Well | Is::Full)) {
+        return;
+    }
+    let release = Duration::from_millis(release_ms);
+    let worst = paused(longest(are, release));
+    assert!(worst <= release + ADDED, "held for {worst:?} of {release:?}: {are:?}");
+}
+
+#[test]
+fn a_state_is_taken_or_released_in_time_whatever_is_silent() {
+    fn holds(first: (Is, Is, Is, Is), then: (Is, Is, Is, Is), short: bool) -> bool {
+        let are = [first.0, first.1, first.2, first.3, then.0, then.1, then.2, then.3];
+        in_time(are, if short { 300 } else { 1_000 });
+        true
+    }
+    type Four = (Is, Is, Is, Is);
+    let gen = Gen::from_size_and_seed(24, 0x4e1d);
+    QuickCheck::new().rng(gen).tests(1_500).quickcheck(holds as fn(Four, Four, bool) -> bool);
+}
+
+#[test]
+fn a_lost_zone_does_not_use_up_the_time() {
+    use Is::{Gone, Well};
+    // Both writers of one zone, then all of it but the reader that holds the state, then all that write.
+    for are in [
+        [Well, Well, Well, Well, Gone, Well, Gone, Well],
+        [Well, Gone, Well, Gone, Gone, Gone, Gone, Gone],
+        [Well, Well, Well, Well, Gone, Gone, Gone, Gone],
+    ] {
+        for release in [300, 1_000] {
+            in_time(are, release);
+        }
+    }
+}
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -165,8 +165,8 @@
             let deletes = got.line.starts_with("DELETE");
             self.got.lock().unwrap().push(got);
             if deletes {
-                stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await?;
                 let _ = self.release.send(());
+                stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await?;
                 continue;
             }
             let does = self.script.lock().unwrap().pop_front().unwrap_or_else(|| self.usual.clone());
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -102,8 +102,10 @@
     attempts: u32,
     /// The attempt that is out: worker, send time, tokens charged to it.
     out: Option<(usize, Micros, u64)>,
-    /// The reader whose memory holds the state.
-    state: Option<usize>,
+    /// The reader whose memory holds the state, and since when no attempt took it that reached a worker.
+    state: Option<(usize, Micros)>,
+    /// Some reader may hold something for it.
+    holds: bool,
     /// Worker and send time of the first attempt that may have run.
     ran: Option<(usize, Micros)>,
     /// Workers that failed it.
@@ -172,6 +174,7 @@
 }
 
 /// One router's decisions. Instances share nothing.
+#[derive(Default)]
 pub struct Router {
     settings: Settings,
     seed: u64,
@@ -206,27 +209,8 @@
         let quotas = settings.tenants.iter().map(|t| (t.quota_per_s, 0)).collect();
         let watch_at = settings.ask_within.map(|_| 0);
         let routers = f64::from(settings.balancers);
-        Router {
-            settings,
-            seed,
-            now: 0,
-            workers: Vec::new(),
-            index: BTreeMap::new(),
-            free: Vec::new(),
-            requests: BTreeMap::new(),
-            held: Vec::new(),
-            pace: [100.0, 50.0, 150.0],
-            zones: BTreeMap::new(),
-            ready: [0; 3],
-            heard: [0; 3],
-            quotas,
-            kept: BTreeMap::new(),
-            promoted: 0,
-            shed: 0,
-            bell: 0,
-            watch_at,
-            routers,
-        }
+        let pace = [100.0, 50.0, 150.0];
+        Router { settings, seed, pace, quotas, watch_at, routers, ..Router::default() }
     }
 
     /// Takes one event and appends what to do.
@@ -331,7 +315,7 @@
     fn forget_gone(&mut self) {
         let mut named = vec![false; self.workers.len()];
         for r in self.requests.values() {
-            let first = [r.out.map(|out| out.0), r.state, r.ran.map(|ran| ran.0)];
+            let first = [r.out.map(|out| out.0), r.state.map(|s| s.0), r.ran.map(|ran| ran.0)];
             first.into_iter().flatten().chain(r.failed.iter().copied()).for_each(|w| named[w] = true);
         }
         let gone = |w: &usize| !self.workers[*w].up && !named[*w] && !self.workers[*w].id.is_empty();
@@ -425,13 +409,18 @@
         if !reading && !outcome.never_ran() && request.ran.is_none() {
             request.ran = Some((w, sent));
         }
+        request.holds |= reading && (outcome == Outcome::ReadDone || !outcome.never_ran());
         if outcome == Outcome::ReadDone {
-            (request.phase, request.state) = (Phase::Read, Some(w));
-        } else if phase == Phase::Reading || matches!(outcome, Outcome::StateLost | Outcome::Failed) {
+            (request.phase, request.state) = (Phase::Read, Some((w, self.now)));
+        } else if (phase == Phase::Reading && request.holds)
+            || matches!(outcome, Outcome::StateLost | Outcome::Failed)
+        {
             // A reader that broke off or is cut off from the writer may still hold the state. A writer that
             // answered, though badly, had fetched it: another would only turn the request away.
             request.state = None;
             out.push(Action::DropState { id: id.clone() });
+        } else if outcome != Outcome::NoConnection {
+            request.state.iter_mut().for_each(|state| state.1 = self.now);
         }
         request.since = self.now;
         request.crowded |= matches!(outcome, Outcome::TurnedAway | Outcome::NoAnswer);
@@ -504,10 +493,11 @@
             self.shed = if held && waited { self.now } else { self.shed };
             self.end(id, true, out);
         } else if request.phase == Phase::Read {
-            if let Some(w) = self.pick_writer(request) {
+            // Its state must not stay pinned, whether no writer can be named or none can be reached.
+            let pinned = request.state.is_none_or(|s| self.now >= s.1 + self.settings.release / 2);
+            if let Some(w) = self.pick_writer(request).filter(|_| !pinned) {
                 self.send(id, w, out);
-            } else if self.now >= request.since + self.settings.release / 2 {
-                // No writer can be named: a state must not stay pinned.
+            } else if pinned {
                 out.push(Action::DropState { id: id.clone() });
                 let Some(request) = self.requests.get_mut(id) else { return };
                 (request.phase, request.state) = (Phase::Held, None);
@@ -710,7 +700,7 @@
             (_, _, Some(m)) if Some(m) == last => Some(m),
             (Some(r), Some(_), Some(m)) => {
                 // By a hash of the session, so that all its turns fall alike at every router.
-                let count = |role| self.workers.iter().filter(|v| v.up && v.role == role).count() as f64;
+                let count = |role| self.listed(role).count() as f64;
                 let share = count(Stage::Whole) / (count(Stage::Whole) + count(Stage::Write) * MIXED_WEIGHT);
                 let whole = share_of(hash(&request.query.session, 1)) < share;
                 Some(if whole { m } else { r })
@@ -752,7 +742,7 @@
 
     /// The writer for a state: fewest own streams, then the reader's cell, then its zone.
     fn pick_writer(&self, request: &Request) -> Option<usize> {
-        let near = self.nearness(request, request.state?);
+        let near = self.nearness(request, request.state?.0);
         let writers = self.candidates(request, Stage::Write);
         let mixed = self.candidates(request, Stage::Whole);
         // Those with room first; if all are at cap it goes and queues, where it rests the shortest.
@@ -989,9 +979,9 @@
             return Some((1e6 / least) as Micros);
         }
         // What warm peers of the role take from here bounds from below what it can do when warm.
-        let usual = |v: &&Worker| v.up && v.started + self.settings.warm_within < self.now;
-        let warm = |v: &&Worker| v.role == worker.role && usual(v);
-        let rates = self.workers.iter().filter(warm).map(|v| decay(v.rate, self.now - v.rate_at));
+        let warm = |v: &&Worker| v.started + self.settings.warm_within < self.now;
+        let warm = self.listed(worker.role).map(|v| &self.workers[v]).filter(warm);
+        let rates = warm.map(|v| decay(v.rate, self.now - v.rate_at));
         let (sum, n) = rates.fold((0.0, 0.0_f64), |(s, n), r| (s + r, n + 1.0));
         let per_s = sum / n.max(1.0) * self.settings.cold_from * self.settings.fall_multiple * COLD_SHARE;
         Some((1e6 / per_s.max(least)) as Micros)
@@ -1009,7 +999,7 @@
             return false;
         }
         let first = match request.state {
-            Some(at) => {
+            Some((at, _)) => {
                 let near = self.nearness(request, at);
                 self.listed(worker.role).min_by_key(|&v| near(&self.workers[v]))
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -167,7 +167,7 @@
 }
 
 /// What a router is told when it starts.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// How many routers there are.
     pub balancers: u32,
