Answer a request at once that can't be read and written any more; test it with processes

Need: a request that the decisions have given up on is answered at once. Seen with three processes before one fleet of stand-in boxes whose writers are reset: "p0-y-6 ask Some(503) 2.96 s" for all nine requests under way; each had read, lost its writer, met 410 at the next (its state was taken) and had one attempt left, which neither reads nor writes it: place() wants two, so it was held until its aim had passed. Ruled out: breakers (candidates() passes over them in a panic) and the cut zone (two of a zone's boxes had failed, three cut it off). Line at fault: brain.rs advance(), spent = attempts >= max_attempts. Change: two are wanted where nothing is read and no worker does both; it is told to come back within 200 ms like one that has used them all.

--- a/core/tests/held.rs
+++ b/core/tests/held.rs
@@ -1,6 +1,6 @@
 //! Whatever boxes do not answer: a state that was read is taken by an attempt that reaches a box, or a
-//! release has reached one that runs, within the settings' time and what sockets add to it. Truth is counted at the
-//! boxes; time is paused.
+//! release has reached one that runs, within the settings' time and what sockets add to it. Truth is
+//! counted at the boxes; time is paused.
 
 use std::collections::HashMap;
 use std::future::{pending, poll_fn, Future};
--- a/daemon/tests/platform.rs
+++ b/daemon/tests/platform.rs
@@ -2,9 +2,6 @@
 
 mod support;
 
-use std::io::{BufRead, BufReader, Lines, Write};
-use std::net::SocketAddr;
-use std::process::{Child, ChildStderr, Command, Stdio};
 use std::time::Duration;
 
 use frosttrail_daemon::front::Patience;
@@ -240,15 +237,6 @@
     assert!(site.reader.released.try_recv().is_ok(), "the box that was heard last is asked first");
 }
 
-/// The program with this configuration, which waits in a folder of its own.
-fn program(name: &str, config: &str) -> Command {
-    let file = std::env::temp_dir().join(format!("frosttrail-{name}-{}.json", std::process::id()));
-    std::fs::File::create(&file).unwrap().write_all(config.as_bytes()).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_frosttrail"));
-    command.env("EDGE_CONFIG", file).stderr(Stdio::piped());
-    command
-}
-
 fn config(listen: &str, discovery: &str) -> Value {
     let target = json!({"uid": "s-1", "endpoint": "127.0.0.1:9", "az": "z", "model": "prefill",
         "pod_group": 0, "state": "active", "capacity_hint": 1.0, "boot_ms": 0});
@@ -281,40 +269,6 @@
     assert_eq!(usage.status.code(), Some(2));
 }
 
-/// The program under way: where it listens is in its log.
-struct Running {
-    child: Child,
-    log: Lines<BufReader<ChildStderr>>,
-    listen: SocketAddr,
-}
-
-impl Running {
-    fn start(mut command: Command) -> Self {
-        let mut child = command.spawn().unwrap();
-        let log = BufReader::new(child.stderr.take().unwrap()).lines();
-        let mut running = Running { child, log, listen: ([127, 0, 0, 1], 0).into() };
-        let line = running.logs("listening, at: ");
-        let at = line.split_once("at: ").unwrap().1.split(',').next().unwrap().trim();
-        running.listen = at.parse().unwrap();
-        running
-    }
-
-    /// Waits for a line that says this.
-    fn logs(&mut self, words: &str) -> String {
-        self.log.find_map(|line| line.ok().filter(|line| line.contains(words))).unwrap()
-    }
-
-    fn signal(&self, name: &str) {
-        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
-        assert!(sent.success());
-    }
-
-    async fn ends_well(mut self) {
-        let status = tokio::task::spawn_blocking(move || self.child.wait()).await.unwrap().unwrap();
-        assert_eq!(status.code(), Some(0));
-    }
-}
-
 const READY: &str = "GET /_health HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
 
 #[tokio::test]
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -2,7 +2,9 @@
 #![allow(dead_code)]
 
 use std::collections::VecDeque;
+use std::io::{BufRead, BufReader, Lines, Write};
 use std::net::SocketAddr;
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -439,3 +441,46 @@
     }
     (body, false)
 }
+
+/// The program with this configuration, which waits in a folder of its own.
+pub fn program(name: &str, config: &str) -> Command {
+    let file = std::env::temp_dir().join(format!("frosttrail-{name}-{}.json", std::process::id()));
+    std::fs::File::create(&file).unwrap().write_all(config.as_bytes()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_frosttrail"));
+    command.env("EDGE_CONFIG", file).stderr(Stdio::piped());
+    command
+}
+
+/// The program under way: where it listens is in its log.
+pub struct Running {
+    child: Child,
+    log: Lines<BufReader<ChildStderr>>,
+    pub listen: SocketAddr,
+}
+
+impl Running {
+    pub fn start(mut command: Command) -> Self {
+        let mut child = command.spawn().unwrap();
+        let log = BufReader::new(child.stderr.take().unwrap()).lines();
+        let mut running = Running { child, log, listen: ([127, 0, 0, 1], 0).into() };
+        let line = running.logs("listening, at: ");
+        let at = line.split_once("at: ").unwrap().1.split(',').next().unwrap().trim();
+        running.listen = at.parse().unwrap();
+        running
+    }
+
+    /// Waits for a line that says this.
+    pub fn logs(&mut self, words: &str) -> String {
+        self.log.find_map(|line| line.ok().filter(|line| line.contains(words))).unwrap()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    pub async fn ends_well(mut self) {
+        let status = tokio::task::spawn_blocking(move || self.child.wait()).await.unwrap().unwrap();
+        assert_eq!(status.code(), Some(0));
+    }
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -487,7 +487,10 @@
         if request.out.is_some() {
             return;
         }
-        let spent = request.attempts >= self.settings.max_attempts;
+        // What is not read yet wants a reader and a writer, where nobody does both.
+        let whole = self.settings.self_prefill || self.listed(Stage::Whole).next().is_some();
+        let steps = if request.phase == Phase::Held && !whole { 2 } else { 1 };
+        let spent = request.attempts + steps > self.settings.max_attempts;
         let waited = self.now > request.since;
         let held = (waited || self.now < self.shed + self.class(request).aim) && self.hopeless(request);
         let late = self.now + self.margin() >= request.deadline || held;
@@ -565,7 +568,7 @@
             // Those that are refused together must not come back together.
             let spread = 0.5 + 0.5 * share_of(hash(id, self.seed));
             // One whose attempts went wrong met no backlog: it may be in time if it comes back soon.
-            let spent = request.attempts >= self.settings.max_attempts && !request.crowded;
+            let spent = request.attempts + 1 >= self.settings.max_attempts && !request.crowded;
             let most = self.settings.max_retry_after.min(if spent { SPENT_RETRY } else { Micros::MAX });
             let retry_after = (most as f64 * spread) as Micros;
             let id = id.clone();
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,5 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod http;
+pub mod ledger;
 pub mod link;
 pub mod split;
--- a/standins/src/split.rs
+++ b/standins/src/split.rs
@@ -12,18 +12,14 @@
 use frosttrail_transfer::service::{Config, Node, Whole};
 use frosttrail_transfer::wire::Id;
 use futures_util::{stream, Stream};
-use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
-use hyper::service::service_fn;
-use hyper::{Method, Request, Response};
-use hyper_util::rt::TokioIo;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use hyper::Response;
 use slog::Logger;
-use tokio::net::TcpListener;
 use tokio::time::sleep;
 use tokio_util::task::AbortOnDropHandle;
 
-type Body = BoxBody<Bytes, Infallible>;
+use crate::http::{answer, any, serve, turned_away, Body};
 
 /// The state that a reader makes of a prompt: so many bytes, which depend on all of it.
 pub fn state_of(prompt: &[u8], length: usize) -> Bytes {
@@ -68,7 +64,7 @@
             let node = node.clone();
             move |id, prompt| read(node.clone(), id, prompt, length, takes)
         };
-        let (http, serving) = serve(node.clone(), read).await?;
+        let (http, serving) = serve(releases(&node), read).await?;
         Ok(Reader { http, transfer, node, _serving: serving })
     }
 }
@@ -114,7 +110,7 @@
                 }
             }
         };
-        let (http, serving) = serve(node.clone(), write).await?;
+        let (http, serving) = serve(releases(&node), write).await?;
         Ok(Writer { http, node, _serving: serving })
     }
 }
@@ -150,69 +146,8 @@
     })
 }
 
-/// Serves the protocol: requests by what this box does, and the call that lets go of a state.
-async fn serve<F, R>(node: Arc<Node>, does: F) -> io::Result<(SocketAddr, AbortOnDropHandle<()>)>
-where
-    F: Fn(Id, Bytes) -> R + Clone + Send + Sync + 'static,
-    R: std::future::Future<Output = Response<Body>> + Send + 'static,
-{
-    let listener = TcpListener::bind(any()).await?;
-    let address = listener.local_addr()?;
-    let serving = async move {
-        let mut connections = tokio::task::JoinSet::new();
-        while let Ok((stream, _)) = listener.accept().await {
-            let (node, does) = (node.clone(), does.clone());
-            let service = service_fn(move |request| one(node.clone(), does.clone(), request));
-            connections.spawn(
-                hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service),
-            );
-            while connections.try_join_next().is_some() {}
-        }
-    };
-    Ok((address, AbortOnDropHandle::new(tokio::spawn(serving))))
-}
-
-async fn one<F, R>(
-    node: Arc<Node>,
-    does: F,
-    request: Request<Incoming>,
-) -> Result<Response<Body>, hyper::Error>
-where
-    F: Fn(Id, Bytes) -> R,
-    R: std::future::Future<Output = Response<Body>>,
-{
-    let (head, body) = request.into_parts();
-    if head.method == Method::DELETE {
-        let id = head.uri.path().strip_prefix("/state/").and_then(|id| Id::new(id).ok());
-        return Ok(match id {
-            Some(id) => {
-                node.release(&id);
-                answer(204, false, "")
-            }
-            None => answer(400, false, ""),
-        });
-    }
-    let id = head.headers.get("x-txn").and_then(|id| id.to_str().ok()).and_then(|id| Id::new(id).ok());
-    let prompt = body.collect().await?.to_bytes();
-    Ok(match id {
-        Some(id) => does(id, prompt).await,
-        None => answer(404, false, ""),
-    })
-}
-
-fn turned_away(status: u16) -> Response<Body> {
-    answer(status, true, "")
-}
-
-fn answer(status: u16, turned_away: bool, body: &'static str) -> Response<Body> {
-    let mut response = Response::new(Full::new(Bytes::from_static(body.as_bytes())).boxed());
-    *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
-    if turned_away {
-        response.headers_mut().insert("x-turned-away", hyper::header::HeaderValue::from_static("1"));
-    }
-    response
-}
-
-fn any() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
+/// What the call that lets go of a state does at a box with this node.
+fn releases(node: &Arc<Node>) -> impl Fn(&Id) + Clone + Send + Sync + 'static {
+    let node = node.clone();
+    move |id| node.release(id)
 }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -471,3 +471,27 @@
     b.wait(1_100 * MS);
     assert_eq!(sends(&b.ask(repeat("after"))).len(), 1, "the jam is over");
 }
+
+#[test]
+fn a_request_with_one_attempt_left_and_nothing_read_is_answered_at_once() {
+    let advice = |fleet: &[(&str, usize)]| {
+        let settings = Settings { max_retry_after: 2 * SEC, ..small() };
+        let mut b = Bench::new(settings, fleet);
+        b.ask(query("a", 900));
+        b.end("a", 0, "r1", Outcome::ReadDone);
+        b.end("a", 1, "w1", Outcome::ConnectionLost);
+        let out = b.end("a", 2, "w2", Outcome::StateLost);
+        out.iter().find_map(|a| match a {
+            Action::Decline { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        })
+    };
+    // It would be held until its aim has passed, as a reader and a writer are two attempts.
+    let told = advice(&[("r1", 0), ("w1", 1), ("w2", 1)]);
+    assert!(told.is_some_and(|t| t <= 200 * MS), "{told:?}");
+    assert_eq!(
+        advice(&[("r1", 0), ("w1", 1), ("w2", 1), ("m", 2)]),
+        None,
+        "a mixed server can take it whole"
+    );
+}
