--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -1,12 +1,11 @@
 //! The platform's discovery: the list as last known, then a watch that is asked for again whenever it
 //! ends or falls silent, and that moves when the configuration names another address.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use frosttrail::setup::{index, Names, SetupError};
 use frosttrail::{Entry, Health, Id, ListForm};
 use frosttrail_core::{Clock, MemberList, News};
@@ -25,8 +24,10 @@
 
 /// The agent sends an empty line every 2 s; this long without a byte means that the watch is dead.
 const SILENCE: Duration = Duration::from_secs(5);
-/// No line of a list is longer.
-const LINE_MOST: usize = 4 << 20;
+/// What a silent watch has missed counts as told 6 s after its last byte: it is opened anew by then.
+const REOPEN: Duration = Duration::from_millis(800);
+/// No list is longer.
+const LIST_MOST: usize = 4 << 20;
 
 /// A list of members or a change to one, as discovery words it.
 #[derive(Clone, Debug, Deserialize)]
@@ -154,12 +155,15 @@
                     return listing;
                 }
                 Err(e) => {
-                    self.watch = None;
+                    let watched = self.watch.take().is_some();
                     // One line for each outage.
                     if backoff.is_fresh() {
                         info!(log, "watch again"; "why" => %e, "rev" => self.rev);
                     }
-                    let wait = backoff.failed();
+                    let wait = match e {
+                        ListError::Silent if watched => backoff.failed().min(REOPEN),
+                        _ => backoff.failed(),
+                    };
                     debug!(log, "watch failed"; "why" => %e, "again_in" => ?wait);
                     sleep(wait).await;
                 }
@@ -187,7 +191,7 @@
         call(agent, Method::GET, target, Bytes::new(), SILENCE).await?;
     match response.status() {
         StatusCode::OK => {
-            Ok(serde_json::from_slice(&whole(response.into_body(), LINE_MOST, SILENCE).await?)?)
+            Ok(serde_json::from_slice(&whole(response.into_body(), LIST_MOST, SILENCE).await?)?)
         }
         status => Err(ListError::Status(status)),
     }
@@ -214,7 +218,7 @@
 /// An open watch.
 struct Watch {
     body: Incoming,
-    lines: Lines,
+    objects: Objects,
     _driver: AbortOnDropHandle<()>,
 }
 
@@ -225,7 +229,7 @@
         let Called { response, driver } = call(agent, Method::GET, target, Bytes::new(), SILENCE).await?;
         match response.status() {
             StatusCode::OK => {
-                Ok(Watch { body: response.into_body(), lines: Lines::default(), _driver: driver })
+                Ok(Watch { body: response.into_body(), objects: Objects::default(), _driver: driver })
             }
             status => Err(ListError::Status(status)),
         }
@@ -233,41 +237,54 @@
 
     async fn next(&mut self) -> Result<Listing, ListError> {
         loop {
-            if let Some(line) = self.lines.pop() {
-                return Ok(serde_json::from_slice(&line)?);
+            if let Some(listing) = self.objects.pop()? {
+                return Ok(listing);
             }
             let frame = timeout(SILENCE, self.body.frame()).await.map_err(|_| ListError::Silent)?;
             let Some(frame) = frame else { return Err(ListError::Ended) };
             if let Ok(data) = frame?.into_data() {
-                self.lines.push(&data)?;
+                self.objects.push(&data)?;
             }
         }
     }
 }
 
-/// Bytes into lines that are not empty.
+/// Bytes into lists and changes, which may come indented over several lines, with empty lines between them.
 #[derive(Default)]
-struct Lines {
+struct Objects {
     part: BytesMut,
-    whole: VecDeque<Bytes>,
+    /// A line has ended since it was last looked for an object.
+    ended: bool,
 }
 
-impl Lines {
+impl Objects {
     fn push(&mut self, data: &[u8]) -> Result<(), ListError> {
         self.part.extend_from_slice(data);
-        while let Some(at) = self.part.iter().position(|b| *b == b'\n') {
-            let line = self.part.split_to(at + 1).freeze();
-            if !line.trim_ascii().is_empty() {
-                self.whole.push_back(line);
-            }
-        }
-        if self.part.len() > LINE_MOST {
-            return Err(ListError::TooLong);
+        self.ended |= data.contains(&b'\n');
+        match self.part.len() > LIST_MOST {
+            true => Err(ListError::TooLong),
+            false => Ok(()),
         }
-        Ok(())
     }
 
-    fn pop(&mut self) -> Option<Bytes> {
-        self.whole.pop_front()
+    fn pop(&mut self) -> Result<Option<Listing>, ListError> {
+        if !std::mem::take(&mut self.ended) {
+            return Ok(None);
+        }
+        let mut objects = serde_json::Deserializer::from_slice(&self.part).into_iter();
+        match objects.next() {
+            Some(Ok(listing)) => {
+                let read = objects.byte_offset();
+                self.part.advance(read);
+                self.ended = true;
+                Ok(Some(listing))
+            }
+            Some(Err(e)) if !e.is_eof() => Err(e.into()),
+            Some(Err(_)) => Ok(None),
+            None => {
+                self.part.clear();
+                Ok(None)
+            }
+        }
     }
 }
--- a/daemon/tests/discovery.rs
+++ b/daemon/tests/discovery.rs
@@ -14,6 +14,10 @@
 use serde_json::{json, Value};
 use support::*;
 use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// Longer than anything here should take.
+const LATEST: Duration = Duration::from_secs(20);
 
 const EMPTY: &str = "\n";
 const LEAVES: &str =
@@ -96,6 +100,53 @@
     assert_eq!(lines, paths.map(|path| format!("GET {path} HTTP/1.1")));
 }
 
+const INDENTED: &str = "{\n  \"rev\": 9,\n\n  \"all\": true,\n  \"targets\": []\n}\n";
+const INDENTED_PARTS: (&str, &str) = INDENTED.split_at(21);
+
+#[tokio::test]
+async fn lists_may_come_indented_whole_and_in_a_watch() {
+    let agent = StandIn::start(Does::Silent).await;
+    agent.next(Does::StallsAfter(&[EMPTY, INDENTED_PARTS.0, INDENTED_PARTS.1, EMPTY, LEAVES]));
+    let moved = StandIn::start(Does::Silent).await;
+    moved.next(Does::Says(200, false, INDENTED));
+    let (address, at) = watch::channel(agent.address);
+    let (book, backoff) = (Arc::new(Book::default()), Backoff::new(2, 7));
+    let mut list = Discovery::new(at, known("decode", 0), backoff, names(), Clock::new(), book, log());
+    let mut forms = Vec::new();
+    for _ in 0..3 {
+        forms.push(timeout(LATEST, list.next()).await.expect("a list in time").unwrap().form);
+    }
+    assert_eq!(forms, [ListForm::WarmCopy, ListForm::Full, ListForm::Changes]);
+    address.send(moved.address).unwrap();
+    let whole = timeout(LATEST, list.next()).await.expect("a list in time").unwrap();
+    assert_eq!((whole.form, whole.entries.len()), (ListForm::Full, 0));
+    assert_eq!(agent.posts().len() + agent.got.lock().unwrap().len(), 1, "one watch has brought all");
+}
+
+#[tokio::test]
+async fn a_watch_that_falls_silent_is_opened_anew_before_what_it_missed_counts_as_told() {
+    let mut watches = tokio::task::JoinSet::new();
+    for seed in 0..8 {
+        watches.spawn(async move {
+            let agent = StandIn::start(Does::Silent).await;
+            agent.next(Does::StallsAfter(&[EMPTY]));
+            agent.next(Does::StallsAfter(&[LEAVES]));
+            let (_address, at) = watch::channel(agent.address);
+            // As in a fleet of 300, where waits between calls are longest.
+            let (book, backoff) = (Arc::new(Book::default()), Backoff::new(300, seed));
+            let mut list =
+                Discovery::new(at, known("decode", 0), backoff, names(), Clock::new(), book, log());
+            list.next().await.unwrap();
+            let begin = std::time::Instant::now();
+            let missed = timeout(LATEST, list.next()).await.expect("a change in time").unwrap();
+            assert_eq!(states(&missed), [("a", Health::Draining)]);
+            begin.elapsed()
+        });
+    }
+    let took = watches.join_all().await;
+    assert!(took.iter().all(|t| *t <= Duration::from_secs(6)), "{took:?}");
+}
+
 /// A line may come in pieces.
 const WHOLE_LIST_PARTS: (&str, &str) = WHOLE_LIST.split_at(13);
 
