Let streams run to their ends after SIGTERM where clients don't come back for the rest

Line at fault: serve.rs, timeout(LAST, ...) whatever the settings say. Change: LAST holds where clients come back for the rest; else the program ends with its last stream. A box's silence (4.5 s) and a client's (20 s) bound each.

--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -26,7 +26,8 @@
 const NOTICE: Duration = Duration::from_millis(900);
 /// What has not begun to stream this long after SIGTERM gets its final answer,
 const ANSWER_ALL: Duration = Duration::from_millis(2_900);
-/// and streams are cut this long after it: SIGKILL comes at 3.7 s or later.
+/// and streams are cut this long after it, for their clients to come back for the rest: SIGKILL comes at 3.7 s
+/// or later. Where clients don't come back, a cut loses the answer: streams run to their ends.
 const LAST: Duration = Duration::from_millis(3_400);
 /// How long clients may take: a request is small and comes from near, idle connections cost memory and
 /// descriptors, and a client on a bad line may fall silent for some seconds while its answer streams.
@@ -126,7 +127,8 @@
         conductor.close();
         std::future::pending::<()>().await;
     };
-    let in_time = timeout(LAST, async {
+    let last = if settings.resume { LAST } else { Duration::MAX };
+    let in_time = timeout(last, async {
         tokio::select! {
             () = orderly => {}
             () = answer_all => {}
