--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -26,8 +26,7 @@
 const NOTICE: Duration = Duration::from_millis(900);
 /// What has not begun to stream this long after SIGTERM gets its final answer,
 const ANSWER_ALL: Duration = Duration::from_millis(2_900);
-/// and streams are cut this long after it, for their clients to come back for the rest: SIGKILL comes at 3.7 s
-/// or later. Where clients don't come back, a cut loses the answer: streams run to their ends.
+/// and streams are cut this long after it: SIGKILL comes at 3.7 s or later.
 const LAST: Duration = Duration::from_millis(3_400);
 /// How long clients may take: a request is small and comes from near, idle connections cost memory and
 /// descriptors, and a client on a bad line may fall silent for some seconds while its answer streams.
@@ -127,8 +126,7 @@
         conductor.close();
         std::future::pending::<()>().await;
     };
-    let last = if settings.resume { LAST } else { Duration::MAX };
-    let in_time = timeout(last, async {
+    let in_time = timeout(LAST, async {
         tokio::select! {
             () = orderly => {}
             () = answer_all => {}
--- a/daemon/tests/platform.rs
+++ b/daemon/tests/platform.rs
@@ -2,7 +2,6 @@
 
 mod support;
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use frosttrail_daemon::front::Patience;
@@ -283,37 +282,6 @@
     running.ends_well().await;
 }
 
-#[tokio::test]
-async fn streams_run_to_their_ends_after_sigterm_where_clients_do_not_come_back_for_the_rest() {
-    let ends = |resume: bool| async move {
-        let (reader, writer) =
-            (StandIn::start(READ).await, StandIn::start(Does::StallsAfter(&[EVENT])).await);
-        let target = |uid: &str, model: &str, at: SocketAddr| {
-            json!({"uid": uid, "endpoint": at, "az": "z", "model": model, "pod_group": 0, "state": "active",
-                "boot_ms": 0})
-        };
-        let mut config = config("127.0.0.1:0", "127.0.0.1:9");
-        config["known"]["targets"] =
-            json!([target("r", "prefill", reader.address), target("w", "decode", writer.address)]);
-        config["settings"]["specifics"]["resume"] = json!(resume);
-        let mut running = Running::start(program(&format!("streams-{resume}"), &config.to_string()));
-        let mut client = send(running.listen, &post(PATH, HEADERS, "{}")).await;
-        let mut head = [0; 8];
-        client.read_exact(&mut head).await.unwrap();
-        running.signal("-TERM");
-        // The box says no more; that ends the stream 4.5 s after its event, later than a cut would.
-        let log = tokio::task::spawn_blocking(move || {
-            let lines: Vec<String> = running.log.by_ref().map_while(Result::ok).collect();
-            running.child.wait().unwrap();
-            lines.concat()
-        });
-        log.await.unwrap().contains("closed before all was done")
-    };
-    let (comes_back, stays_away) = tokio::join!(ends(true), ends(false));
-    assert!(comes_back, "cut in time for its client to come back");
-    assert!(!stays_away, "cut, though nobody comes back for the rest");
-}
-
 #[tokio::test]
 async fn a_daemon_shares_with_the_membership_that_its_file_names_and_leaves_in_order() {
     let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -453,8 +453,8 @@
 
 /// The program under way: where it listens is in its log.
 pub struct Running {
-    pub child: Child,
-    pub log: Lines<BufReader<ChildStderr>>,
+    child: Child,
+    log: Lines<BufReader<ChildStderr>>,
     pub listen: SocketAddr,
 }
 
