--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -301,10 +301,10 @@
             let after = match verdict {
                 Verdict::Release => {
                     seat.call_off_release();
-                    let sent_to = seat.sent_to.clone();
-                    let release = self.release(id.clone(), &sent_to);
+                    let order = self.standing.order(&seat.sent_to);
+                    let (task, end) = self.release(id.clone(), order);
                     if let Some(seat) = self.seats.get_mut(&id) {
-                        seat.release = Some(release);
+                        seat.release = Some((task, Some(end)));
                     }
                     continue;
                 }
@@ -325,8 +325,8 @@
         }
     }
 
-    fn release(&self, id: Id, sent_to: &[Id]) -> (AbortHandle, Option<oneshot::Receiver<()>>) {
-        let order = self.standing.order(sent_to);
+    /// Starts a release; the other half resolves once it has ended.
+    fn release(&self, id: Id, order: Vec<Id>) -> (AbortHandle, oneshot::Receiver<()>) {
         let (boxes, log, time) = (self.boxes.clone(), self.log.clone(), self.release);
         let (ended, end) = oneshot::channel();
         let task = self.releases.spawn(async move {
@@ -338,7 +338,7 @@
                 None => info!(log, "a release reached no box"; "id" => %id),
             }
         });
-        (task.abort_handle(), Some(end))
+        (task.abort_handle(), end)
     }
 
     fn probe(&self, worker: Id) {
--- a/core/tests/held.rs
+++ b/core/tests/held.rs
@@ -2,15 +2,18 @@
 //! release has reached one that runs, within the settings' time and what sockets add to it. Truth is
 //! counted at the boxes; time is paused.
 
+mod support;
+
 use std::collections::HashMap;
-use std::future::{pending, poll_fn, Future};
+use std::future::{pending, poll_fn};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use frosttrail::{Entry, Health, Id, ListForm, Load, Outcome, Query, Role, Settings};
-use frosttrail_core::{start, Answer, Boxes, Clock, Events, MemberList, News, Parts, Reply, Request, Step};
+use frosttrail::{Entry, Health, Id, ListForm, Load, Outcome, Role, Settings};
+use frosttrail_core::{start, Answer, Boxes, Clock, Events, News, Parts, Reply, Request, Step};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
+use support::{paused, query, Fixed};
 use tokio::time::{sleep, timeout, Instant};
 
 /// What sockets add to the settings' time, and a little for the calls themselves.
@@ -131,17 +134,6 @@
     }
 }
 
-struct Fixed(Option<News>);
-
-impl MemberList for Fixed {
-    async fn next(&mut self) -> Option<News> {
-        match self.0.take() {
-            Some(news) => Some(news),
-            None => pending().await,
-        }
-    }
-}
-
 /// One request through a fleet of which each box is as it is; how long its state waited at worst.
 async fn longest(are: [Is; 8], release: Duration) -> Duration {
     let table = Table::default();
@@ -170,20 +162,8 @@
         log: slog::Logger::root(slog::Discard, slog::o!()),
     });
     sleep(Duration::from_millis(15)).await;
-    let query = Query {
-        id: "id-1".into(),
-        session: "s".into(),
-        prefix: None,
-        prefix_tokens: 0,
-        prompt_tokens: 1_000,
-        max_tokens: 100,
-        class: 0,
-        tenant: None,
-        budget: 5_000_000,
-        resent: false,
-        came_back: false,
-    };
-    let answer = timeout(Duration::from_secs(6), conductor.call(Request { query, call: () })).await;
+    let answer =
+        timeout(Duration::from_secs(6), conductor.call(Request { query: query("id-1", 0), call: () })).await;
     if let Answer::Served(mut events) = answer.expect("an answer in time").unwrap() {
         while poll_fn(|cx| events.poll_next(cx)).await.is_some() {}
     }
@@ -194,11 +174,6 @@
     })
 }
 
-fn paused<T>(test: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
-    runtime.unwrap().block_on(test)
-}
-
 fn in_time(are: [Is; 8], release_ms: u64) {
     // Where nothing runs, nothing can take the call.
     if !are.iter().any(|is| matches!(is, Is::Well | Is::Full)) {
--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -2,6 +2,8 @@
 //! moment at most one attempt is out, what may have run is not sent or refused again, the client gets
 //! exactly one final answer, and no state stays behind. Time is paused, boxes are a table in memory.
 
+mod support;
+
 use std::collections::HashMap;
 use std::future::{poll_fn, Future};
 use std::sync::{Arc, Mutex};
@@ -9,10 +11,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use frosttrail::{Class, Effect, Entry, Health, Id, ListForm, Load, Outcome, Query, Role, Settings};
-use frosttrail_core::{start, Answer, Boxes, Clock, Conductor, Events, MemberList, News, Parts, Reply};
+use frosttrail::{Class, Effect, Entry, Health, Id, ListForm, Load, Outcome, Role, Settings};
+use frosttrail_core::{start, Answer, Boxes, Clock, Conductor, Events, News, Parts, Reply};
 use frosttrail_core::{CallError, Request, Step};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
+use support::{paused, query, Fixed};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 
@@ -119,17 +122,6 @@
     }
 }
 
-struct Fixed(Option<News>);
-
-impl MemberList for Fixed {
-    async fn next(&mut self) -> Option<News> {
-        match self.0.take() {
-            Some(news) => Some(news),
-            None => std::future::pending().await,
-        }
-    }
-}
-
 /// What happens next, to whatever is there for it to happen to.
 #[derive(Clone, Copy, Debug)]
 enum Happens {
@@ -203,22 +195,6 @@
     })
 }
 
-fn query(id: &str, class: usize) -> Query {
-    Query {
-        id: id.into(),
-        session: "s".into(),
-        prefix: None,
-        prefix_tokens: 0,
-        prompt_tokens: 1_000,
-        max_tokens: 100,
-        class,
-        tenant: None,
-        budget: 5_000_000,
-        resent: false,
-        came_back: false,
-    }
-}
-
 /// Where the request's connection stands.
 #[derive(Default)]
 struct Model {
@@ -370,15 +346,6 @@
     assert!(!model.held || let_go, "state stayed behind");
 }
 
-fn paused(test: impl Future<Output = ()>) {
-    tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .unwrap()
-        .block_on(test);
-}
-
 #[test]
 fn random_steps_keep_the_rules() {
     fn keeps(book: bool, steps: Vec<Happens>) -> bool {
