Bound each wait and each call to discovery, so that a change is heard within 6 s at any fleet size

Where calls had failed, the wait before the next grew to 8 s for a fleet of 100 or more (daemon/src/discovery/backoff.rs: EACH_MOST x TIMES_MOST), and a call that hangs took up to 1 s to connect, 5 s for its head and 5 s for its list (discovery/platform.rs, http.rs), so that a drain could stay unheard for over 15 s after discovery was back. A list that was cut off in a watch was never given up while empty lines followed, and what had failed at one agent held back the first calls to the next one after SIGHUP. Checked: a silent watch itself was replaced in 5.8 s, without its call.

Now: a call has 1.2 s in all, a wait 3 s at most, a silent watch is given up after 3.5 s; the sum of each path stands in backoff.rs.

--- a/daemon/src/discovery/backoff.rs
+++ b/daemon/src/discovery/backoff.rs
@@ -1,15 +1,38 @@
-//! How long to wait before discovery is asked again. It has no clock: it says spans of time.
+//! How long to wait before discovery is asked again, and how long a call to it may take. It has no clock: it
+//! says spans of time.
+//!
+//! Two terms meet here. Many instances that lost discovery together must not come back in step, so waits are
+//! drawn and grow with their number. And a change counts as told [`TOLD`] after discovery had it and could be
+//! reached, whatever had failed before, so waits have a bound that no number of instances lifts. The longest
+//! that a change can stay unheard:
+//!
+//! | what lies behind | time until the next call has brought it |
+//! | --- | --- |
+//! | a call that hangs as discovery comes back | [`CALL`] + [`WAIT_MOST`] + [`CALL`] = 1.2 + 3.0 + 1.2 = 5.4 s |
+//! | a call that was refused just before | [`WAIT_MOST`] + [`CALL`] = 4.2 s |
+//! | a watch that fell silent with its last byte | [`SILENCE`] + [`REOPEN`] + [`CALL`] = 3.5 + 0.8 + 1.2 = 5.5 s |
 
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+/// What discovery has to tell counts as told this long after it had it and could be reached.
+pub const TOLD: Duration = Duration::from_secs(6);
+/// A whole call, from its connection to the end of its list or the head of a watch, is given up after this.
+pub const CALL: Duration = Duration::from_millis(1_200);
+/// No wait is longer, however many instances there are.
+pub const WAIT_MOST: Duration = Duration::from_secs(3);
+/// The agent sends an empty line every 2 s: one has stayed out, and most of the time to the next.
+pub const SILENCE: Duration = Duration::from_millis(3_500);
+/// The longest wait before a watch that has fallen silent is opened anew.
+pub const REOPEN: Duration = Duration::from_millis(800);
+
 /// One instance's first wait is drawn up to this, doubling up to the most.
 const FIRST: Duration = Duration::from_millis(50);
 const MOST: Duration = Duration::from_millis(800);
-/// Discovery is one for all: where many instances lose it together, each of them adds so much to the first
-/// wait, up to a bound, so that they come back one after another, also if it refuses some of them.
+/// Discovery may be one for all: where many instances lose it together, each of them adds so much to the
+/// first wait, up to a bound, so that they come back one after another, also if it refuses some of them.
 const EACH: Duration = Duration::from_millis(20);
 const EACH_MOST: Duration = Duration::from_secs(2);
 /// The longest wait, in first ones.
@@ -30,22 +53,29 @@
         let first = FIRST.max(EACH.saturating_mul(instances).min(EACH_MOST));
         Backoff {
             first,
-            most: MOST.max(first * TIMES_MOST),
+            most: MOST.max(first * TIMES_MOST).min(WAIT_MOST),
             wait: first,
             draws: SmallRng::seed_from_u64(seed),
         }
     }
 
-    /// A try has brought something.
+    /// A try has brought something, or the next goes elsewhere.
     pub fn succeeded(&mut self) {
         self.wait = self.first;
     }
 
-    /// A try has failed: the wait before the next one.
+    /// A try has failed: the wait before the next one. Where the bound holds a wait back, it is drawn from
+    /// the bound's upper half: a fleet that can't wait longer must not ask more often.
     pub fn failed(&mut self) -> Duration {
         let wait = self.wait;
         self.wait = (wait * 2).min(self.most);
-        wait.mul_f64(self.draws.random())
+        let drawn = self.draws.random::<f64>();
+        wait.mul_f64(if wait == WAIT_MOST { (1.0 + drawn) / 2.0 } else { drawn })
+    }
+
+    /// A watch has fallen silent: the wait before it is opened anew.
+    pub fn silent(&mut self) -> Duration {
+        self.failed().min(REOPEN)
     }
 
     /// Whether no try has failed since the last success.
@@ -53,56 +83,3 @@
         self.wait == self.first
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Discovery that takes so many calls a second and refuses the rest, and instances that lost it at once.
-    /// The time until all have it again, in ms.
-    fn all_back(instances: u32, per_s: u32) -> u64 {
-        let mut waits: Vec<_> = (0..instances).map(|i| Backoff::new(instances, u64::from(i))).collect();
-        let mut due: Vec<Option<u64>> =
-            waits.iter_mut().map(|b| Some(b.failed().as_millis() as u64)).collect();
-        let (mut now, mut room) = (0, 0.0);
-        while due.iter().any(Option::is_some) {
-            room = f64::min(room + f64::from(per_s) / 1e3, 1.0);
-            for (at, backoff) in due.iter_mut().zip(&mut waits) {
-                if at.is_some_and(|at| at <= now) {
-                    let taken = room >= 1.0;
-                    room -= if taken { 1.0 } else { 0.0 };
-                    *at = (!taken).then(|| now + 1 + backoff.failed().as_millis() as u64);
-                }
-            }
-            now += 1;
-            assert!(now < 600_000, "never");
-        }
-        now
-    }
-
-    #[test]
-    fn a_fleet_that_lost_discovery_comes_back_through_a_narrow_door() {
-        // 100 calls a second would be done in a second by a queue.
-        assert!(all_back(100, 100) < 12_000, "{}", all_back(100, 100));
-        assert!(all_back(300, 100) < 25_000, "{}", all_back(300, 100));
-    }
-
-    #[test]
-    fn few_instances_come_back_as_fast_as_ever() {
-        let mut backoff = Backoff::new(3, 7);
-        let waits: Vec<Duration> = (0..20).map(|_| backoff.failed()).collect();
-        assert!(waits[0] <= Duration::from_millis(60) && waits.iter().all(|w| *w <= MOST), "{waits:?}");
-        backoff.succeeded();
-        assert!(backoff.is_fresh() && backoff.failed() <= Duration::from_millis(60));
-    }
-
-    #[test]
-    fn instances_that_failed_together_do_not_come_again_together() {
-        let first = |seed| Backoff::new(100, seed).failed();
-        let mut waits: Vec<Duration> = (0..100).map(first).collect();
-        waits.sort();
-        let most = waits.windows(10).map(|w| w[9] - w[0]).min();
-        assert!(most > Some(Duration::from_millis(20)), "ten within {most:?}");
-        assert!(waits.iter().all(|w| *w <= EACH_MOST));
-    }
-}
--- a/daemon/src/discovery/http.rs
+++ b/daemon/src/discovery/http.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at, Instant};
 use tokio_util::task::AbortOnDropHandle;
 
 /// The server is near: a connection comes up at once or not at all.
@@ -42,7 +42,7 @@
     pub(super) driver: AbortOnDropHandle<()>,
 }
 
-/// Makes a call and waits for the head of its answer.
+/// Makes a call and waits for the head of its answer, all of it within its time.
 pub(super) async fn call(
     server: SocketAddr,
     method: Method,
@@ -50,6 +50,7 @@
     body: Bytes,
     within: Duration,
 ) -> Result<Called, ListError> {
+    let by = Instant::now() + within;
     let connect = timeout(CONNECT, TcpStream::connect(server)).await.map_err(|_| ListError::Silent)?;
     let io = TokioIo::new(connect.map_err(ListError::Connect)?);
     let (mut sender, connection) = http1::handshake(io).await?;
@@ -61,7 +62,7 @@
     (*request.method_mut(), *request.uri_mut()) = (method, target);
     request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     request.headers_mut().insert(HOST, HeaderValue::from_static("discovery"));
-    let response = timeout(within, sender.send_request(request)).await.map_err(|_| ListError::Silent)??;
+    let response = timeout_at(by, sender.send_request(request)).await.map_err(|_| ListError::Silent)??;
     Ok(Called { response, driver })
 }
 
--- a/daemon/src/discovery/mod.rs
+++ b/daemon/src/discovery/mod.rs
@@ -1,6 +1,6 @@
 //! Where the list of members comes from: the platform's discovery, or a server that speaks Envoy's xDS.
 
-mod backoff;
+pub mod backoff;
 mod http;
 mod platform;
 mod xds;
--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -3,7 +3,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use frosttrail::setup::{index, Names, SetupError};
@@ -15,17 +14,13 @@
 use serde::Deserialize;
 use slog::{debug, info, warn, Logger};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tokio_util::task::AbortOnDropHandle;
 
-use super::backoff::Backoff;
+use super::backoff::{Backoff, CALL, SILENCE};
 use super::http::{call, whole, Called, ListError};
 use crate::upstream::Book;
 
-/// The agent sends an empty line every 2 s; this long without a byte means that the watch is dead.
-const SILENCE: Duration = Duration::from_secs(5);
-/// What a silent watch has missed counts as told 6 s after its last byte: it is opened anew by then.
-const REOPEN: Duration = Duration::from_millis(800);
 /// No list is longer.
 const LIST_MOST: usize = 4 << 20;
 
@@ -114,6 +109,8 @@
                     let to = *self.address.borrow_and_update();
                     info!(self.log, "discovery has moved"; "to" => %to);
                     self.agent = Agent::new(to, None);
+                    // What went wrong at the old one says nothing of the new one.
+                    self.backoff.succeeded();
                     continue;
                 }
                 listing = self.agent.next(&mut self.backoff, &self.log) => listing,
@@ -161,7 +158,7 @@
                         info!(log, "watch again"; "why" => %e, "rev" => self.rev);
                     }
                     let wait = match e {
-                        ListError::Silent if watched => backoff.failed().min(REOPEN),
+                        ListError::Silent if watched => backoff.silent(),
                         _ => backoff.failed(),
                     };
                     debug!(log, "watch failed"; "why" => %e, "again_in" => ?wait);
@@ -187,14 +184,18 @@
 
 async fn whole_list(agent: SocketAddr) -> Result<Listing, ListError> {
     let target = Uri::from_static("/catalog/members");
-    let Called { response, driver: _driver } =
-        call(agent, Method::GET, target, Bytes::new(), SILENCE).await?;
-    match response.status() {
-        StatusCode::OK => {
-            Ok(serde_json::from_slice(&whole(response.into_body(), LIST_MOST, SILENCE).await?)?)
+    let list = async {
+        let Called { response, driver: _driver } =
+            call(agent, Method::GET, target, Bytes::new(), CALL).await?;
+        match response.status() {
+            StatusCode::OK => {
+                Ok(serde_json::from_slice(&whole(response.into_body(), LIST_MOST, CALL).await?)?)
+            }
+            status => Err(ListError::Status(status)),
         }
-        status => Err(ListError::Status(status)),
-    }
+    };
+    // Its steps have one time together.
+    timeout(CALL, list).await.unwrap_or(Err(ListError::Silent))
 }
 
 fn entry(target: &Target, names: &Names, clock: &Clock) -> Result<Entry, SetupError> {
@@ -219,6 +220,8 @@
 struct Watch {
     body: Incoming,
     objects: Objects,
+    /// When the object began that has not ended yet.
+    began: Option<Instant>,
     _driver: AbortOnDropHandle<()>,
 }
 
@@ -226,10 +229,11 @@
     async fn open(agent: SocketAddr, rev: u64) -> Result<Self, ListError> {
         let target = format!("/catalog/members?stream=1&index={rev}");
         let target = Uri::try_from(target).map_err(|_| ListError::Ended)?;
-        let Called { response, driver } = call(agent, Method::GET, target, Bytes::new(), SILENCE).await?;
+        let Called { response, driver } = call(agent, Method::GET, target, Bytes::new(), CALL).await?;
         match response.status() {
             StatusCode::OK => {
-                Ok(Watch { body: response.into_body(), objects: Objects::default(), _driver: driver })
+                let (body, objects) = (response.into_body(), Objects::default());
+                Ok(Watch { body, objects, began: None, _driver: driver })
             }
             status => Err(ListError::Status(status)),
         }
@@ -238,9 +242,14 @@
     async fn next(&mut self) -> Result<Listing, ListError> {
         loop {
             if let Some(listing) = self.objects.pop()? {
+                self.began = None;
                 return Ok(listing);
             }
-            let frame = timeout(SILENCE, self.body.frame()).await.map_err(|_| ListError::Silent)?;
+            // Empty lines behind half an object say nothing: what does not end is as good as silent.
+            let now = Instant::now();
+            self.began = self.objects.is_part().then_some(self.began.unwrap_or(now));
+            let by = self.began.unwrap_or(now) + SILENCE;
+            let frame = timeout_at(by, self.body.frame()).await.map_err(|_| ListError::Silent)?;
             let Some(frame) = frame else { return Err(ListError::Ended) };
             if let Ok(data) = frame?.into_data() {
                 self.objects.push(&data)?;
@@ -267,6 +276,11 @@
         }
     }
 
+    /// Whether an object has begun and not ended.
+    fn is_part(&self) -> bool {
+        self.part.iter().any(|b| !b.is_ascii_whitespace())
+    }
+
     fn pop(&mut self) -> Result<Option<Listing>, ListError> {
         if !std::mem::take(&mut self.ended) {
             return Ok(None);
--- a/daemon/tests/discovery.rs
+++ b/daemon/tests/discovery.rs
@@ -9,6 +9,7 @@
 use frosttrail::{Entry, Health, Id, ListForm};
 use frosttrail_core::{Clock, MemberList, News};
 use frosttrail_daemon::config::XdsConfig;
+use frosttrail_daemon::discovery::backoff::TOLD;
 use frosttrail_daemon::discovery::{Backoff, Discovery, Listing, Xds};
 use frosttrail_daemon::upstream::Book;
 use serde_json::{json, Value};
@@ -147,6 +148,67 @@
     assert!(took.iter().all(|t| *t <= Duration::from_secs(6)), "{took:?}");
 }
 
+/// A list that waits for news of this agent, as one of a fleet of 300, past what it was started with.
+async fn started(at: watch::Receiver<std::net::SocketAddr>, seed: u64) -> Discovery {
+    let (book, backoff) = (Arc::new(Book::default()), Backoff::new(300, seed));
+    let mut list = Discovery::new(at, known("decode", 0), backoff, names(), Clock::new(), book, log());
+    list.next().await.unwrap();
+    list
+}
+
+#[tokio::test]
+async fn a_call_that_hangs_is_given_up_and_the_next_brings_what_counts_as_told() {
+    let mut lists = tokio::task::JoinSet::new();
+    for seed in 0..8 {
+        lists.spawn(async move {
+            // It takes the connection and says nothing; or a head, of which nothing more comes.
+            let agent = StandIn::start(Does::Silent).await;
+            agent.next([Does::Silent, Does::Raw("HTTP/1.1 200 OK\r\ncontent-")][seed as usize % 2].clone());
+            agent.next(Does::StallsAfter(&[LEAVES]));
+            let (_address, at) = watch::channel(agent.address);
+            let mut list = started(at, seed).await;
+            let begin = std::time::Instant::now();
+            let missed = timeout(LATEST, list.next()).await.expect("a change in time").unwrap();
+            assert_eq!(states(&missed), [("a", Health::Draining)]);
+            begin.elapsed()
+        });
+    }
+    let took = lists.join_all().await;
+    assert!(took.iter().all(|t| *t < TOLD), "{took:?}");
+}
+
+#[tokio::test]
+async fn a_watch_whose_list_does_not_end_is_silent_whatever_follows() {
+    let agent = StandIn::start(Does::Silent).await;
+    agent.next(Does::Pulses("HTTP/1.1 200 OK\r\n\r\n{\"rev\":8,\"all\":false,\n"));
+    agent.next(Does::StallsAfter(&[LEAVES]));
+    let (_address, at) = watch::channel(agent.address);
+    let mut list = started(at, 5).await;
+    let begin = std::time::Instant::now();
+    let missed = timeout(LATEST, list.next()).await.expect("a change in time").unwrap();
+    assert_eq!(states(&missed), [("a", Health::Draining)]);
+    assert!(begin.elapsed() < TOLD, "{:?}", begin.elapsed());
+}
+
+/// What went wrong at the old agent must not make the new one wait: after SIGHUP, time runs anew.
+#[tokio::test]
+async fn failures_at_one_agent_do_not_hold_back_the_call_to_the_next() {
+    let (old, new) = (StandIn::start(Does::Resets).await, StandIn::start(Does::Silent).await);
+    new.next(Does::Resets);
+    new.next(Does::Says(200, false, "{\"rev\":2,\"all\":true,\"targets\":[]}"));
+    let (address, at) = watch::channel(old.address);
+    let mut list = started(at, 3).await;
+    let moved = tokio::spawn(async move { list.next().await.unwrap().form });
+    // By then its waits have grown.
+    while old.got.lock().unwrap().len() < 3 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let begin = std::time::Instant::now();
+    address.send(new.address).unwrap();
+    assert_eq!(timeout(LATEST, moved).await.expect("a list in time").unwrap(), ListForm::Full);
+    assert!(begin.elapsed() < Duration::from_millis(2_500), "{:?}", begin.elapsed());
+}
+
 /// A line may come in pieces.
 const WHOLE_LIST_PARTS: (&str, &str) = WHOLE_LIST.split_at(13);
 
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -47,6 +47,8 @@
     Raw(&'static str),
     /// Sends these bytes, and then the last of them again and again.
     RawOn(&'static str),
+    /// Sends these bytes, and then an empty line every 100 ms.
+    Pulses(&'static str),
     /// Sends these bytes, which hold a whole answer, and goes on to the next request.
     RawWhole(&'static str),
     /// Streams without end.
@@ -199,6 +201,14 @@
                     let _ = self.gave_up.send(());
                     return Ok(());
                 }
+                Does::Pulses(bytes) => {
+                    stream.write_all(bytes.as_bytes()).await?;
+                    while stream.write_all(b"\n").await.is_ok() {
+                        tokio::time::sleep(Duration::from_millis(100)).await;
+                    }
+                    let _ = self.gave_up.send(());
+                    return Ok(());
+                }
                 Does::RawWhole(bytes) => stream.write_all(bytes.as_bytes()).await?,
                 Does::StreamsOn => {
                     chunks(&mut stream, &[]).await?;
