Notice a client that has gone behind unread bytes, and close connections write side first

Seen: probes on loopback (daemon/tests/gone.rs). A client that left half a line, a second request or a flood behind its request and closed was not noticed: its request stayed held and was sent to a prefill server 0.1 s and more after the close, and an attempt that was out went on (4 of 5 kinds of rest; with nothing unread it was noticed). A client that still sent while its request was turned down had its connection reset (413, broken pipe at its second write of 64 KiB). Cause: hyper looks for the end of a connection only while its read buffer is empty (daemon/src/front/listener.rs drove it alone), and a socket that is closed over unread bytes is reset. Ruled out: the seat's drop, which reports at once.

Now: front/socket.rs shares the socket between the library and the connection's task. Tests: gone.rs (held, reading, writing, streaming, connecting; five kinds of rest each; floods), closes.rs (answers that outlive what still comes, requests that meet the end, small events that pass at once).

--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -1,10 +1,11 @@
 //! Accepting clients: a bound on connections and on what each may take of time, and an orderly end.
 
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use frosttrail_core::Events;
@@ -17,7 +18,6 @@
 use slog::{debug, info, warn, Logger};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{sleep, sleep_until, Instant};
-use tokio_io_timeout::TimeoutStream;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -25,6 +25,7 @@
 use super::clients::{Clients, Place, UnderWay};
 use super::framing::{Found, Framed, HEADERS_MOST};
 use super::input::{ArriveBy, InputError};
+use super::socket::Socket;
 
 /// Connections that the kernel holds until they are accepted.
 const BACKLOG: u32 = 1_024;
@@ -148,15 +149,15 @@
             // Without it events would wait for the client's acknowledgement; it can only fail on a
             // connection that is no more.
             let _ = stream.set_nodelay(true);
-            let mut stream = TimeoutStream::new(stream);
-            stream.set_write_timeout(Some(stall));
-            let stream = Framed::new(stream, found.clone(), place.clone());
-            let asked = place.clone();
+            let socket = Socket::new(stream, stall);
+            let stream = Framed::new(socket.clone(), found.clone(), place.clone());
+            let (asked, ahead) = (place.clone(), socket.clone());
             let answer = service_fn(move |mut request: Request<Incoming>| {
                 let under_way = UnderWay(asked.clone());
                 let from = if asked.has_answered() { Instant::now() } else { accepted };
                 request.extensions_mut().insert(ArriveBy(from + arrive));
                 let (service, leaving, found) = (service.clone(), leaving.clone(), found.clone());
+                let ahead = ahead.clone();
                 async move {
                     let mut answer = match found.is_ambiguous() {
                         true => service.turn_down(InputError::Framing),
@@ -165,7 +166,8 @@
                     // What is left of a body that was turned down must not be read as another request.
                     let bad = answer.status().is_client_error();
                     let refused = answer.status() == StatusCode::TOO_MANY_REQUESTS;
-                    if leaving.is_cancelled() || found.is_last() || (bad && !refused) {
+                    let last = leaving.is_cancelled() || found.is_last() || ahead.is_overrun();
+                    if last || (bad && !refused) {
                         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                     }
                     Ok::<_, Infallible>(answer.map(|body| Held::new(body, under_way)))
@@ -177,33 +179,48 @@
                 .max_headers(HEADERS_MOST)
                 .max_buf_size(HEAD_BYTES)
                 .serve_connection(TokioIo::new(stream), answer);
-            let mut connection = pin!(connection);
-            let mut none_came = pin!(async {
-                sleep_until(accepted + arrive + LINGER).await;
-                if place.has_asked() {
-                    std::future::pending().await
-                }
-            });
-            let mut told = false;
-            let ended = loop {
-                tokio::select! {
-                    biased;
-                    ended = connection.as_mut() => break ended,
-                    () = none_came.as_mut() => break Ok(()),
-                    () = either(&closing, &leave), if !told => {
-                        // What came too slowly to be a request yet has no claim to its place.
-                        if leave.is_cancelled() && !place.is_busy() {
-                            break Ok(());
+            // Whichever way it ends, the library lets go of the connection first: with it go the request that is
+            // open, and its attempt.
+            let ended = {
+                let mut connection = pin!(connection);
+                let mut none_came = pin!(async {
+                    sleep_until(accepted + arrive + LINGER).await;
+                    if place.has_asked() {
+                        std::future::pending().await
+                    }
+                });
+                // Between requests the library looks for itself.
+                let mut gone = pin!(poll_fn(|cx| match place.is_busy() {
+                    true => socket.poll_gone(cx),
+                    false => Poll::Pending,
+                }));
+                let mut told = false;
+                loop {
+                    tokio::select! {
+                        biased;
+                        ended = connection.as_mut() => break ended,
+                        () = gone.as_mut() => break Ok(()),
+                        () = none_came.as_mut() => break Ok(()),
+                        () = either(&closing, &leave), if !told => {
+                            // What came too slowly to be a request yet has no claim to its place.
+                            if leave.is_cancelled() && !place.is_busy() {
+                                break Ok(());
+                            }
+                            // Ends it at once, or after the answer under way.
+                            connection.as_mut().graceful_shutdown();
+                            told = true;
                         }
-                        // Ends it at once, or after the answer under way.
-                        connection.as_mut().graceful_shutdown();
-                        told = true;
                     }
                 }
             };
             if let Err(e) = ended {
                 debug!(log, "connection"; "why" => %e);
             }
+            tokio::select! {
+                () = socket.close() => {}
+                // Its place is wanted more.
+                () = leave.cancelled() => {}
+            }
         });
     }
 }
--- a/daemon/src/front/mod.rs
+++ b/daemon/src/front/mod.rs
@@ -7,6 +7,7 @@
 mod input;
 mod listener;
 pub mod platform;
+mod socket;
 
 pub use body::FrontBody;
 pub use listener::{Doors, Patience, Service};
--- /dev/null
+++ b/daemon/tests/closes.rs
@@ -0,0 +1,129 @@
+//! Ends of clients' connections, and what crosses them: no answer is destroyed by what its client still sends,
+//! and a request that meets the end is answered or was never sent on.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use frosttrail_daemon::front::Patience;
+use support::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+const PATH: &str = "/v1/chat/completions";
+const READY: &str = "GET /_health HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+const LATEST: Duration = Duration::from_secs(20);
+
+fn request(id: &str) -> String {
+    let labels = "x-labels: prompt_len=600,max_out=100\r\n";
+    let headers = format!("x-txn: {id}\r\nx-lane: ask\r\nx-entity: s\r\nx-remaining: 7000m\r\n{labels}");
+    post(PATH, &headers, "{}").replace("connection: close\r\n", "")
+}
+
+/// Reads all there is; an error is a reset, which may have destroyed what came before it.
+async fn rest(stream: &mut TcpStream) -> std::io::Result<String> {
+    let mut seen = Vec::new();
+    timeout(LATEST, stream.read_to_end(&mut seen)).await.expect("it is closed in time")?;
+    Ok(String::from_utf8(seen).unwrap())
+}
+
+/// Turned down before all of it had come: the client goes on sending, and reads the answer afterwards.
+#[tokio::test]
+async fn an_answer_outlives_what_its_client_still_sends() {
+    let site = Site::start().await;
+    for (head, status) in [
+        (request("large").replace("content-length: 2\r\n", "content-length: 400000\r\n"), "413"),
+        (
+            request("two").replace("content-length: 2\r\n", "content-length: 2\r\ncontent-length: 3\r\n"),
+            "400",
+        ),
+        (request("none").replace("x-lane: ask\r\n", ""), "400"),
+        (READY.into(), "200"),
+    ] {
+        let mut client = send(site.platform, &head).await;
+        // A reset shows in the writes as well; each error is told once.
+        for _ in 0..6 {
+            let sent = client.write_all("x".repeat(64 << 10).as_bytes()).await;
+            sent.unwrap_or_else(|e| panic!("{status}: reset: {e}"));
+            tokio::task::yield_now().await;
+        }
+        let answer = rest(&mut client).await.unwrap_or_else(|e| panic!("{status}: destroyed: {e}"));
+        assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{status}: {answer:?}");
+    }
+}
+
+/// An answer, or a clean end with nothing.
+async fn asks_at_the_end(mut client: TcpStream, id: String, after: Duration) -> bool {
+    sleep(after).await;
+    if client.write_all(request(&id).as_bytes()).await.is_err() {
+        return false;
+    }
+    let answer = rest(&mut client).await.unwrap_or_default();
+    assert!(answer.is_empty() || answer.contains("data: [DONE]"), "{id}: half an answer: {answer:?}");
+    !answer.is_empty()
+}
+
+async fn resting(to: SocketAddr) -> TcpStream {
+    let mut client = send(to, &READY.replace("connection: close\r\n", "")).await;
+    let mut seen = Vec::new();
+    while !seen.ends_with(b"ready\n") {
+        assert!(client.read_buf(&mut seen).await.unwrap() > 0);
+    }
+    client
+}
+
+#[tokio::test]
+async fn a_request_that_meets_the_end_of_its_connection_is_answered_or_never_sent_on() {
+    // Ended by the idle time, and by the end of the conductor.
+    for closes in [false, true] {
+        let (mut answered, mut sent_on) = (0, 0);
+        for round in 0..12 {
+            let idle = if closes { LATEST } else { Duration::from_millis(40) };
+            let site = Site::with(Patience { idle, ..PATIENCE }).await;
+            let mut asks = JoinSet::new();
+            for n in 0..7 {
+                let client = resting(site.platform).await;
+                let after = Duration::from_micros(if closes { 300 * n } else { 39_000 + 300 * n });
+                asks.spawn(asks_at_the_end(client, format!("{round}-{n}"), after));
+            }
+            if closes {
+                sleep(Duration::from_micros(900)).await;
+                timeout(LATEST, site.doors.close()).await.expect("the end in time");
+            }
+            answered += asks.join_all().await.into_iter().filter(|answered| *answered).count();
+            sent_on += site.writer.posts().len();
+        }
+        assert_eq!(
+            answered, sent_on,
+            "closes: {closes}: sent on, and its connection ended without the answer"
+        );
+    }
+}
+
+/// No small write is held back: half of the events arrive within a few milliseconds.
+#[tokio::test]
+async fn small_events_pass_as_they_come() {
+    let site = Site::start().await;
+    site.writer.next(Does::Ticks(80));
+    let mut client = send(site.platform, &request("ticks")).await;
+    let (mut seen, mut lags) = (String::new(), Vec::new());
+    while !seen.contains("[DONE]") {
+        let mut bytes = [0; 4096];
+        // As where acknowledgements take their time, which is what writes that are held back wait for.
+        socket2::SockRef::from(&client).set_tcp_quickack(false).unwrap();
+        let read = timeout(LATEST, client.read(&mut bytes)).await.expect("events").unwrap();
+        assert!(read > 0, "{seen:?}");
+        seen.push_str(std::str::from_utf8(&bytes[..read]).unwrap());
+        let now = micros();
+        let known = lags.len();
+        let times =
+            seen.split("{\"at\":").skip(1 + known).filter_map(|t| t.split_once('}')?.0.parse::<u64>().ok());
+        lags.extend(times.map(|at| now.saturating_sub(at)));
+    }
+    let mut late = lags.split_off(40);
+    late.sort();
+    assert!(late.len() == 40 && late[20] < 15_000, "{late:?}");
+}
--- /dev/null
+++ b/daemon/tests/gone.rs
@@ -0,0 +1,145 @@
+//! Clients that go, whatever they leave unread before their end: wherever their request is, no attempt for it
+//! begins after that, and one that is out ends.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use frosttrail::{Health, ListForm};
+use frosttrail_core::News;
+use support::*;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+const PATH: &str = "/v1/chat/completions";
+/// A client has gone at once; a wait that is not cut short by that takes 0.7 s at least.
+const SOON: Duration = Duration::from_millis(500);
+const LATEST: Duration = Duration::from_secs(20);
+
+fn request(id: &str) -> String {
+    let labels = "x-labels: prompt_len=600,max_out=100\r\n";
+    let headers = format!("x-txn: {id}\r\nx-lane: ask\r\nx-entity: s\r\nx-remaining: 7000m\r\n{labels}");
+    post(PATH, &headers, "{}").replace("connection: close\r\n", "")
+}
+
+/// What lies before the end: nothing, half a line, a whole request, many of them, more than is ever kept.
+fn left_unread() -> [(&'static str, String); 5] {
+    let many = (0..40).map(|n| request(&format!("second-{n}"))).collect();
+    let flood = "x".repeat(300 << 10);
+    [
+        ("nothing", String::new()),
+        ("half a line", "POST /v1/ch".into()),
+        ("a request", request("second")),
+        ("many", many),
+        ("a flood", flood),
+    ]
+}
+
+async fn goes(mut client: TcpStream, leaving: &str) {
+    timeout(LATEST, client.write_all(leaving.as_bytes())).await.expect("it is read").unwrap();
+    drop(client);
+}
+
+/// Attempts for the request that was given up, or for what its client had sent behind it.
+fn attempts(of: &StandIn) -> usize {
+    of.posts().iter().filter(|got| !got.head.contains("stays")).count()
+}
+
+async fn until(what: impl Fn() -> bool) {
+    let begin = Instant::now();
+    while !what() {
+        assert!(begin.elapsed() < LATEST, "it does not come");
+        sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// No prefill server is known until some time after the client has gone; another, who stays, is served.
+#[tokio::test]
+async fn while_held() {
+    for (name, leaving) in left_unread() {
+        let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
+        let site = Open::before(&[("decode", 1, decode.address)], PATIENCE);
+        let client = send(site.platform, &request("goes")).await;
+        until(|| site.conductor.calls() == 1).await;
+        let stays = tokio::spawn(async move { exchange(site.platform, &post_as("stays")).await });
+        until(|| site.conductor.calls() == 2).await;
+        goes(client, &leaving).await;
+        sleep(Duration::from_millis(100)).await;
+        site.book.set("prefill".into(), prefill.address);
+        let entries = vec![entry("prefill", 0, Health::Up)];
+        site.news.send(News { form: ListForm::Changes, entries }).unwrap();
+        assert_eq!(stays.await.unwrap().status, 200, "{name}: who stays is served");
+        sleep(Duration::from_millis(50)).await;
+        assert_eq!((attempts(&prefill), attempts(&decode)), (0, 0), "{name}");
+    }
+}
+
+fn post_as(id: &str) -> String {
+    request(id).replace("host: x", "connection: close\r\nhost: x")
+}
+
+/// The attempt that is out ends, and none follows.
+#[tokio::test]
+async fn while_its_prompt_is_read_and_while_its_answer_is_waited_for_or_runs() {
+    for (name, leaving) in left_unread() {
+        for (reads, writes) in [(Does::Silent, WHOLE), (READ, Does::Silent), (READ, RUNS)] {
+            let mut site = Site::start().await;
+            let silent = matches!(reads, Does::Silent);
+            site.reader.next(reads.clone());
+            site.writer.next(writes.clone());
+            let client = send(site.platform, &request("goes")).await;
+            let at = if silent { &mut site.reader } else { &mut site.writer };
+            until(|| attempts(at) == 1).await;
+            goes(client, &leaving).await;
+            let gave_up = timeout(SOON, at.given_up.recv()).await;
+            assert!(gave_up.is_ok(), "{name}, {reads:?}, {writes:?}: the attempt goes on");
+            sleep(Duration::from_millis(50)).await;
+            let expected = (1, usize::from(!silent));
+            assert_eq!((attempts(&site.reader), attempts(&site.writer)), expected, "{name}");
+        }
+    }
+}
+
+const RUNS: Does = Does::StallsAfter(&[EVENT]);
+
+/// What was read is let go, and nothing is sent on the connection that comes up after all.
+#[tokio::test]
+async fn while_a_connection_to_a_decode_server_does_not_come_up() {
+    for (name, leaving) in left_unread() {
+        let mut prefill = StandIn::start(READ).await;
+        let shut = Shut::start().await;
+        let site = Open::before(&[("prefill", 0, prefill.address), ("decode", 1, shut.address)], PATIENCE);
+        let client = send(site.platform, &request("goes")).await;
+        until(|| attempts(&prefill) == 1).await;
+        sleep(Duration::from_millis(30)).await;
+        goes(client, &leaving).await;
+        let released = timeout(SOON, prefill.released.recv()).await;
+        assert!(released.is_ok(), "{name}: what was read is held on");
+        assert_eq!(shut.opened_and_sent().await, 0, "{name}: something was sent");
+    }
+}
+
+/// Who sends without end and reads nothing keeps nobody else from being served, and is closed in the end.
+#[tokio::test]
+async fn floods_behind_a_request_keep_nobody_out() {
+    let site = Site::start().await;
+    let floods: Vec<_> = (0..4)
+        .map(|n| {
+            let to: SocketAddr = site.platform;
+            tokio::spawn(async move {
+                let mut client = send(to, &request(&format!("flood-{n}"))).await;
+                let bytes = "x".repeat(64 << 10);
+                while client.write_all(bytes.as_bytes()).await.is_ok() {}
+            })
+        })
+        .collect();
+    for n in 0..20 {
+        let answer = timeout(LATEST, exchange(site.platform, &post_as(&format!("stays-{n}")))).await;
+        assert_eq!(answer.expect("an answer in time").status, 200);
+    }
+    for flood in floods {
+        timeout(LATEST, flood).await.expect("it is closed in the end").unwrap();
+    }
+}
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -51,6 +51,8 @@
     Pulses(&'static str),
     /// Sends these bytes, which hold a whole answer, and goes on to the next request.
     RawWhole(&'static str),
+    /// Streams so many events, one every 5 ms, whose content is the time since the epoch in microseconds.
+    Ticks(usize),
     /// Streams without end.
     StreamsOn,
     /// Ends the connection once it has all of the request.
@@ -210,6 +212,15 @@
                     return Ok(());
                 }
                 Does::RawWhole(bytes) => stream.write_all(bytes.as_bytes()).await?,
+                Does::Ticks(events) => {
+                    chunks(&mut stream, &[]).await?;
+                    for _ in 0..events {
+                        chunk(&mut stream, &format!("data: {{\"at\":{}}}\n\n", micros())).await?;
+                        tokio::time::sleep(Duration::from_millis(5)).await;
+                    }
+                    chunk(&mut stream, DONE).await?;
+                    stream.write_all(b"0\r\n\r\n").await?;
+                }
                 Does::StreamsOn => {
                     chunks(&mut stream, &[]).await?;
                     while chunk(&mut stream, EVENT).await.is_ok() {}
@@ -231,6 +242,45 @@
     }
 }
 
+/// A box that takes no connection: those that fill the kernel's queue are in front.
+pub struct Shut {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    in_front: Vec<TcpStream>,
+}
+
+impl Shut {
+    pub async fn start() -> Self {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.bind(any()).unwrap();
+        let listener = socket.listen(1).unwrap();
+        let (address, mut in_front) = (listener.local_addr().unwrap(), Vec::new());
+        while let Ok(stream) =
+            tokio::time::timeout(Duration::from_millis(100), TcpStream::connect(address)).await
+        {
+            in_front.push(stream.unwrap());
+        }
+        Shut { address, listener, in_front }
+    }
+
+    /// Takes every connection that comes up within the time in which one is tried anew, and counts those on
+    /// which something was sent.
+    pub async fn opened_and_sent(self) -> usize {
+        let Shut { listener, in_front, .. } = self;
+        let queued = in_front.len();
+        drop(in_front);
+        let (mut taken, mut sent) = (0, 0);
+        while let Ok(accepted) = tokio::time::timeout(Duration::from_millis(1_500), listener.accept()).await {
+            let (mut stream, mut byte) = (accepted.unwrap().0, [0]);
+            taken += 1;
+            let read = tokio::time::timeout(Duration::from_millis(50), stream.read(&mut byte)).await;
+            sent += usize::from(matches!(read, Ok(Ok(1))));
+        }
+        assert!(taken >= queued, "those in front");
+        sent
+    }
+}
+
 async fn chunks(stream: &mut TcpStream, events: &[&str]) -> std::io::Result<()> {
     let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
     stream.write_all(head.as_bytes()).await?;
@@ -299,6 +349,8 @@
     pub conductor: Conductor<Upstream>,
     pub doors: Doors,
     pub news: mpsc::UnboundedSender<News>,
+    /// Where the boxes are.
+    pub book: Arc<Book>,
 }
 
 impl Open {
@@ -306,13 +358,13 @@
     pub fn before(boxes: &[(&str, usize, SocketAddr)], patience: Patience) -> Self {
         let names = Arc::new(Names::new(&setup()).unwrap());
         let settings = settings(&setup(), &names).unwrap();
-        let (news, conductor) = conductor(&settings, boxes);
+        let (news, conductor, book) = conductor(&settings, boxes);
         let doors = Doors::new(8, patience, slog::Logger::root(slog::Discard, slog::o!()));
         let config = ChatConfig { listen: any(), models: vec!["chat".into()], class: 1, max_tokens: 400 };
         let platform = Platform::new(conductor.clone(), names.clone());
         let chat = Chat::new(conductor.clone(), &settings, names, config);
         let (platform, chat) = (doors.open(any(), platform).unwrap(), doors.open(any(), chat).unwrap());
-        Open { platform, chat, conductor, doors, news }
+        Open { platform, chat, conductor, doors, news, book }
     }
 }
 
@@ -335,7 +387,7 @@
     pub async fn with(patience: Patience) -> Self {
         let (reader, writer) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
         let boxes = [("reader", 0, reader.address), ("writer", 1, writer.address)];
-        let Open { platform, chat, conductor, doors, news } = Open::before(&boxes, patience);
+        let Open { platform, chat, conductor, doors, news, .. } = Open::before(&boxes, patience);
         Site { platform, chat, reader, writer, conductor, doors, news }
     }
 }
@@ -350,18 +402,25 @@
 
 /// One that leaves connections alone for so long after an answer.
 pub fn upstream_that_settles(boxes: &[(&str, usize, SocketAddr)], settle: Duration) -> Upstream {
+    Upstream::new(book(boxes), limits(settle))
+}
+
+fn book(boxes: &[(&str, usize, SocketAddr)]) -> Arc<Book> {
     let book = Arc::new(Book::default());
     for (name, _, address) in boxes {
         book.set(Id::from(*name), *address);
     }
-    let limits = Limits {
+    book
+}
+
+fn limits(settle: Duration) -> Limits {
+    Limits {
         connections: 16,
         connect_timeout: Duration::from_millis(250),
         conn_idle: Duration::from_secs(30),
         settle,
         stale_within: Duration::from_secs(5),
-    };
-    Upstream::new(book, limits)
+    }
 }
 
 /// A line of the list.
@@ -372,7 +431,8 @@
 fn conductor(
     settings: &Settings,
     boxes: &[(&str, usize, SocketAddr)],
-) -> (mpsc::UnboundedSender<News>, Conductor<Upstream>) {
+) -> (mpsc::UnboundedSender<News>, Conductor<Upstream>, Arc<Book>) {
+    let book = book(boxes);
     let entries = boxes.iter().map(|(name, kind, _)| entry(name, *kind, Health::Up)).collect();
     let (news, told) = mpsc::unbounded_channel();
     let _ = news.send(News { form: ListForm::Full, entries });
@@ -380,11 +440,16 @@
         settings: settings.clone(),
         seed: 7,
         clock: Clock::new(),
-        boxes: Arc::new(upstream(boxes)),
+        boxes: Arc::new(Upstream::new(book.clone(), limits(Duration::ZERO))),
         members: Told(told),
         log: slog::Logger::root(slog::Discard, slog::o!()),
     });
-    (news, conductor)
+    (news, conductor, book)
+}
+
+/// Microseconds since the epoch.
+pub fn micros() -> u64 {
+    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_micros() as u64
 }
 
 /// What a client got: status, head, body, whether the answer was whole, and how many answers there were.
