Call a silent discovery agent again at once after a call that hung, not after a drawn wait

Cause, from the logs: 279 watches were given up at 5.5 s ("no answer in time") while the agents were silent for 8 s; each call then hung for 1.2 s and was followed by a wait of up to 3 s. What an agent has as it comes back counts at once, so a wait may not lie there. Ruled out: the new close of clients' connections, which no drain passes through. Lines: discovery/platform.rs, Agent::next, which waited after a hang as after a refusal.

Now a call hangs for 2.2 s and the next follows within 0.4 s; refusals keep their longer waits. The sums in backoff.rs are the new ones. Test: an agent that was silent for 3.4 to 25 s is heard within 0.5 s of its return at 1 to u32::MAX instances.

--- a/daemon/src/discovery/backoff.rs
+++ b/daemon/src/discovery/backoff.rs
@@ -8,9 +8,12 @@
 //!
 //! | what lies behind | time until the next call has brought it |
 //! | --- | --- |
-//! | a call that hangs as discovery comes back | [`CALL`] + [`WAIT_MOST`] + [`CALL`] = 1.2 + 3.0 + 1.2 = 5.4 s |
-//! | a call that was refused just before | [`WAIT_MOST`] + [`CALL`] = 4.2 s |
-//! | a watch that fell silent with its last byte | [`SILENCE`] + [`REOPEN`] + [`CALL`] = 3.5 + 0.8 + 1.2 = 5.5 s |
+//! | a call that hangs as discovery comes back | [`CALL`] + [`HUNG`] + [`CALL`] = 2.2 + 0.4 + 2.2 = 4.8 s |
+//! | a call that was refused just before | [`WAIT_MOST`] + [`CALL`] = 3.0 + 2.2 = 5.2 s |
+//! | a watch that fell silent with its last byte | [`SILENCE`] + [`REOPEN`] + [`CALL`] = 3.0 + 0.3 + 2.2 = 5.5 s |
+//!
+//! An agent that was silent answers what hangs there as it comes back, and what it then knows may count as told
+//! at once. So a call that hangs is the best place to wait, and the next one follows soon.
 
 use std::time::Duration;
 
@@ -20,13 +23,15 @@
 /// What discovery has to tell counts as told this long after it had it and could be reached.
 pub const TOLD: Duration = Duration::from_secs(6);
 /// A whole call, from its connection to the end of its list or the head of a watch, is given up after this.
-pub const CALL: Duration = Duration::from_millis(1_200);
+pub const CALL: Duration = Duration::from_millis(2_200);
 /// No wait is longer, however many instances there are.
 pub const WAIT_MOST: Duration = Duration::from_secs(3);
-/// The agent sends an empty line every 2 s: one has stayed out, and most of the time to the next.
-pub const SILENCE: Duration = Duration::from_millis(3_500);
+/// The longest wait after a call that hung: it has waited already.
+pub const HUNG: Duration = Duration::from_millis(400);
+/// The agent sends an empty line every 2 s: one has stayed out for half of the time to the next.
+pub const SILENCE: Duration = Duration::from_secs(3);
 /// The longest wait before a watch that has fallen silent is opened anew.
-pub const REOPEN: Duration = Duration::from_millis(800);
+pub const REOPEN: Duration = Duration::from_millis(300);
 
 /// One instance's first wait is drawn up to this, doubling up to the most.
 const FIRST: Duration = Duration::from_millis(50);
@@ -73,9 +78,21 @@
         wait.mul_f64(if wait == WAIT_MOST { (1.0 + drawn) / 2.0 } else { drawn })
     }
 
+    /// A call has hung until it was given up: the wait before the next one.
+    pub fn hung(&mut self) -> Duration {
+        self.soon(HUNG)
+    }
+
     /// A watch has fallen silent: the wait before it is opened anew.
     pub fn silent(&mut self) -> Duration {
-        self.failed().min(REOPEN)
+        self.soon(REOPEN)
+    }
+
+    /// Drawn up to this, where the wait is due to be as long.
+    fn soon(&mut self, most: Duration) -> Duration {
+        let wait = self.wait.min(most);
+        self.wait = (self.wait * 2).min(self.most);
+        wait.mul_f64(self.draws.random())
     }
 
     /// Whether no try has failed since the last success.
--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -159,6 +159,7 @@
                     }
                     let wait = match e {
                         ListError::Silent if watched => backoff.silent(),
+                        ListError::Silent => backoff.hung(),
                         _ => backoff.failed(),
                     };
                     debug!(log, "watch failed"; "why" => %e, "again_in" => ?wait);
--- a/daemon/tests/backoff.rs
+++ b/daemon/tests/backoff.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use frosttrail_daemon::discovery::backoff::{Backoff, CALL, REOPEN, SILENCE, TOLD, WAIT_MOST};
+use frosttrail_daemon::discovery::backoff::{Backoff, CALL, HUNG, REOPEN, SILENCE, TOLD, WAIT_MOST};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -67,12 +67,36 @@
 fn unheard(backoff: &mut Backoff, draws: &mut SmallRng, back: Duration) -> Duration {
     let mut now = Duration::ZERO;
     while now < back {
-        now += if draws.random::<bool>() { CALL } else { Duration::ZERO };
-        now += backoff.failed();
+        now += if draws.random::<bool>() { CALL + backoff.hung() } else { backoff.failed() };
     }
     now + CALL - back
 }
 
+/// One instance whose calls hang from the fall of silence on; a call that is out as the agent comes back is
+/// answered then, as is the next. The time from `back` on until that.
+fn answered(backoff: &mut Backoff, back: Duration) -> Duration {
+    let mut now = SILENCE + backoff.silent();
+    while now < back {
+        if now + CALL > back {
+            return Duration::ZERO;
+        }
+        now += CALL + backoff.hung();
+    }
+    now - back
+}
+
+/// What a silent agent learns as it comes back may count as told at once: shorter than any drain's grace.
+#[test]
+fn an_agent_that_was_silent_is_heard_as_it_comes_back_at_any_fleet_size() {
+    for instances in [1, 3, 30, 300, 10_000, u32::MAX] {
+        for seed in 0..2_000 {
+            let back = Duration::from_millis(3_400 + 11 * seed);
+            let late = answered(&mut Backoff::new(instances, seed), back);
+            assert!(late <= Duration::from_millis(500), "{instances} instances, {back:?}: {late:?}");
+        }
+    }
+}
+
 #[test]
 fn a_change_is_heard_in_time_after_any_failures_at_any_fleet_size() {
     for instances in [1, 2, 3, 5, 12, 30, 100, 300, 1_000, 10_000, 1_000_000, u32::MAX] {
@@ -98,7 +122,8 @@
             }
         }
     }
-    assert!(CALL + WAIT_MOST + CALL + SAFELY < TOLD && SILENCE + REOPEN + CALL + SAFELY < TOLD);
+    let paths = [CALL + HUNG + CALL, WAIT_MOST + CALL, SILENCE + REOPEN + CALL];
+    assert!(paths.iter().all(|path| *path + SAFELY < TOLD), "{paths:?}");
 }
 
 /// What a fleet that may not wait longer asks, while all calls are refused at once: the bound on waits must
