Divide the time from SIGTERM to SIGKILL by the settings' deadlines, not by a constant

Seen: a process test with deadlines of 1 s (daemon/tests/ending.rs): SIGKILL may come 1.7 s after SIGTERM there, and a request that was read 0.8 s after SIGTERM on a connection that stayed open was sent on and had no answer when it came. Cause: daemon/src/command/serve.rs, constants of 0.9, 2.9 and 3.4 s, right only for deadlines of 3 s and more. The protocol's words: "no sooner than the longest deadline (taken as 3 s where it is longer) plus 0.7 s". Now daemon/src/ending.rs, a pure function of the settings; with deadlines of 3 s and more the times are what they were. Tests: all deadlines of 0 to 9 s; a process that is asked on 34 connections between SIGTERM and SIGKILL while a stream runs. Both fail with the constants back.

--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -9,6 +9,7 @@
 use frosttrail_core::{start, Clock, Conductor, Parts};
 use frosttrail_daemon::config::{self, ChatConfig, Config, XdsConfig};
 use frosttrail_daemon::discovery::{Backoff, Discovery, Xds};
+use frosttrail_daemon::ending::Ending;
 use frosttrail_daemon::front::chat::Chat;
 use frosttrail_daemon::front::platform::Platform;
 use frosttrail_daemon::front::{Doors, Patience};
@@ -22,12 +23,6 @@
 
 use super::{incarnation, logger, runtime, Fault};
 
-/// Clients and the front notice a planned end within this time, in which new ones are still taken.
-const NOTICE: Duration = Duration::from_millis(900);
-/// What has not begun to stream this long after SIGTERM gets its final answer,
-const ANSWER_ALL: Duration = Duration::from_millis(2_900);
-/// and streams are cut this long after it: SIGKILL comes at 3.7 s or later.
-const LAST: Duration = Duration::from_millis(3_400);
 /// How long clients may take: a request is small and comes from near, idle connections cost memory and
 /// descriptors, and a client on a bad line may fall silent for some seconds while its answer streams.
 const PATIENCE: Patience = Patience {
@@ -114,22 +109,23 @@
         None => None,
     };
     signals.terminate.recv().await;
-    info!(log, "SIGTERM: closing");
+    let Ending { notice, answer_all, last } = Ending::new(&settings);
+    info!(log, "SIGTERM: closing"; "within" => ?last);
     doors.leave();
     let orderly = async {
-        sleep(NOTICE).await;
+        sleep(notice).await;
         doors.close().await;
         conductor.released().await;
     };
-    let answer_all = async {
-        sleep(ANSWER_ALL).await;
+    let answer_rest = async {
+        sleep(answer_all).await;
         conductor.close();
         std::future::pending::<()>().await;
     };
-    let in_time = timeout(LAST, async {
+    let in_time = timeout(last, async {
         tokio::select! {
             () = orderly => {}
-            () = answer_all => {}
+            () = answer_rest => {}
         }
     });
     if in_time.await.is_err() {
--- /dev/null
+++ b/daemon/src/ending.rs
@@ -0,0 +1,45 @@
+//! How the time between SIGTERM and SIGKILL is divided. The platform kills no sooner than the longest deadline
+//! of a class, taken as 3 s where it is longer, and 0.7 s more; so all is done in time by the settings, not by
+//! a constant.
+
+use std::time::Duration;
+
+use frosttrail::Settings;
+
+/// A longer deadline counts as this.
+const DEADLINE_MOST: Duration = Duration::from_secs(3);
+/// SIGKILL comes so long after the longest deadline.
+const KILL_AFTER: Duration = Duration::from_millis(700);
+/// For what is under way as the program ends, and for a machine that is busy.
+const KILL_SPARE: Duration = Duration::from_millis(300);
+/// For the last answers and releases.
+const LAST_ANSWERS: Duration = Duration::from_millis(500);
+/// Clients and the front notice a planned end within this time, in which new ones are still taken.
+const NOTICE: Duration = Duration::from_millis(900);
+/// New connections keep arriving for so long at least; who finds the listeners closed comes by another way.
+const ARRIVE: Duration = Duration::from_millis(400);
+
+/// The times of a planned end, from SIGTERM on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ending {
+    /// Until then everything is served as before; then the listeners close, and each connection ends once it
+    /// has no request.
+    pub notice: Duration,
+    /// What has not begun to stream gets its final answer.
+    pub answer_all: Duration,
+    /// Streams are cut, and the program ends.
+    pub last: Duration,
+}
+
+impl Ending {
+    /// As the settings' deadlines allow.
+    pub fn new(settings: &Settings) -> Self {
+        let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        let kill = Duration::from_micros(longest).min(DEADLINE_MOST) + KILL_AFTER;
+        let last = kill - KILL_SPARE;
+        let answer_all = last.saturating_sub(LAST_ANSWERS);
+        // With half of the time left, those that were taken last can still be served.
+        let notice = NOTICE.min((answer_all / 2).max(ARRIVE)).min(answer_all);
+        Ending { notice, answer_all, last }
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod config;
 pub mod discovery;
+pub mod ending;
 pub mod front;
 pub mod upstream;
--- /dev/null
+++ b/daemon/tests/ending.rs
@@ -0,0 +1,112 @@
+//! From SIGTERM to SIGKILL: how the settings divide that time, and what becomes of requests on every connection
+//! that stays open.
+
+mod support;
+
+use std::time::Duration;
+
+use frosttrail::setup::{settings, Names};
+use frosttrail_daemon::ending::Ending;
+use serde_json::{json, Value};
+use support::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
+const PATH: &str = "/v1/chat/completions";
+const LATEST: Duration = Duration::from_secs(20);
+
+fn with_deadline(ms: u64) -> Value {
+    let mut setup = setup();
+    for grade in setup["grades"].as_array_mut().unwrap() {
+        grade["deadline"] = json!(ms * 1_000);
+    }
+    setup
+}
+
+fn killed_after(deadline: u64) -> Duration {
+    Duration::from_millis(deadline.min(3_000) + 700)
+}
+
+#[test]
+fn all_is_done_before_sigkill_whatever_the_deadlines() {
+    for deadline in (0..=9_000).step_by(50) {
+        let setup = with_deadline(deadline);
+        let Ending { notice, answer_all, last } =
+            Ending::new(&settings(&setup, &Names::new(&setup).unwrap()).unwrap());
+        assert!(notice <= answer_all && answer_all < last, "{deadline} ms");
+        assert!(last + Duration::from_millis(250) <= killed_after(deadline), "{deadline} ms");
+    }
+}
+
+fn request(id: &str, class: &str, remaining: u64) -> String {
+    let labels = "x-labels: prompt_len=600,max_out=100\r\n";
+    let headers =
+        format!("x-txn: {id}\r\nx-lane: {class}\r\nx-entity: s\r\nx-remaining: {remaining}m\r\n{labels}");
+    post(PATH, &headers, "{}").replace("connection: close\r\n", "")
+}
+
+/// What came back: nothing at all, or an answer's status and whether it was whole.
+async fn rest(client: &mut TcpStream) -> Option<(u16, bool)> {
+    let mut bytes = Vec::new();
+    let _ = timeout(LATEST, client.read_to_end(&mut bytes)).await.expect("an end in time");
+    let text = String::from_utf8(bytes).unwrap();
+    let status = text.get(9..12)?.parse().ok()?;
+    Some((status, status != 200 || text.ends_with("0\r\n\r\n")))
+}
+
+/// Rests on its connection and asks once, so long after SIGTERM. Some asked once before.
+async fn asks(to: std::net::SocketAddr, id: String, at: Instant) -> (String, Option<(u16, bool)>) {
+    let mut client = TcpStream::connect(to).await.unwrap();
+    sleep_until(at).await;
+    if client.write_all(request(&id, "ask", 1_000).as_bytes()).await.is_err() {
+        return (id, None);
+    }
+    let answer = rest(&mut client).await;
+    (id, answer)
+}
+
+/// Deadlines of 1 s, so that SIGKILL comes after 1.7 s: in between every request that was read is answered, and
+/// a stream that its server has finished is passed to its end.
+#[tokio::test]
+async fn with_short_deadlines_nothing_that_was_read_is_lost_to_sigkill() {
+    let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
+    let targets =
+        [("p", "prefill", prefill.address), ("d", "decode", decode.address)].map(|(uid, model, at)| {
+            json!({"uid": uid, "endpoint": at, "az": "z", "model": model, "pod_group": 0, "state": "active",
+            "capacity_hint": 1.0, "boot_ms": 0})
+        });
+    let config = json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
+        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+        "known": {"rev": 1, "all": true, "targets": targets}, "settings": with_deadline(1_000)});
+    let running = Running::start(program("short-deadlines", &config.to_string()));
+    // Its stream takes 0.9 s.
+    decode.next(Does::Ticks(150));
+    let mut streams = send(running.listen, &request("streams", "ask", 1_000)).await;
+    streams.readable().await.unwrap();
+    let begin = Instant::now();
+    let mut clients = JoinSet::new();
+    for n in 0..34 {
+        let at = begin + Duration::from_millis(20 + 50 * n);
+        clients.spawn(asks(running.listen, format!("late-{n}"), at));
+    }
+    // They rest when the end is told. One server answers none of those that come late.
+    sleep(Duration::from_millis(20)).await;
+    running.signal("-TERM");
+    sleep(Duration::from_millis(550)).await;
+    (0..40).for_each(|_| decode.next(Does::Silent));
+    let streamed = rest(&mut streams).await;
+    sleep_until(begin + Duration::from_millis(20) + killed_after(1_000)).await;
+    running.signal("-KILL");
+    assert!(streamed.is_some_and(|(_, whole)| whole), "a stream that its server had finished was cut");
+    let answers = clients.join_all().await;
+    for (id, answer) in &answers {
+        let read = prefill.posts().iter().any(|got| got.head.contains(&format!("x-txn: {id}\r\n")));
+        assert!(answer.is_some() || !read, "{id} was read and sent on, and got no answer");
+        assert!(answer.is_none_or(|(_, whole)| whole), "{id} was cut");
+    }
+    let served = answers.iter().filter(|(_, answer)| answer.is_some_and(|(status, _)| status == 200)).count();
+    assert!(served >= 4, "those that come at once are served: {served}");
+    running.ends_well().await;
+}
