Let a connection that has just come ask before it makes room, and test crowds with few descriptors

Cause: daemon/src/front/clients.rs, Clients::place takes the oldest of those that never asked, which in a crowd of busy ones is the one that came a moment ago. Ruled out: the bound on descriptors itself (discovery, attempts and releases had theirs). Now a connection makes no room before it is 20 ms old, and where none may, the next waits.

Tests, with processes: idle clients three times as many as descriptors while discovery is silent (attempts, releases, new clients, the watch within 6 s of its return); 20 that start together while discovery is down, hangs or resets (all ready, and served, within 10 s); 40 MiB of floods (others served, memory within 24 MiB). A test that fails kills what it started.

--- a/daemon/src/front/clients.rs
+++ b/daemon/src/front/clients.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout, Instant};
 use tokio_util::sync::CancellationToken;
 
 /// A connection that was told to make room is gone by then, unless a request has come on it.
 const NEXT: Duration = Duration::from_millis(50);
+/// Who has just come may be about to ask: a connection makes no room before this age.
+const FRESH: Duration = Duration::from_millis(20);
 
 /// All clients' connections, of whichever front.
 #[derive(Clone)]
@@ -26,7 +28,26 @@
 #[derive(Default)]
 struct Idle {
     turns: u64,
-    connections: BTreeMap<Turn, CancellationToken>,
+    connections: BTreeMap<Turn, Connection>,
+}
+
+struct Connection {
+    leave: CancellationToken,
+    since: Instant,
+}
+
+impl Idle {
+    /// The one whose turn it is to make room.
+    fn turn_out(&mut self) -> Option<(Turn, Connection)> {
+        let ((asked, _), first) = self.connections.first_key_value()?;
+        if !asked && first.since.elapsed() < FRESH {
+            // All that never asked are as young; the next are those that have.
+            let (turn, _) = self.connections.range((true, 0)..).next()?;
+            let turn = *turn;
+            return self.connections.remove_entry(&turn);
+        }
+        self.connections.pop_first()
+    }
 }
 
 impl Clients {
@@ -43,8 +64,9 @@
             if let Ok(permit) = permit {
                 return self.enter(permit);
             }
-            if let Some((_, leave)) = self.with(|idle| idle.connections.pop_first()) {
-                leave.cancel();
+            match self.with(Idle::turn_out) {
+                Some((_, connection)) => connection.leave.cancel(),
+                None => sleep(FRESH / 4).await,
             }
             // The semaphore is never closed.
             if let Ok(Ok(permit)) = timeout(NEXT, self.permits.clone().acquire_owned()).await {
@@ -126,7 +148,8 @@
                 let asked = state.arrived > 0;
                 state.turn = Some(self.clients.with(|idle| {
                     idle.turns += 1;
-                    idle.connections.insert((asked, idle.turns), self.leave.clone());
+                    let connection = Connection { leave: self.leave.clone(), since: Instant::now() };
+                    idle.connections.insert((asked, idle.turns), connection);
                     (asked, idle.turns)
                 }));
             }
--- /dev/null
+++ b/daemon/tests/crowds.rs
@@ -0,0 +1,162 @@
+//! Processes whose surroundings use up what they have: idle clients that take every descriptor while discovery
+//! is silent, many that start together while discovery is down or slow.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+use support::*;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+const PATH: &str = "/v1/chat/completions";
+const LATEST: Duration = Duration::from_secs(20);
+/// What discovery has counts as told so long after it could be reached.
+const TOLD: Duration = Duration::from_secs(6);
+/// The program takes no fewer.
+const DESCRIPTORS: usize = 64;
+const READY: &str = "GET /_health HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+const NOBODY: &str = "{\"rev\":9,\"all\":true,\"targets\":[]}\n";
+
+fn config(name: &str, discovery: &str, boxes: &[(&str, &str, &StandIn)]) -> String {
+    let target = |(uid, model, at): &(&str, &str, &StandIn)| -> Value {
+        json!({"uid": uid, "endpoint": at.address, "az": "z", "model": model, "pod_group": 0,
+            "state": "active", "capacity_hint": 1.0, "boot_ms": 0})
+    };
+    let targets: Vec<Value> = boxes.iter().map(target).collect();
+    json!({"name": name, "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": DESCRIPTORS},
+        "known": {"rev": 1, "all": true, "targets": targets}, "settings": setup()})
+    .to_string()
+}
+
+fn request(id: &str) -> String {
+    let labels = "x-labels: prompt_len=600,max_out=100\r\n";
+    let headers = format!("x-txn: {id}\r\nx-lane: ask\r\nx-entity: s-{id}\r\nx-remaining: 7000m\r\n{labels}");
+    post(PATH, &headers, "{}")
+}
+
+/// Idle clients: some have never asked, some once, some sent half a request.
+async fn idle(to: std::net::SocketAddr, n: usize) -> TcpStream {
+    let asked = READY.replace("connection: close\r\n", "");
+    send(to, ["", &asked, "POST /v1/ch"][n % 3]).await
+}
+
+#[tokio::test]
+async fn idle_clients_that_take_every_descriptor_keep_nobody_from_his_own() {
+    let (mut prefill, mut decode) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
+    let agent = StandIn::start(Does::StallsAfter(&[NOBODY])).await;
+    // It falls silent: the first watch brings nothing, and what hangs is never answered.
+    (0..3).for_each(|_| agent.next(Does::Silent));
+    let boxes = [("p", "prefill", &prefill), ("d", "decode", &decode)];
+    let config = config("n1", &agent.address.to_string(), &boxes);
+    let running = Running::start(program_with(DESCRIPTORS, "crowds", &config));
+    let mut crowd = Vec::new();
+    for n in 0..3 * DESCRIPTORS {
+        crowd.push(idle(running.listen, n).await);
+    }
+    // Attempts and new clients get theirs, and what is let go of finds its way while others ask.
+    for round in 0..6 {
+        decode.next(Does::Says(500, false, ""));
+        let book = request(&format!("book-{round}")).replace("x-lane: ask", "x-lane: book");
+        let failed = timeout(LATEST, exchange(running.listen, &book)).await.expect("an answer in time");
+        assert_eq!(failed.status, 502, "it may have run");
+        let asks = (0..4).map(|n| {
+            let (to, text) = (running.listen, request(&format!("{round}-{n}")));
+            tokio::spawn(async move { timeout(LATEST, exchange(to, &text)).await.expect("an answer").status })
+        });
+        for ask in asks.collect::<Vec<_>>() {
+            assert_eq!(ask.await.unwrap(), 200, "round {round}");
+        }
+        let released = async {
+            tokio::select! {
+                _ = prefill.released.recv() => {}
+                _ = decode.released.recv() => {}
+            }
+        };
+        timeout(LATEST, released).await.expect("what a failed attempt left is let go");
+        for n in 0..20 {
+            crowd.push(idle(running.listen, n).await);
+        }
+    }
+    // Discovery is heard in time as it comes back, with the crowd still there.
+    while agent.got.lock().unwrap().len() < 4 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let back = Instant::now();
+    while exchange(running.listen, READY).await.status == 200 {
+        assert!(back.elapsed() < TOLD, "the list of the agent that is back has not been heard");
+        sleep(Duration::from_millis(20)).await;
+    }
+    running.signal("-TERM");
+    running.ends_well().await;
+}
+
+/// An agent that refuses, one that hangs, one that is there late: who starts knows the list it had.
+#[tokio::test]
+async fn processes_that_start_together_are_ready_in_time_whatever_discovery_does() {
+    let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
+    let (hangs, resets) = (StandIn::start(Does::Silent).await, StandIn::start(Does::Resets).await);
+    let agents = ["127.0.0.1:9".to_string(), hangs.address.to_string(), resets.address.to_string()];
+    let begin = Instant::now();
+    let mut starting = tokio::task::JoinSet::new();
+    for n in 0..20 {
+        let boxes = [("p", "prefill", &prefill), ("d", "decode", &decode)];
+        let config = config(&format!("n{n}"), &agents[n % 3], &boxes);
+        starting.spawn_blocking(move || {
+            Running::start(program_with(DESCRIPTORS, &format!("together-{n}"), &config))
+        });
+    }
+    let mut all = Vec::new();
+    while let Some(running) = starting.join_next().await {
+        let running = running.unwrap();
+        assert_eq!(exchange(running.listen, READY).await.status, 200);
+        // Ready means that it serves.
+        let status = timeout(LATEST, exchange(running.listen, &request(&format!("r{}", all.len())))).await;
+        assert_eq!(status.expect("an answer in time").status, 200);
+        all.push(running);
+    }
+    assert!(begin.elapsed() < Duration::from_secs(10), "{:?}", begin.elapsed());
+    for running in all {
+        running.signal("-TERM");
+        running.ends_well().await;
+    }
+}
+
+/// Clients that send much at once and go, and such that never read what they asked for: others are served, and
+/// memory does not grow with what was sent.
+#[tokio::test]
+async fn floods_leave_others_served_and_memory_bounded() {
+    let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
+    let boxes = [("p", "prefill", &prefill), ("d", "decode", &decode)];
+    let running = Running::start(program_with(DESCRIPTORS, "floods", &config("n1", "127.0.0.1:9", &boxes)));
+    let before = running.memory_kb();
+    for round in 0..6 {
+        let mut bad = Vec::new();
+        for n in 0..12 {
+            let (to, id) = (running.listen, format!("flood-{round}-{n}"));
+            bad.push(tokio::spawn(async move {
+                let mut client = send(to, "").await;
+                let many = request(&id).replace("connection: close\r\n", "").repeat(400);
+                let text = if n % 2 == 0 { many } else { "x".repeat(1 << 20) };
+                let sent = tokio::io::AsyncWriteExt::write_all(&mut client, text.as_bytes());
+                let _ = timeout(Duration::from_millis(400), sent).await;
+                if n % 3 == 0 {
+                    let mut some = [0; 64];
+                    let _ = timeout(Duration::from_millis(50), client.read(&mut some)).await;
+                }
+            }));
+        }
+        let asked = timeout(LATEST, exchange(running.listen, &request(&format!("good-{round}")))).await;
+        assert_eq!(asked.expect("an answer in time").status, 200);
+        for flood in bad {
+            flood.await.unwrap();
+        }
+    }
+    let after = running.memory_kb();
+    assert!(after < before + (24 << 10), "{before} KiB before, {after} KiB after 40 MiB of floods");
+    running.signal("-TERM");
+    running.ends_well().await;
+}
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -526,6 +526,16 @@
     command
 }
 
+/// The same, with so many descriptors at most.
+pub fn program_with(descriptors: usize, name: &str, config: &str) -> Command {
+    let program = program(name, config);
+    let mut limited = Command::new("sh");
+    limited.arg("-c").arg(format!("ulimit -n {descriptors}; exec \"$0\"")).arg(program.get_program());
+    let envs = program.get_envs().filter_map(|(key, value)| Some((key, value?)));
+    limited.envs(envs).stderr(Stdio::piped());
+    limited
+}
+
 /// The program under way: where it listens is in its log.
 pub struct Running {
     child: Child,
@@ -554,8 +564,23 @@
         assert!(sent.success());
     }
 
+    /// Memory that is resident, in KiB.
+    pub fn memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     pub async fn ends_well(mut self) {
         let status = tokio::task::spawn_blocking(move || self.child.wait()).await.unwrap().unwrap();
         assert_eq!(status.code(), Some(0));
     }
 }
+
+/// A test that has failed leaves no process behind.
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
