--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# What people do with this repository. CI runs the same commands (.ci/run).
+# What people do with this repository. CI runs the same commands (.ci/run; tests by .ci/test, which knows KNOWN-RED.txt).
 
 .PHONY: build test lint run chat regress
 
--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -115,4 +115,5 @@
 }
 
 #[cfg(test)]
+#[path = "../tests/unit/run.rs"]
 mod tests;
--- a/drill/src/tests.rs
+++ b/drill/tests/unit/run.rs
@@ -1,3 +1,5 @@
+//! Whole batches through the adapter's loop.
+
 use super::run;
 
 const SETUP: &str = r#"{"balancers":1,"domain-type":"twostage","grades":[{"name":"c","slo":1000000,
--- /dev/null
+++ b/tests/known_red.rs
@@ -0,0 +1,77 @@
+//! How CI takes tests that are known to fail (`.ci/judge`): those alone may fail, and none is passed over.
+
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::{Command, Stdio};
+
+const NAMES: &str = "     Running tests/a.rs (target/debug/deps/a-0123abcd)\nlate: test\nnever: test\n\n\
+    2 tests, 0 benchmarks\n     Running unittests src/lib.rs (target/debug/deps/frost-0123abcd)\n\
+    inner::late: test\n";
+
+/// What cargo prints where these tests, of two, ended so.
+fn printed(late: &str, never: &str, inner: &str) -> String {
+    format!(
+        "     Running tests/a.rs (target/debug/deps/a-0123abcd)\n\nrunning 2 tests\ntest late ... {late}\n\
+         test never ... {never}\n\ntest result: so. 1 passed\n\n     Running unittests src/lib.rs \
+         (target/debug/deps/frost-0123abcd)\n\ntest inner::late ... {inner}\ntest result: so.\n"
+    )
+}
+
+fn judge(case: &str, list: &str, out: &str, code: &str) -> (bool, String) {
+    let file = |name: &str, text: &str| -> PathBuf {
+        let path =
+            std::env::temp_dir().join(format!("frosttrail-judge-{case}-{name}-{}", std::process::id()));
+        std::fs::write(&path, text).unwrap();
+        path
+    };
+    let mut judge = Command::new("bash")
+        .arg(concat!(env!("CARGO_MANIFEST_DIR"), "/.ci/judge"))
+        .args([file("list", list), file("names", NAMES)])
+        .arg(code)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    judge.stdin.take().unwrap().write_all(out.as_bytes()).unwrap();
+    let output = judge.wait_with_output().unwrap();
+    (output.status.success(), String::from_utf8(output.stdout).unwrap())
+}
+
+#[test]
+fn listed_tests_may_fail_and_are_printed_and_nothing_else_may() {
+    let line = "a::late | the clock | issue 9\n";
+    let four = "a::late | x | issue 1\na::never | x | issue 1\nfrost::inner::late | x | issue 1\na::more | x | issue 1\n";
+    let broke = printed("ok", "ok", "ok").replace("test result: so.\n", "");
+    for (case, list, out, code, passes, says) in [
+        ("green", "", printed("ok", "ok", "ok"), "0", true, ""),
+        ("red", line, printed("FAILED", "ok", "ok"), "101", true, "known red: a::late | the clock | issue 9"),
+        (
+            "leaves",
+            line,
+            printed("ok", "ok", "ok"),
+            "0",
+            true,
+            "due to leave the list, as it has passed: a::late",
+        ),
+        ("other", line, printed("FAILED", "FAILED", "ok"), "101", false, "not listed: a::never"),
+        ("namesake", line, printed("ok", "ok", "FAILED"), "101", false, "not listed: frost::inner::late"),
+        ("unlisted", "", printed("FAILED", "ok", "ok"), "101", false, "not listed: a::late"),
+        (
+            "no test",
+            "a::gone | x | issue 1\n",
+            printed("ok", "ok", "ok"),
+            "0",
+            false,
+            "names no test: a::gone",
+        ),
+        ("no cause", "a::late\n", printed("FAILED", "ok", "ok"), "101", false, "no 'test | cause | issue'"),
+        ("four", four, printed("FAILED", "ok", "ok"), "101", false, "4 lines, three at most"),
+        ("crash", line, broke, "101", false, "gave a result"),
+        ("no build", line, String::new(), "101", false, "gave a result"),
+        ("silent", line, printed("ok", "ok", "ok"), "101", false, "ended with 101 and no test failed"),
+    ] {
+        let (passed, said) = judge(case, list, &out, code);
+        assert_eq!(passed, passes, "{case}: {said}");
+        assert!(said.contains(says), "{case}: {said}");
+    }
+}
