--- a/tests/size.rs
+++ b/tests/size.rs
@@ -2,7 +2,7 @@
 
 mod support;
 use frosttrail::*;
-use std::collections::BTreeMap;
+use support::side::Side;
 use support::*;
 
 const ROUTERS: u32 = 100;
@@ -20,114 +20,6 @@
     names.iter().map(|(name, kind)| entry(name, *kind)).collect()
 }
 
-/// Routers that share a fleet which answers everything after a fixed time.
-struct Side {
-    routers: Vec<Router>,
-    now: Micros,
-    asked: usize,
-    /// When, router, request, attempt, worker.
-    due: Vec<(Micros, usize, Id, u32, Id)>,
-    attempts: BTreeMap<Id, u32>,
-    bells: BTreeMap<(Micros, usize), u64>,
-    sent: Vec<(Micros, Id)>,
-    /// The prefix of all requests, and the most that were out at one worker.
-    prefix: Option<Id>,
-    most: usize,
-}
-
-impl Side {
-    fn new(settings: &Settings, fleet: &[Entry]) -> Self {
-        let routers = (0..settings.balancers).map(|i| Router::new(settings.clone(), u64::from(i) * 7 + 1));
-        let mut side = Side {
-            routers: routers.collect(),
-            now: 100 * SEC,
-            asked: 0,
-            due: Vec::new(),
-            attempts: BTreeMap::new(),
-            bells: BTreeMap::new(),
-            sent: Vec::new(),
-            prefix: None,
-            most: 0,
-        };
-        side.tell(fleet);
-        side
-    }
-
-    fn tell(&mut self, entries: &[Entry]) {
-        for i in 0..self.routers.len() {
-            self.feed(i, Event::Members { form: ListForm::Changes, entries: entries.to_vec() });
-        }
-    }
-
-    fn feed(&mut self, i: usize, event: Event) {
-        let mut out = Vec::new();
-        self.routers[i].handle(self.now, event, &mut out);
-        for action in out {
-            match action {
-                Action::Send { id, worker, .. } => {
-                    let attempt = self.attempts.entry(id.clone()).or_insert(0);
-                    self.due.push((self.now + 50 * MS, i, id, *attempt, worker.clone()));
-                    *attempt += 1;
-                    self.most = self.most.max(self.holds(&worker));
-                    self.sent.push((self.now, worker));
-                }
-                Action::Probe { worker } => {
-                    let load =
-                        Some(Load { outstanding: Some(self.holds(&worker) as f64), ..Load::default() });
-                    self.feed(i, Event::Probed { worker, outcome: Outcome::Served, load });
-                }
-                Action::Timer { delay, token } => {
-                    self.bells.insert((self.now + delay, i), token);
-                }
-                _ => {}
-            }
-        }
-    }
-
-    fn holds(&self, worker: &str) -> usize {
-        self.due.iter().filter(|d| &*d.4 == worker).count()
-    }
-
-    /// One new request every five milliseconds, at the routers in turn.
-    fn run(&mut self, span: Micros) {
-        let end = self.now + span;
-        while self.now < end {
-            self.now += 5 * MS;
-            let now = self.now;
-            while let Some((&(at, i), &token)) = self.bells.first_key_value().filter(|b| b.0 .0 <= now) {
-                self.bells.remove(&(at, i));
-                self.feed(i, Event::Bell { token });
-            }
-            let (over, due) = std::mem::take(&mut self.due).into_iter().partition(|d| d.0 <= now);
-            self.due = due;
-            for (_, i, id, attempt, worker) in Vec::from_iter::<Vec<_>>(over) {
-                let read = worker.starts_with('r');
-                let outcome = if read { Outcome::ReadDone } else { Outcome::Served };
-                let (elapsed, kept_tokens, load) = (50 * MS, 0, None);
-                if !read {
-                    self.feed(i, Event::Headers { id: id.clone(), attempt, elapsed });
-                }
-                let finished = !read;
-                self.feed(
-                    i,
-                    Event::Result { id, attempt, worker, outcome, elapsed, kept_tokens, finished, load },
-                );
-            }
-            self.asked += 1;
-            let i = self.asked * 37 % self.routers.len();
-            let prefix = self.prefix.clone();
-            self.feed(i, Event::Query(Query { prefix, ..query(&format!("q{}", self.asked), 900) }));
-        }
-    }
-
-    fn busiest_second(&self, worker: &str, from: Micros) -> usize {
-        let times: Vec<Micros> =
-            self.sent.iter().filter(|s| &*s.1 == worker && s.0 >= from).map(|s| s.0).collect();
-        let within = |&t: &Micros| times.iter().filter(|&&u| u >= t && u < t + SEC).count();
-        times.iter().map(within).max().unwrap_or(0)
-    }
-}
-
 #[test]
 fn all_routers_together_keep_a_cold_worker_within_its_budget() {
     for back in ["r0", "w0"] {
--- /dev/null
+++ b/tests/slow_start.rs
@@ -0,0 +1,115 @@
+//! Slow start as all routers of a fleet keep it together: what reaches a server that has just started, in any
+//! window of the settings, is its budget and what may be put down to chance, however many routers there are,
+//! however unequal their traffic, whichever have just started or learn of it late.
+
+mod support;
+
+use frosttrail::*;
+use support::side::Side;
+use support::*;
+
+/// Requests a second that a warm server of the fleet gets: one request comes every 5 ms, for 10 servers.
+const WARM_PER_S: f64 = 20.0;
+const SERVERS: usize = 10;
+/// How long the start is watched.
+const TIME: Micros = 6 * SEC;
+
+fn servers() -> Vec<Entry> {
+    let of = |kind, letter| (0..SERVERS).map(move |n| entry(&format!("{letter}{n}"), kind));
+    of(0, 'r').chain(of(1, 'w')).collect()
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Case {
+    /// All alike.
+    Equal,
+    /// A tenth of them, one at least, have half of the traffic besides their part of the other half.
+    Unequal,
+    /// Half of the routers have just started.
+    Started,
+    /// A third learn of it up to 2 s late.
+    Late,
+}
+
+/// Draws from a hash, so that a failure can be played again.
+fn draw(seed: u64, n: usize) -> u64 {
+    let mut x = (seed << 32) ^ n as u64 ^ 0x9e37_79b9_7f4a_7c15;
+    for _ in 0..3 {
+        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    }
+    x ^ (x >> 31)
+}
+
+/// The most that the new server got in a window of the settings, over its budget there; and the share of the
+/// budgets of the whole time that it got.
+fn start(routers: u32, case: Case, seed: u64, kind: usize) -> (f64, f64, f64) {
+    let settings = Settings { balancers: routers, ..Settings::example() };
+    let mut side = Side::new(&settings, &servers());
+    side.whose = Box::new(move |asked, routers| {
+        let drawn = draw(seed, asked);
+        let even = (drawn >> 8) as usize % routers;
+        match case {
+            Case::Unequal if drawn % 2 == 0 => even % (routers / 10).max(1),
+            _ => even,
+        }
+    });
+    side.run(8 * SEC);
+    let (begin, name) = (side.now, if kind == 0 { "new-r" } else { "new-w" });
+    let news = [Entry { started: begin, ..entry(name, kind) }];
+    let mut late = Vec::new();
+    for i in 0..routers as usize {
+        match case {
+            Case::Started if i % 2 == 0 => {
+                let all = [servers(), news.to_vec()].concat();
+                side.restart(i, &settings, &all);
+            }
+            Case::Late if i % 3 == 0 => late.push((begin + draw(seed, i) % (2 * SEC), i)),
+            _ => side.tell_one(i, &news),
+        }
+    }
+    while side.now < begin + TIME {
+        side.run(20 * MS);
+        let now = side.now;
+        late.retain(|&(at, i)| {
+            let due = at <= now;
+            if due {
+                side.tell_one(i, &news);
+            }
+            !due
+        });
+    }
+    let times: Vec<Micros> = side.sent.iter().filter(|s| &*s.1 == name).map(|s| s.0).collect();
+    let within = |&t: &Micros| times.iter().filter(|&&u| u >= t && u < t + settings.fall).count();
+    let most = times.iter().map(within).max().unwrap_or(0) as f64;
+    let per_s = WARM_PER_S * settings.cold_from * settings.fall_multiple;
+    let budget = per_s * settings.fall as f64 / 1e6;
+    (most, budget, times.len() as f64 / (per_s * TIME as f64 / 1e6))
+}
+
+#[test]
+fn any_number_of_routers_keeps_a_new_server_within_its_budget_and_uses_a_fair_part_of_it() {
+    for routers in [2, 3, 20, 30, 300] {
+        // Hundreds of routers take their time to play.
+        let seeds = if routers > 100 { 1 } else { 6 };
+        for case in [Case::Equal, Case::Unequal, Case::Started, Case::Late] {
+            for kind in [0, 1] {
+                let mut used = Vec::new();
+                for seed in 0..seeds {
+                    let (most, budget, share) = start(routers, case, seed, kind);
+                    let chance = 2.0 * budget.sqrt() + 2.0;
+                    let name = format!("{routers} routers, {case:?}, kind {kind}, seed {seed}");
+                    assert!(most <= budget + chance, "{name}: {most} of {budget} + {chance:.1}");
+                    used.push(share);
+                }
+                let mean = used.iter().sum::<f64>() / used.len() as f64;
+                println!("{routers} routers, {case:?}, kind {kind}: {mean:.2} of the budget used");
+                // Few routers of which half know nothing yet go by what the others have seen: that is less.
+                let least = if case == Case::Started { 0.1 } else { 0.15 };
+                assert!(
+                    mean >= least,
+                    "{routers} routers, {case:?}, kind {kind}: {mean:.2} of the budget used"
+                );
+            }
+        }
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod fleet;
+pub mod side;
 
 use frosttrail::*;
 
--- /dev/null
+++ b/tests/support/side.rs
@@ -0,0 +1,129 @@
+//! Many routers side by side, in simulated time.
+
+use std::collections::BTreeMap;
+
+use frosttrail::*;
+
+use super::{query, MS, SEC};
+
+/// Routers that share a fleet which answers everything after a fixed time.
+pub struct Side {
+    pub routers: Vec<Router>,
+    pub now: Micros,
+    asked: usize,
+    /// At which of so many routers a request comes.
+    pub whose: Box<dyn Fn(usize, usize) -> usize>,
+    /// When, router, request, attempt, worker.
+    due: Vec<(Micros, usize, Id, u32, Id)>,
+    attempts: BTreeMap<Id, u32>,
+    bells: BTreeMap<(Micros, usize), u64>,
+    /// When, and to which worker; who sent it.
+    pub sent: Vec<(Micros, Id, usize)>,
+    /// The prefix of all requests, and the most that were out at one worker.
+    pub prefix: Option<Id>,
+    pub most: usize,
+}
+
+impl Side {
+    pub fn new(settings: &Settings, fleet: &[Entry]) -> Self {
+        let routers = (0..settings.balancers).map(|i| Router::new(settings.clone(), u64::from(i) * 7 + 1));
+        let mut side = Side {
+            routers: routers.collect(),
+            now: 100 * SEC,
+            asked: 0,
+            whose: Box::new(|asked, routers| asked * 37 % routers),
+            due: Vec::new(),
+            attempts: BTreeMap::new(),
+            bells: BTreeMap::new(),
+            sent: Vec::new(),
+            prefix: None,
+            most: 0,
+        };
+        side.tell(fleet);
+        side
+    }
+
+    pub fn tell(&mut self, entries: &[Entry]) {
+        (0..self.routers.len()).for_each(|i| self.tell_one(i, entries));
+    }
+
+    pub fn tell_one(&mut self, i: usize, entries: &[Entry]) {
+        self.feed(i, Event::Members { form: ListForm::Changes, entries: entries.to_vec() });
+    }
+
+    /// A router ends, and starts from nothing but the list.
+    pub fn restart(&mut self, i: usize, settings: &Settings, entries: &[Entry]) {
+        self.due.retain(|due| due.1 != i);
+        self.bells.retain(|(_, of), _| *of != i);
+        self.routers[i] = Router::new(settings.clone(), 1_000_003 + i as u64);
+        self.tell_one(i, entries);
+    }
+
+    fn feed(&mut self, i: usize, event: Event) {
+        let mut out = Vec::new();
+        self.routers[i].handle(self.now, event, &mut out);
+        for action in out {
+            match action {
+                Action::Send { id, worker, .. } => {
+                    let attempt = self.attempts.entry(id.clone()).or_insert(0);
+                    self.due.push((self.now + 50 * MS, i, id, *attempt, worker.clone()));
+                    *attempt += 1;
+                    self.most = self.most.max(self.holds(&worker));
+                    self.sent.push((self.now, worker, i));
+                }
+                Action::Probe { worker } => {
+                    let load =
+                        Some(Load { outstanding: Some(self.holds(&worker) as f64), ..Load::default() });
+                    self.feed(i, Event::Probed { worker, outcome: Outcome::Served, load });
+                }
+                Action::Timer { delay, token } => {
+                    self.bells.insert((self.now + delay, i), token);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn holds(&self, worker: &str) -> usize {
+        self.due.iter().filter(|d| &*d.4 == worker).count()
+    }
+
+    /// One new request every five milliseconds, at the routers in turn if `whose` says nothing else.
+    pub fn run(&mut self, span: Micros) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += 5 * MS;
+            let now = self.now;
+            while let Some((&(at, i), &token)) = self.bells.first_key_value().filter(|b| b.0 .0 <= now) {
+                self.bells.remove(&(at, i));
+                self.feed(i, Event::Bell { token });
+            }
+            let (over, due) = std::mem::take(&mut self.due).into_iter().partition(|d| d.0 <= now);
+            self.due = due;
+            for (_, i, id, attempt, worker) in Vec::from_iter::<Vec<_>>(over) {
+                let read = worker.starts_with('r');
+                let outcome = if read { Outcome::ReadDone } else { Outcome::Served };
+                let (elapsed, kept_tokens, load) = (50 * MS, 0, None);
+                if !read {
+                    self.feed(i, Event::Headers { id: id.clone(), attempt, elapsed });
+                }
+                let finished = !read;
+                self.feed(
+                    i,
+                    Event::Result { id, attempt, worker, outcome, elapsed, kept_tokens, finished, load },
+                );
+            }
+            self.asked += 1;
+            let i = (self.whose)(self.asked, self.routers.len());
+            let prefix = self.prefix.clone();
+            self.feed(i, Event::Query(Query { prefix, ..query(&format!("q{}", self.asked), 900) }));
+        }
+    }
+
+    pub fn busiest_second(&self, worker: &str, from: Micros) -> usize {
+        let times: Vec<Micros> =
+            self.sent.iter().filter(|s| &*s.1 == worker && s.0 >= from).map(|s| s.0).collect();
+        let within = |&t: &Micros| times.iter().filter(|&&u| u >= t && u < t + SEC).count();
+        times.iter().map(within).max().unwrap_or(0)
+    }
+}
