--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -31,6 +31,9 @@
     /// The seed is no hexadecimal number.
     #[error("{0}: seed: not a hexadecimal number of at most 16 digits")]
     Seed(PathBuf),
+    /// A line of the list that was last known can't be read.
+    #[error("{0}: known.targets: {1}")]
+    Known(PathBuf, String),
     /// The settings lack something.
     #[error("{0}: settings: {1}")]
     Settings(PathBuf, SetupError),
@@ -108,6 +111,9 @@
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(at()))?;
         let settings = |e| ConfigError::Settings(at(), e);
         let names = Names::new(&file.settings).map_err(settings)?;
+        if let Some(fault) = file.known.fault() {
+            return Err(ConfigError::Known(at(), fault));
+        }
         if file.limits.sockets < MIN_SOCKETS {
             return Err(ConfigError::Sockets(at(), file.limits.sockets));
         }
--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -29,7 +29,32 @@
 pub struct Listing {
     rev: u64,
     all: bool,
-    targets: Vec<Target>,
+    targets: Vec<Line>,
+}
+
+/// A line of a list. One that can't be read must not keep the others from being heard.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(untagged)]
+enum Line {
+    Read(Target),
+    Unreadable(serde_json::Value),
+}
+
+impl Listing {
+    /// What is wrong with the first line that can't be read, if there is one.
+    pub fn fault(&self) -> Option<String> {
+        self.targets.iter().find_map(|line| match line {
+            Line::Read(_) => None,
+            Line::Unreadable(line) => Some(fault(line)),
+        })
+    }
+}
+
+/// Why a line can't be read, and which.
+fn fault(line: &serde_json::Value) -> String {
+    let why = Target::deserialize(line).err().map(|e| e.to_string()).unwrap_or_default();
+    let uid = line.get("uid").and_then(serde_json::Value::as_str).unwrap_or("a line without a uid");
+    format!("{uid}: {why}")
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -82,7 +107,15 @@
 
     fn news(&self, listing: Listing, form: ListForm) -> News {
         let mut entries = Vec::with_capacity(listing.targets.len());
-        for target in listing.targets {
+        for line in listing.targets {
+            let target = match line {
+                Line::Read(target) => target,
+                Line::Unreadable(line) => {
+                    // Nothing is sent to a box that a whole list does not name in readable words.
+                    warn!(self.log, "a line of the list can't be read and is passed over"; "why" => fault(&line));
+                    continue;
+                }
+            };
             match entry(&target, &self.names, &self.clock) {
                 Ok(entry) => {
                     self.book.set(entry.worker.clone(), target.endpoint);
--- a/daemon/tests/discovery.rs
+++ b/daemon/tests/discovery.rs
@@ -190,6 +190,20 @@
     assert!(begin.elapsed() < TOLD, "{:?}", begin.elapsed());
 }
 
+const PARTLY: &str = "{\"rev\":8,\"all\":false,\"targets\":[{\"uid\":\"b\",\"endpoint\":7},null,\
+    {\"uid\":\"a\",\"endpoint\":\"127.0.0.1:7\",\"az\":\"z\",\
+    \"model\":\"decode\",\"pod_group\":3,\"state\":\"leaving\",\"capacity_hint\":1.0,\"boot_ms\":0}]}\n";
+
+#[tokio::test]
+async fn a_line_that_cant_be_read_does_not_keep_the_others_from_being_heard() {
+    let agent = StandIn::start(Does::StallsAfter(&[PARTLY])).await;
+    let (_address, at) = watch::channel(agent.address);
+    let mut list = started(at, 1).await;
+    let news = timeout(LATEST, list.next()).await.expect("a change in time").unwrap();
+    assert_eq!(states(&news), [("a", Health::Draining)]);
+    assert_eq!(agent.got.lock().unwrap().len(), 1, "by the first watch");
+}
+
 /// What went wrong at the old agent must not make the new one wait: after SIGHUP, time runs anew.
 #[tokio::test]
 async fn failures_at_one_agent_do_not_hold_back_the_call_to_the_next() {
--- a/daemon/tests/platform.rs
+++ b/daemon/tests/platform.rs
@@ -257,8 +257,15 @@
     few["limits"]["sockets"] = json!(10);
     let mut unset = good.clone();
     unset["settings"]["rules"].as_object_mut().unwrap().remove("fall");
-    let cases =
-        [(without("listen"), "listen"), (few, "limits.sockets"), (unset, "rules.fall"), (json!(7), "struct")];
+    let mut half = good.clone();
+    half["known"]["targets"][0].as_object_mut().unwrap().remove("endpoint");
+    let cases = [
+        (without("listen"), "listen"),
+        (few, "limits.sockets"),
+        (unset, "rules.fall"),
+        (half, "known.targets: s-1: missing field `endpoint`"),
+        (json!(7), "struct"),
+    ];
     for (at, (config, word)) in cases.into_iter().enumerate() {
         let output = program(&format!("bad-{at}"), &config.to_string()).output().unwrap();
         let text = String::from_utf8(output.stderr).unwrap();
