--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -112,7 +112,7 @@
                 Line::Read(target) => target,
                 Line::Unreadable(line) => {
                     // Nothing is sent to a box that a whole list does not name in readable words.
-                    warn!(self.log, "a line of the list can't be read and is passed over"; "why" => fault(&line));
+                    warn!(self.log, "a line of the list is passed over"; "why" => fault(&line));
                     continue;
                 }
             };
