--- a/src/facade.rs
+++ b/src/facade.rs
@@ -6,8 +6,8 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use crate::brain::Router;
 use crate::interface::*;
+use crate::scheduler::Router;
 
 /// What is to be done about a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,13 +44,13 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod brain;
 mod facade;
 mod hash;
 mod interface;
 mod rate;
+mod scheduler;
 pub mod setup;
 
-pub use brain::Router;
 pub use facade::{Facade, Report, Verdict, Verdicts};
 pub use interface::*;
+pub use scheduler::Router;
