--- a/daemon/tests/closes.rs
+++ b/daemon/tests/closes.rs
@@ -13,14 +13,11 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-const PATH: &str = "/v1/chat/completions";
 const READY: &str = "GET /_health HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
 const LATEST: Duration = Duration::from_secs(20);
 
 fn request(id: &str) -> String {
-    let labels = "x-labels: prompt_len=600,max_out=100\r\n";
-    let headers = format!("x-txn: {id}\r\nx-lane: ask\r\nx-entity: s\r\nx-remaining: 7000m\r\n{labels}");
-    post(PATH, &headers, "{}").replace("connection: close\r\n", "")
+    kept(&chat(id, "ask", 7_000))
 }
 
 /// Reads all there is; an error is a reset, which may have destroyed what came before it.
@@ -67,7 +64,7 @@
 }
 
 async fn resting(to: SocketAddr) -> TcpStream {
-    let mut client = send(to, &READY.replace("connection: close\r\n", "")).await;
+    let mut client = send(to, &kept(READY)).await;
     let mut seen = Vec::new();
     while !seen.ends_with(b"ready\n") {
         assert!(client.read_buf(&mut seen).await.unwrap() > 0);
--- a/daemon/tests/crowds.rs
+++ b/daemon/tests/crowds.rs
@@ -11,7 +11,6 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-const PATH: &str = "/v1/chat/completions";
 const LATEST: Duration = Duration::from_secs(20);
 /// What discovery has counts as told so long after it could be reached.
 const TOLD: Duration = Duration::from_secs(6);
@@ -33,14 +32,12 @@
 }
 
 fn request(id: &str) -> String {
-    let labels = "x-labels: prompt_len=600,max_out=100\r\n";
-    let headers = format!("x-txn: {id}\r\nx-lane: ask\r\nx-entity: s-{id}\r\nx-remaining: 7000m\r\n{labels}");
-    post(PATH, &headers, "{}")
+    chat(id, "ask", 7_000)
 }
 
 /// Idle clients: some have never asked, some once, some sent half a request.
 async fn idle(to: std::net::SocketAddr, n: usize) -> TcpStream {
-    let asked = READY.replace("connection: close\r\n", "");
+    let asked = kept(READY);
     send(to, ["", &asked, "POST /v1/ch"][n % 3]).await
 }
 
@@ -60,7 +57,7 @@
     // Attempts and new clients get theirs, and what is let go of finds its way while others ask.
     for round in 0..6 {
         decode.next(Does::Says(500, false, ""));
-        let book = request(&format!("book-{round}")).replace("x-lane: ask", "x-lane: book");
+        let book = chat(&format!("book-{round}"), "book", 7_000);
         let failed = timeout(LATEST, exchange(running.listen, &book)).await.expect("an answer in time");
         assert_eq!(failed.status, 502, "it may have run");
         let asks = (0..4).map(|n| {
@@ -139,7 +136,7 @@
             let (to, id) = (running.listen, format!("flood-{round}-{n}"));
             bad.push(tokio::spawn(async move {
                 let mut client = send(to, "").await;
-                let many = request(&id).replace("connection: close\r\n", "").repeat(400);
+                let many = kept(&request(&id)).repeat(400);
                 let text = if n % 2 == 0 { many } else { "x".repeat(1 << 20) };
                 let sent = tokio::io::AsyncWriteExt::write_all(&mut client, text.as_bytes());
                 let _ = timeout(Duration::from_millis(400), sent).await;
--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -14,7 +14,6 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
-const PATH: &str = "/v1/chat/completions";
 const LATEST: Duration = Duration::from_secs(20);
 
 fn with_deadline(ms: u64) -> Value {
@@ -41,10 +40,7 @@
 }
 
 fn request(id: &str, class: &str, remaining: u64) -> String {
-    let labels = "x-labels: prompt_len=600,max_out=100\r\n";
-    let headers =
-        format!("x-txn: {id}\r\nx-lane: {class}\r\nx-entity: s\r\nx-remaining: {remaining}m\r\n{labels}");
-    post(PATH, &headers, "{}").replace("connection: close\r\n", "")
+    kept(&chat(id, class, remaining))
 }
 
 /// What came back: nothing at all, or an answer's status and whether it was whole.
--- a/daemon/tests/gone.rs
+++ b/daemon/tests/gone.rs
@@ -13,15 +13,12 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-const PATH: &str = "/v1/chat/completions";
 /// A client has gone at once; a wait that is not cut short by that takes 0.7 s at least.
 const SOON: Duration = Duration::from_millis(500);
 const LATEST: Duration = Duration::from_secs(20);
 
 fn request(id: &str) -> String {
-    let labels = "x-labels: prompt_len=600,max_out=100\r\n";
-    let headers = format!("x-txn: {id}\r\nx-lane: ask\r\nx-entity: s\r\nx-remaining: 7000m\r\n{labels}");
-    post(PATH, &headers, "{}").replace("connection: close\r\n", "")
+    kept(&chat(id, "ask", 7_000))
 }
 
 /// What lies before the end: nothing, half a line, a whole request, many of them, more than is ever kept.
@@ -63,7 +60,7 @@
         let site = Open::before(&[("decode", 1, decode.address)], PATIENCE);
         let client = send(site.platform, &request("goes")).await;
         until(|| site.conductor.calls() == 1).await;
-        let stays = tokio::spawn(async move { exchange(site.platform, &post_as("stays")).await });
+        let stays = tokio::spawn(async move { exchange(site.platform, &chat("stays", "ask", 7_000)).await });
         until(|| site.conductor.calls() == 2).await;
         goes(client, &leaving).await;
         sleep(Duration::from_millis(100)).await;
@@ -76,10 +73,6 @@
     }
 }
 
-fn post_as(id: &str) -> String {
-    request(id).replace("host: x", "connection: close\r\nhost: x")
-}
-
 /// The attempt that is out ends, and none follows.
 #[tokio::test]
 async fn while_its_prompt_is_read_and_while_its_answer_is_waited_for_or_runs() {
@@ -136,7 +129,8 @@
         })
         .collect();
     for n in 0..20 {
-        let answer = timeout(LATEST, exchange(site.platform, &post_as(&format!("stays-{n}")))).await;
+        let answer =
+            timeout(LATEST, exchange(site.platform, &chat(&format!("stays-{n}"), "ask", 7_000))).await;
         assert_eq!(answer.expect("an answer in time").status, 200);
     }
     for flood in floods {
--- a/daemon/tests/servers.rs
+++ b/daemon/tests/servers.rs
@@ -8,7 +8,6 @@
 use support::*;
 use tokio::time::{sleep, timeout};
 
-const PATH: &str = "/v1/chat/completions";
 const LATEST: Duration = Duration::from_secs(20);
 /// Half an event.
 const HALF: &str = "data: {\"choices\":[{\"index\":0,";
@@ -16,9 +15,7 @@
     HTTP/1.1 202 Accepted\r\ncontent-length: 19\r\n\r\n{\"cached_tokens\":9}";
 
 fn request(id: &str, class: &str) -> String {
-    let labels = "x-labels: prompt_len=600,max_out=100\r\n";
-    let headers = format!("x-txn: {id}\r\nx-lane: {class}\r\nx-entity: s\r\nx-remaining: 7000m\r\n{labels}");
-    post(PATH, &headers, "{}")
+    chat(id, class, 7_000)
 }
 
 /// Before the first event another attempt is possible, where the class may run twice or nothing has run.
@@ -126,7 +123,7 @@
 async fn what_was_never_sent_is_refused_with_an_answer() {
     let site = Open::before(&[], PATIENCE);
     for class in ["ask", "book"] {
-        let text = request(&format!("never-{class}"), class).replace("7000m", "900m");
+        let text = chat(&format!("never-{class}"), class, 900);
         let begin = Instant::now();
         let answer = exchange(site.platform, &text).await;
         assert_eq!((answer.status, answer.answers), (503, 1), "{class}");
--- a/daemon/tests/slow_start.rs
+++ b/daemon/tests/slow_start.rs
@@ -24,10 +24,7 @@
     while Instant::now() < end {
         let begin = Instant::now();
         let id = format!("c{name}-{asked}");
-        let labels = "x-labels: prompt_len=600,max_out=100\r\n";
-        let headers =
-            format!("x-txn: {id}\r\nx-lane: ask\r\nx-entity: s-{id}\r\nx-remaining: 7000m\r\n{labels}");
-        let text = post("/v1/chat/completions", &headers, "{}");
+        let text = chat(&id, "ask", 7_000);
         let answer = timeout(LATEST, exchange(to, &text)).await.expect("an answer in time");
         served += usize::from(answer.status == 200);
         asked += 1;
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -484,6 +484,20 @@
     format!("{head}content-length: {length}\r\n\r\n{body}")
 }
 
+/// A request of the platform's, of some length, whose client waits for so many milliseconds.
+pub fn chat(id: &str, class: &str, remaining: u64) -> String {
+    let labels = "x-labels: prompt_len=600,max_out=100\r\n";
+    let headers = format!(
+        "x-txn: {id}\r\nx-lane: {class}\r\nx-entity: s-{id}\r\nx-remaining: {remaining}m\r\n{labels}"
+    );
+    post("/v1/chat/completions", &headers, "{}")
+}
+
+/// The same on a connection that the client keeps.
+pub fn kept(text: &str) -> String {
+    text.replace("connection: close\r\n", "")
+}
+
 /// Sends a request and reads all that comes back.
 pub async fn exchange(to: SocketAddr, text: &str) -> Answer {
     let mut stream = send(to, text).await;
