--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -648,14 +648,14 @@
         }
         let line = |id: &Id| {
             let r = self.requests.get(id)?;
-            Some((self.now >= self.last_start(r), r.query.prompt_tokens, r.arrived, id.clone()))
+            let last = self.last_start(r);
+            Some((self.now >= last, r.query.prompt_tokens, r.arrived, id.clone(), last))
         };
-        let mut order: Vec<(bool, u64, Micros, Id)> = self.held.iter().filter_map(line).collect();
+        let mut order: Vec<(bool, u64, Micros, Id, Micros)> = self.held.iter().filter_map(line).collect();
         order.sort();
         if self.now >= self.promoted + (PROMOTE_EVERY as f64 / self.part(READ_SLOTS).min(1.0)) as Micros {
-            let starved = |(late, _, arrived, id): &(bool, u64, Micros, Id)| {
-                let time =
-                    self.last_start(&self.requests[id]).saturating_sub(*arrived) as f64 * STARVED_SHARE;
+            let starved = |(late, _, arrived, _, last): &(bool, u64, Micros, Id, Micros)| {
+                let time = last.saturating_sub(*arrived) as f64 * STARVED_SHARE;
                 !late && self.now >= arrived + STARVED.min(time as Micros)
             };
             let longest = (0..order.len()).filter(|&i| starved(&order[i])).min_by_key(|&i| order[i].2);
@@ -664,7 +664,7 @@
             }
         }
         let ahead = order.first().map(|o| o.3.clone());
-        for (_, _, arrived, id) in order {
+        for (_, _, arrived, id, _) in order {
             let Some(request) = self.requests.get(&id) else { continue };
             let Some(w) = self.place(request) else { continue };
             if self.asks() && self.workers[w].role == Stage::Read && self.known(w).is_none() {
