--- a/daemon/src/front/clients.rs
+++ b/daemon/src/front/clients.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{timeout, Instant};
 use tokio_util::sync::CancellationToken;
 
 /// A connection that was told to make room is gone by then, unless a request has come on it.
@@ -38,15 +38,14 @@
 
 impl Idle {
     /// The one whose turn it is to make room.
-    fn turn_out(&mut self) -> Option<(Turn, Connection)> {
-        let ((asked, _), first) = self.connections.first_key_value()?;
-        if !asked && first.since.elapsed() < FRESH {
+    fn turn_out(&mut self) -> Option<CancellationToken> {
+        let (&(asked, nth), first) = self.connections.first_key_value()?;
+        let turn = match !asked && first.since.elapsed() < FRESH {
             // All that never asked are as young; the next are those that have.
-            let (turn, _) = self.connections.range((true, 0)..).next()?;
-            let turn = *turn;
-            return self.connections.remove_entry(&turn);
-        }
-        self.connections.pop_first()
+            true => *self.connections.range((true, 0)..).next()?.0,
+            false => (asked, nth),
+        };
+        self.connections.remove(&turn).map(|connection| connection.leave)
     }
 }
 
@@ -64,9 +63,8 @@
             if let Ok(permit) = permit {
                 return self.enter(permit);
             }
-            match self.with(Idle::turn_out) {
-                Some((_, connection)) => connection.leave.cancel(),
-                None => sleep(FRESH / 4).await,
+            if let Some(leave) = self.with(Idle::turn_out) {
+                leave.cancel();
             }
             // The semaphore is never closed.
             if let Ok(Ok(permit)) = timeout(NEXT, self.permits.clone().acquire_owned()).await {
