--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -2,13 +2,13 @@
 
 use std::future::Future;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use frosttrail::{Id, Load, Micros, Outcome, Query, Report, Verdict};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 use crate::owner::{Conductor, Message, Order, Ticket};
 use crate::traits::{Boxes, Events, Reply, Step};
@@ -16,6 +16,9 @@
 /// A stream that says nothing for this long has lost its box: a machine that vanished ends no
 /// connection. Below the 5 s after which a waiting client counts as left waiting.
 const SILENCE: Duration = Duration::from_millis(4_500);
+/// What came while the client took nothing lies in the box's socket, and has this long to come through once
+/// the client takes events again. With the silence it stays below those 5 s.
+const CATCH_UP: Duration = Duration::from_millis(250);
 
 /// A client's request as a front hands it over.
 #[derive(Debug)]
@@ -151,15 +154,17 @@
                 let wait = Duration::from_micros(stop_at.saturating_sub(self.clock.now()));
                 self.boxes.attempt(worker, &id, call, wait).await
             };
+            // What has been decided stands, also where a reply lies ready beside it: the decisions have let go
+            // of the request, and what would begin to stream now might be cut by the conductor's end.
             tokio::select! {
                 biased;
-                reply = attempt => reply,
                 order = seat.verdicts.recv() => match order {
                     None | Some(Order { verdict: Verdict::Cancel, .. }) => {
                         Reply::Ended(Outcome::CalledOff, None)
                     }
                     Some(order) => return Next::Order(order),
                 },
+                reply = attempt => reply,
             }
         };
         match reply {
@@ -186,30 +191,52 @@
     seat: Option<Seat>,
     events: E,
     silence: Pin<Box<tokio::time::Sleep>>,
+    /// The client waits for the next event; it took the last one a while ago, or just now.
+    awaited: bool,
+}
+
+/// Whether the stream has been given to another. A final answer that crossed the first event comes too late:
+/// that event is the final answer. All there is gets read, so that the next order wakes the stream.
+fn moved(verdicts: &mut mpsc::UnboundedReceiver<Order>, cx: &mut Context<'_>) -> bool {
+    while let Poll::Ready(order) = verdicts.poll_recv(cx) {
+        if order.is_none_or(|order| order.verdict == Verdict::Move) {
+            return true;
+        }
+    }
+    false
 }
 
 impl<E: Events> AnswerStream<E> {
     fn new(seat: Seat, events: E) -> Self {
-        AnswerStream { seat: Some(seat), events, silence: Box::pin(tokio::time::sleep(SILENCE)) }
+        let silence = Box::pin(tokio::time::sleep(SILENCE));
+        AnswerStream { seat: Some(seat), events, silence, awaited: false }
     }
 
     /// The next events; `None` at the end.
     pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
         let Some(seat) = &mut self.seat else { return Poll::Ready(None) };
-        let moved = matches!(
-            seat.verdicts.poll_recv(cx),
-            Poll::Ready(None | Some(Order { verdict: Verdict::Move, .. }))
-        );
+        let moved = moved(&mut seat.verdicts, cx);
         let step = match self.events.poll_step(cx) {
+            // Another goes on from here: nothing more may come of this one, whatever lies ready.
+            _ if moved => Step::Broken(Outcome::CalledOff),
             Poll::Ready(step) => step,
-            Poll::Pending if moved => Step::Broken(Outcome::CalledOff),
-            // One stream that stalls may be that answer's own fault; a box that has vanished shows in others.
-            Poll::Pending if self.silence.as_mut().poll(cx).is_ready() => Step::Broken(Outcome::NoAnswer),
-            Poll::Pending => return Poll::Pending,
+            Poll::Pending => {
+                if !std::mem::replace(&mut self.awaited, true) {
+                    // What was silent for a while may have been the client.
+                    let soonest = Instant::now() + CATCH_UP;
+                    if self.silence.deadline() < soonest {
+                        self.silence.as_mut().reset(soonest);
+                    }
+                }
+                // One stream that stalls may be that answer's own fault; a box that has vanished shows in others.
+                ready!(self.silence.as_mut().poll(cx));
+                Step::Broken(Outcome::NoAnswer)
+            }
         };
+        self.awaited = false;
         Poll::Ready(match step {
             Step::Data(bytes) => {
-                self.silence.as_mut().reset(tokio::time::Instant::now() + SILENCE);
+                self.silence.as_mut().reset(Instant::now() + SILENCE);
                 Some(Ok(bytes))
             }
             Step::End => {
@@ -246,3 +273,7 @@
         Box::pin(async move { Conductor::call(&conductor, request).await })
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/request.rs"]
+mod tests;
--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -454,3 +454,54 @@
         assert_eq!(read_anew(&[NoConnection], 40, 0).await, (2, 0, true), "nothing is held");
     });
 }
+
+/// Both the decisions' last word and the reply of the attempt lie ready as the request is polled. What they
+/// said stands: the client's answer, the attempt given up, its state let go.
+async fn closing_meets(book: bool, replies: &[Happens]) -> (Answered, u32, u32) {
+    let table = Table::default();
+    let conductor = conductor(&table);
+    settle().await;
+    let mut model = Model { book, ..Model::default() };
+    let request = Request { query: query("id-1", usize::from(book)), call: () };
+    let mut call = Box::pin(conductor.call(request));
+    for (n, what) in replies.iter().enumerate() {
+        for _ in 0..2 {
+            assert!(poll_fn(|cx| Poll::Ready(call.as_mut().poll(cx))).await.is_pending());
+            settle().await;
+        }
+        if n + 1 == replies.len() {
+            conductor.close();
+        }
+        model.step(&table, *what);
+        settle().await;
+    }
+    let answer = call.await;
+    settle().await;
+    (answer, table.with(|w| w.out[&Id::from("id-1")]), table.with(|w| w.releases))
+}
+
+#[test]
+fn what_was_decided_stands_beside_a_reply_that_lies_ready() {
+    use Happens::{Broke, First, ReadDone, TurnedAway};
+    paused(async {
+        for (book, replies) in [
+            (false, &[ReadDone][..]),
+            (true, &[ReadDone]),
+            (true, &[TurnedAway]),
+            (false, &[ReadDone, First]),
+            (true, &[ReadDone, First]),
+            (true, &[ReadDone, Broke]),
+            (true, &[ReadDone, TurnedAway]),
+        ] {
+            let (answer, out, releases) = closing_meets(book, replies).await;
+            let may_have_run = book && replies.len() == 2;
+            match answer.unwrap() {
+                Answer::Failed { .. } => assert!(may_have_run, "{book}, {replies:?}: never ran"),
+                Answer::Refused { .. } => assert!(!may_have_run, "{book}, {replies:?}: may have run"),
+                Answer::Served(_) => panic!("{book}, {replies:?}: it begins as the conductor ends"),
+            }
+            assert_eq!(out, 0, "{book}, {replies:?}: an attempt is out");
+            assert!(releases >= 1, "{book}, {replies:?}: nothing was let go");
+        }
+    });
+}
--- /dev/null
+++ b/core/tests/unit/request.rs
@@ -0,0 +1,115 @@
+//! A stream and the orders that cross its events.
+
+use std::future::poll_fn;
+
+use super::*;
+
+/// Events that lie ready, or come later.
+struct Told(mpsc::UnboundedReceiver<Step>);
+
+impl Events for Told {
+    fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
+        self.0.poll_recv(cx).map(|step| step.unwrap_or(Step::End))
+    }
+}
+
+struct Ends {
+    orders: mpsc::UnboundedSender<Order>,
+    events: mpsc::UnboundedSender<Step>,
+    reports: mpsc::UnboundedReceiver<Message>,
+}
+
+fn stream() -> (AnswerStream<Told>, Ends) {
+    let (orders, verdicts) = mpsc::unbounded_channel();
+    let (events, told) = mpsc::unbounded_channel();
+    let (tell, reports) = mpsc::unbounded_channel();
+    let seat = Seat { id: "id".into(), ticket: 0, verdicts, tell };
+    (AnswerStream::new(seat, Told(told)), Ends { orders, events, reports })
+}
+
+fn order(verdict: Verdict) -> Order {
+    Order { verdict, after: None }
+}
+
+fn event() -> Step {
+    Step::Data(Bytes::from_static(b"data: x\n\n"))
+}
+
+fn outcomes(ends: &mut Ends) -> Vec<Outcome> {
+    let mut all = Vec::new();
+    while let Ok(message) = ends.reports.try_recv() {
+        if let Message::Report(_, _, Report::Ended { outcome, .. }) = message {
+            all.push(outcome);
+        }
+    }
+    all
+}
+
+/// In whichever order the two came, no event passes once the stream has been given to another.
+#[tokio::test(start_paused = true)]
+async fn a_stream_that_moves_ends_whatever_lies_ready() {
+    for before in [0, 1, 3] {
+        let (mut stream, mut ends) = stream();
+        for _ in 0..before {
+            ends.events.send(event()).unwrap();
+            assert!(matches!(poll_fn(|cx| stream.poll_next(cx)).await, Some(Ok(_))));
+        }
+        ends.events.send(event()).unwrap();
+        ends.orders.send(order(Verdict::Move)).unwrap();
+        ends.events.send(event()).unwrap();
+        assert_eq!(poll_fn(|cx| stream.poll_next(cx)).await, Some(Err(Broken)), "{before} before");
+        assert!(stream.is_over() && poll_fn(|cx| stream.poll_next(cx)).await.is_none());
+        assert_eq!(outcomes(&mut ends), [Outcome::CalledOff], "told once");
+    }
+}
+
+/// A final answer that crossed the first event changes nothing, and the move behind it still wakes the stream.
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_came_too_late_hides_no_move() {
+    let (mut stream, ends) = stream();
+    for late in [Verdict::Refuse { retry_after: 0 }, Verdict::Fail, Verdict::Cancel] {
+        ends.orders.send(order(late)).unwrap();
+        ends.events.send(event()).unwrap();
+        assert!(matches!(poll_fn(|cx| stream.poll_next(cx)).await, Some(Ok(_))));
+    }
+    ends.orders.send(order(Verdict::Cancel)).unwrap();
+    let waits = tokio::spawn(async move { poll_fn(|cx| stream.poll_next(cx)).await });
+    tokio::task::yield_now().await;
+    ends.orders.send(order(Verdict::Move)).unwrap();
+    let begin = Instant::now();
+    assert_eq!(waits.await.unwrap(), Some(Err(Broken)));
+    assert_eq!(begin.elapsed(), Duration::ZERO, "it was not woken");
+}
+
+/// The client's own pause is no silence of the server: half an event may lie in its socket.
+#[tokio::test(start_paused = true)]
+async fn a_client_that_took_nothing_for_a_while_finds_its_stream_alive() {
+    for pause in [1, 4, 5, 60] {
+        let (mut stream, mut ends) = stream();
+        ends.events.send(event()).unwrap();
+        assert!(matches!(poll_fn(|cx| stream.poll_next(cx)).await, Some(Ok(_))));
+        tokio::time::sleep(Duration::from_secs(pause)).await;
+        let events = ends.events.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            events.send(event()).unwrap();
+        });
+        assert!(matches!(poll_fn(|cx| stream.poll_next(cx)).await, Some(Ok(_))), "after {pause} s");
+        assert_eq!(outcomes(&mut ends), []);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_server_that_says_nothing_is_given_up_within_the_time_of_a_waiting_client() {
+    for pause in [0, 1_000, 4_400, 4_600] {
+        let (mut stream, mut ends) = stream();
+        ends.events.send(event()).unwrap();
+        assert!(matches!(poll_fn(|cx| stream.poll_next(cx)).await, Some(Ok(_))));
+        let begin = Instant::now();
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        assert_eq!(poll_fn(|cx| stream.poll_next(cx)).await, Some(Err(Broken)));
+        let all = begin.elapsed();
+        assert!(all >= SILENCE && all < Duration::from_secs(5), "{pause} ms, then {all:?}");
+        assert_eq!(outcomes(&mut ends), [Outcome::NoAnswer]);
+    }
+}
