--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -14,6 +14,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
+const READY: &str = "GET /_health HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
 const LATEST: Duration = Duration::from_secs(20);
 
 fn with_deadline(ms: u64) -> Value {
@@ -63,20 +64,25 @@
     (id, answer)
 }
 
-/// Deadlines of 1 s, so that SIGKILL comes after 1.7 s: in between every request that was read is answered,
-/// and a stream that its server has finished is passed to its end.
-#[tokio::test]
-async fn with_short_deadlines_nothing_that_was_read_is_lost_to_sigkill() {
-    let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
+/// The configuration of a process before these two.
+fn config(prefill: &StandIn, decode: &StandIn, deadline: u64) -> String {
     let targets =
         [("p", "prefill", prefill.address), ("d", "decode", decode.address)].map(|(uid, model, at)| {
             json!({"uid": uid, "endpoint": at, "az": "z", "model": model, "pod_group": 0, "state": "active",
             "capacity_hint": 1.0, "boot_ms": 0})
         });
-    let config = json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
+    json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
         "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
-        "known": {"rev": 1, "all": true, "targets": targets}, "settings": with_deadline(1_000)});
-    let running = Running::start(program("short-deadlines", &config.to_string()));
+        "known": {"rev": 1, "all": true, "targets": targets}, "settings": with_deadline(deadline)})
+    .to_string()
+}
+
+/// Deadlines of 1 s, so that SIGKILL comes after 1.7 s: in between every request that was read is answered,
+/// and a stream that its server has finished is passed to its end.
+#[tokio::test]
+async fn with_short_deadlines_nothing_that_was_read_is_lost_to_sigkill() {
+    let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
+    let running = Running::start(program("short-deadlines", &config(&prefill, &decode, 1_000)));
     // Its stream takes 0.9 s.
     decode.next(Does::Ticks(150));
     let mut streams = send(running.listen, &request("streams", "ask", 1_000)).await;
@@ -106,3 +112,42 @@
     assert!(served >= 4, "those that come at once are served: {served}");
     running.ends_well().await;
 }
+
+/// Its first half came before the doors closed, the rest after the last answers: it is taken all the same, so it
+/// is answered, and before the end. Signals that come again, and SIGHUP, change nothing of that.
+#[tokio::test]
+async fn a_request_that_is_whole_only_after_the_last_answers_is_answered_too() {
+    let (prefill, decode) = (StandIn::start(Does::Silent).await, StandIn::start(WHOLE).await);
+    let running = Running::start(program("halves", &config(&prefill, &decode, 8_000)));
+    let mut open = send(running.listen, &request("open", "book", 8_000)).await;
+    let mut halves = Vec::new();
+    for n in 0..4 {
+        let text = request(&format!("half-{n}"), ["ask", "book"][n % 2], 8_000);
+        let (first, rest) = text.split_at(text.len() - 1);
+        let mut client = send(running.listen, &kept(READY)).await;
+        let mut seen = Vec::new();
+        while !seen.ends_with(b"ready\n") {
+            assert!(client.read_buf(&mut seen).await.unwrap() > 0);
+        }
+        halves.push((client, first.to_string(), rest.to_string()));
+    }
+    let told = Instant::now();
+    running.signal("-TERM");
+    // Late, yet before the doors close: what is left may still come when the last answers have gone.
+    sleep(Duration::from_millis(750)).await;
+    for (client, first, _) in &mut halves {
+        client.write_all(first.as_bytes()).await.unwrap();
+    }
+    // The first request's answer is the last of the planned end.
+    let (status, _) = rest(&mut open).await.expect("an answer");
+    assert_eq!(status, 503, "nothing had run");
+    running.signal("-TERM");
+    running.signal("-HUP");
+    for (n, (mut client, _, last)) in halves.into_iter().enumerate() {
+        client.write_all(last.as_bytes()).await.unwrap();
+        let answer = rest(&mut client).await;
+        assert_eq!(answer.map(|(status, _)| status), Some(503), "half-{n} was taken");
+    }
+    assert!(told.elapsed() < killed_after(8_000), "{:?}", told.elapsed());
+    running.ends_well().await;
+}
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -204,6 +204,7 @@
     /// When one that had waited was last given up: for an aim, what comes too late takes no room.
     shed: Micros,
     bell: u64,
+    closing: bool,
     watch_at: Option<Micros>,
     /// As many routers like this one would share all there is: one part's inverse.
     routers: f64,
@@ -497,7 +498,7 @@
         let spent = request.attempts + steps > self.settings.max_attempts;
         let waited = self.now > request.since;
         let held = (waited || self.now < self.shed + self.class(request).aim) && self.hopeless(request);
-        let late = self.now + self.margin() >= request.deadline || held;
+        let late = self.closing || self.now + self.margin() >= request.deadline || held;
         let stuck = matches!((self.class(request).effect, request.ran), (Effect::Unsafe, Some(_)));
         if spent || late || stuck {
             self.shed = if held && waited { self.now } else { self.shed };
@@ -592,8 +593,9 @@
         request.phase = Phase::Done;
     }
 
-    /// Answers all that has not begun to stream; what is out at a writer may have run.
+    /// Answers all that has not begun to stream, now and from now on; what is out at a writer may have run.
     fn close(&mut self, out: &mut Vec<Action>) {
+        self.closing = true;
         let open = |r: &&mut Request| !matches!(r.phase, Phase::Streaming | Phase::Done);
         let mut ids = Vec::new();
         for request in self.requests.values_mut().filter(open) {
@@ -1040,9 +1042,8 @@
             self.watch_at = None;
             out.push(Action::Watch);
         }
-        let fresh = self.now.saturating_sub(KEEP);
         if self.bell % 100 == 0 {
-            self.kept.retain(|_, k| k.2 >= fresh);
+            self.kept.retain(|_, k| k.2 + KEEP >= self.now);
             self.forget_gone();
         }
         let due = |r: &&Request| match r.phase {
