--- a/daemon/src/front/clients.rs
+++ b/daemon/src/front/clients.rs
@@ -95,6 +95,8 @@
     arrived: u64,
     /// and those that have been answered; more than the others where one was turned down before its end.
     answered: u64,
+    /// The library has handed out all of one that has not been answered.
+    waited_for: bool,
     /// Its turn while none is open.
     turn: Option<Turn>,
 }
@@ -113,6 +115,16 @@
         self.note(|state| state.arrived += 1);
     }
 
+    /// All of the request has been handed out: what its client sends from now on is no part of it.
+    fn handed_out(&self) {
+        self.note(|state| state.waited_for = true);
+    }
+
+    /// Whether a client waits whose request has been handed out whole.
+    pub(super) fn is_waited_for(&self) -> bool {
+        self.lock().waited_for
+    }
+
     /// Whether a whole request has come, and has not been answered,
     pub(super) fn is_busy(&self) -> bool {
         self.lock().turn.is_none()
@@ -173,6 +185,17 @@
 
 impl Drop for UnderWay {
     fn drop(&mut self) {
-        self.0.note(|state| state.answered += 1);
+        self.0.note(|state| (state.answered, state.waited_for) = (state.answered + 1, false));
+    }
+}
+
+/// Goes with a request's head to whoever reads its body, to be told when that has ended.
+#[derive(Clone)]
+pub(super) struct Arrival(pub(super) Arc<Place>);
+
+impl Arrival {
+    /// All of the body has come.
+    pub(super) fn ended(&self) {
+        self.0.handed_out();
     }
 }
--- a/daemon/src/front/input.rs
+++ b/daemon/src/front/input.rs
@@ -15,6 +15,8 @@
 use hyper::{HeaderMap, StatusCode};
 use tokio::time::{timeout_at, Instant};
 
+use super::clients::Arrival;
+
 /// The largest body on this wire.
 const BODY_MOST: usize = 256 << 10;
 /// No prompt or answer has more tokens; a body holds a small part of this.
@@ -103,7 +105,12 @@
         None => whole.await,
     };
     let bytes = match whole {
-        Ok(body) => body.to_bytes(),
+        Ok(body) => {
+            if let Some(arrival) = head.extensions.get::<Arrival>() {
+                arrival.ended();
+            }
+            body.to_bytes()
+        }
         Err(e) if e.is::<LengthLimitError>() => return Err(InputError::TooLarge),
         Err(_) => return Err(InputError::Body("the body broke off".into())),
     };
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -22,7 +22,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::body::{FrontBody, FrontResponse, Held};
-use super::clients::{Clients, Place, UnderWay};
+use super::clients::{Arrival, Clients, Place, UnderWay};
 use super::framing::{Found, Framed, HEADERS_MOST};
 use super::input::{ArriveBy, InputError};
 use super::socket::Socket;
@@ -156,6 +156,7 @@
                 let under_way = UnderWay(asked.clone());
                 let from = if asked.has_answered() { Instant::now() } else { accepted };
                 request.extensions_mut().insert(ArriveBy(from + arrive));
+                request.extensions_mut().insert(Arrival(asked.clone()));
                 let (service, leaving, found) = (service.clone(), leaving.clone(), found.clone());
                 let ahead = ahead.clone();
                 async move {
@@ -189,8 +190,8 @@
                         std::future::pending().await
                     }
                 });
-                // Between requests the library looks for itself.
-                let mut gone = pin!(poll_fn(|cx| match place.is_busy() {
+                // Up to a request's end and between requests the library looks for itself.
+                let mut gone = pin!(poll_fn(|cx| match place.is_waited_for() {
                     true => socket.poll_gone(cx),
                     false => Poll::Pending,
                 }));
--- a/daemon/src/upstream/pool.rs
+++ b/daemon/src/upstream/pool.rs
@@ -63,10 +63,8 @@
     /// A connection that was kept, if one is fit for use: open, and far from the age at which the box
     /// may close it, as a request that crosses the close may have run.
     pub(super) async fn kept(&self, worker: &Id) -> Option<Link> {
-        if !lock(&self.idle).contains_key(worker) {
-            return None;
-        }
-        // Lets a close that lies in the socket reach the connection's task before it is judged.
+        // Lets what lies in the sockets be heard first: a close of this connection, or the end of the client
+        // for whom it is wanted.
         tokio::task::yield_now().await;
         let mut idle = lock(&self.idle);
         let links = idle.get_mut(worker)?;
--- a/daemon/tests/gone.rs
+++ b/daemon/tests/gone.rs
@@ -21,16 +21,19 @@
     kept(&chat(id, "ask", 7_000))
 }
 
-/// What lies before the end: nothing, half a line, a whole request, many of them, more than is ever kept.
-fn left_unread() -> [(&'static str, String); 5] {
+/// What lies before the end: nothing, half a line, a whole request, many of them, more than is ever kept, more
+/// than is read as fast as it comes.
+fn left_unread() -> [(&'static str, String); 6] {
     let many = (0..40).map(|n| request(&format!("second-{n}"))).collect();
     let flood = "x".repeat(300 << 10);
+    let torrent = "x".repeat(4 << 20);
     [
         ("nothing", String::new()),
         ("half a line", "POST /v1/ch".into()),
         ("a request", request("second")),
         ("many", many),
         ("a flood", flood),
+        ("a torrent", torrent),
     ]
 }
 
@@ -73,6 +76,42 @@
     }
 }
 
+/// The client ends its connection and a server turns up within one turn of the busy thread: whichever the thread
+/// hears of first, no attempt begins.
+#[tokio::test]
+async fn in_the_very_turn_in_which_its_request_would_leave() {
+    // More than a socket's window holds can't arrive in one turn.
+    for (name, leaving) in left_unread().into_iter().filter(|(_, leaving)| leaving.len() < 32 << 10) {
+        for kept in [false, true] {
+            let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
+            let site = Open::before(&[("decode", 1, decode.address)], PATIENCE);
+            let turns_up = |health| {
+                let entries = vec![entry("prefill", 0, health)];
+                site.news.send(News { form: ListForm::Changes, entries }).unwrap();
+            };
+            site.book.set("prefill".into(), prefill.address);
+            if kept {
+                // A connection to it is kept, so that an attempt could begin at once.
+                turns_up(Health::Up);
+                assert_eq!(exchange(site.platform, &chat("stays", "ask", 7_000)).await.status, 200);
+                turns_up(Health::Gone);
+                sleep(Duration::from_millis(20)).await;
+            }
+            let before = site.conductor.calls();
+            let client = send(site.platform, &request("goes")).await;
+            until(|| site.conductor.calls() > before).await;
+            sleep(Duration::from_millis(20)).await;
+            // No await between these: the thread is busy meanwhile.
+            let mut client = client.into_std().unwrap();
+            std::io::Write::write_all(&mut client, leaving.as_bytes()).unwrap();
+            drop(client);
+            turns_up(Health::Up);
+            sleep(Duration::from_millis(150)).await;
+            assert_eq!((attempts(&prefill), attempts(&decode)), (0, 0), "{name}, kept: {kept}");
+        }
+    }
+}
+
 /// The attempt that is out ends, and none follows.
 #[tokio::test]
 async fn while_its_prompt_is_read_and_while_its_answer_is_waited_for_or_runs() {
@@ -137,3 +176,20 @@
         timeout(LATEST, flood).await.expect("it is closed in the end").unwrap();
     }
 }
+
+/// What comes behind the head of a chunked request is the request, however much of it comes at once.
+#[tokio::test]
+async fn a_chunked_body_that_comes_at_once_is_handed_on_whole() {
+    let site = Site::start().await;
+    let body = "x".repeat(250 << 10);
+    let head =
+        request("chunked").replace("content-length: 2\r\n\r\n{}", "transfer-encoding: chunked\r\n\r\n");
+    let chunks: String = body
+        .as_bytes()
+        .chunks(1 << 10)
+        .map(|c| format!("{:x}\r\n{}\r\n", c.len(), std::str::from_utf8(c).unwrap()))
+        .collect();
+    let answer = exchange(site.platform, &format!("{head}{chunks}0\r\n\r\n")).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(site.writer.posts()[0].body == body, "it was not handed on as it came");
+}
