--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use frosttrail::{Id, Load, Micros, Outcome, Query, Report, Verdict};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 use crate::owner::{Conductor, Message, Order, Ticket};
 use crate::traits::{Boxes, Events, Reply, Step};
@@ -158,14 +158,30 @@
             // of the request, and what would begin to stream now might be cut by the conductor's end.
             tokio::select! {
                 biased;
-                order = seat.verdicts.recv() => match order {
-                    None | Some(Order { verdict: Verdict::Cancel, .. }) => {
-                        Reply::Ended(Outcome::CalledOff, None)
-                    }
-                    Some(order) => return Next::Order(order),
-                },
-                reply = attempt => reply,
+                order = seat.verdicts.recv() => Err(order),
+                reply = attempt => Ok(reply),
+            }
+        };
+        let ended_here = match &reply {
+            Ok(Reply::Ended(outcome, _)) => {
+                matches!(outcome, Outcome::NoAnswer | Outcome::Failed | Outcome::CalledOff)
+            }
+            Ok(_) => false,
+            Err(_) => true,
+        };
+        if ended_here {
+            // Neither another attempt nor an answer may overtake its end.
+            let takes = self.boxes.end_takes(worker);
+            if !takes.is_zero() {
+                sleep(takes).await;
+            }
+        }
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(None | Some(Order { verdict: Verdict::Cancel, .. })) => {
+                Reply::Ended(Outcome::CalledOff, None)
             }
+            Err(Some(order)) => return Next::Order(order),
         };
         match reply {
             Reply::Stream(events) => {
--- a/core/src/traits.rs
+++ b/core/src/traits.rs
@@ -59,6 +59,12 @@
         wait: Duration,
     ) -> impl Future<Output = Reply<Self::Events>> + Send;
 
+    /// How long the end of an attempt may be on its way to a box. Until it has arrived, the box counts the
+    /// attempt as out. As far as is known: zero where the way says nothing.
+    fn end_takes(&self, _worker: &Id) -> Duration {
+        Duration::ZERO
+    }
+
     /// Asks one box to let go of all that is held for the request; true once it has said so.
     fn release(&self, worker: &Id, request: &Id) -> impl Future<Output = bool> + Send;
 
--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -35,8 +35,10 @@
     attempts: Vec<Attempt>,
     sends: Vec<Id>,
     releases: u32,
-    /// How long a box takes to let go.
+    /// How long a box takes to let go,
     release_takes: Duration,
+    /// and how long the end of an attempt is on its way to one.
+    end_takes: Duration,
     streams_dropped: u32,
 }
 
@@ -49,8 +51,13 @@
     }
 }
 
-/// Counts an attempt as out until its future, or the stream it became, is dropped.
-struct Out(Table, Id);
+/// Counts an attempt as out until its box has ended it, or has heard that its future, or the stream it became,
+/// was dropped.
+struct Out {
+    table: Table,
+    id: Id,
+    by_its_box: bool,
+}
 
 impl Out {
     fn new(table: &Table, id: &Id) -> Self {
@@ -59,13 +66,23 @@
             *out += 1;
             w.most_out = w.most_out.max(*out);
         });
-        Out(table.clone(), id.clone())
+        Out { table: table.clone(), id: id.clone(), by_its_box: false }
     }
 }
 
 impl Drop for Out {
     fn drop(&mut self) {
-        self.0.with(|w| *w.out.get_mut(&self.1).unwrap() -= 1);
+        let (table, id) = (self.table.clone(), self.id.clone());
+        let takes = table.with(|w| w.end_takes);
+        let over = move || table.with(|w| *w.out.get_mut(&id).unwrap() -= 1);
+        match tokio::runtime::Handle::try_current() {
+            Ok(runtime) if !self.by_its_box && !takes.is_zero() => drop(runtime.spawn(async move {
+                // Within that time, that is.
+                sleep(takes * 3 / 4).await;
+                over();
+            })),
+            _ => over(),
+        }
     }
 }
 
@@ -92,13 +109,17 @@
     type Events = Stream;
 
     async fn attempt(&self, worker: &Id, id: &Id, _: &(), wait: Duration) -> Reply<Stream> {
-        let out = Out::new(self, id);
+        let mut out = Out::new(self, id);
         let (reply, replied) = oneshot::channel();
         self.with(|w| {
             w.sends.push(worker.clone());
             w.attempts.push(Attempt { worker: worker.clone(), reply });
         });
-        match timeout(wait, replied).await.unwrap_or(Ok(Reply::Ended(Outcome::NoAnswer, None))) {
+        let Ok(replied) = timeout(wait, replied).await else {
+            return Reply::Ended(Outcome::NoAnswer, None);
+        };
+        out.by_its_box = true;
+        match replied {
             Ok(Reply::Stream(mut stream)) => {
                 stream._out = Some(out);
                 Reply::Stream(stream)
@@ -108,6 +129,10 @@
         }
     }
 
+    fn end_takes(&self, _: &Id) -> Duration {
+        self.with(|w| w.end_takes)
+    }
+
     async fn release(&self, _: &Id, _: &Id) -> bool {
         let takes = self.with(|w| w.release_takes);
         if !takes.is_zero() {
@@ -296,8 +321,9 @@
     sleep(Duration::from_millis(15)).await;
 }
 
-async fn walk(book: bool, steps: Vec<Happens>) {
+async fn walk(book: bool, end_takes: Duration, steps: Vec<Happens>) {
     let table = Table::default();
+    table.with(|w| w.end_takes = end_takes);
     let conductor = conductor(&table);
     settle().await;
     let mut model = Model { book, ..Model::default() };
@@ -324,6 +350,11 @@
             };
             if let Some(answer) = polled {
                 model.answered(&answer);
+                let served = matches!(answer, Ok(Answer::Served(_)));
+                assert!(
+                    served || table.with(|w| w.out.values().all(|n| *n == 0)),
+                    "answered while one is out"
+                );
                 call = None;
                 if let Ok(Answer::Served(events)) = answer {
                     stream = Some(events);
@@ -348,12 +379,14 @@
 
 #[test]
 fn random_steps_keep_the_rules() {
-    fn keeps(book: bool, steps: Vec<Happens>) -> bool {
-        paused(walk(book, steps));
+    fn keeps(book: bool, far: bool, steps: Vec<Happens>) -> bool {
+        // Where boxes are far, the end of an attempt is later there than the next would be elsewhere.
+        let end_takes = Duration::from_millis(if far { 20 } else { 0 });
+        paused(walk(book, end_takes, steps));
         true
     }
     let gen = Gen::from_size_and_seed(24, 0x5eed);
-    QuickCheck::new().rng(gen).tests(400).quickcheck(keeps as fn(bool, Vec<Happens>) -> bool);
+    QuickCheck::new().rng(gen).tests(600).quickcheck(keeps as fn(bool, bool, Vec<Happens>) -> bool);
 }
 
 #[test]
@@ -459,6 +492,7 @@
 /// said stands: the client's answer, the attempt given up, its state let go.
 async fn closing_meets(book: bool, replies: &[Happens]) -> (Answered, u32, u32) {
     let table = Table::default();
+    table.with(|w| w.end_takes = Duration::from_millis(20));
     let conductor = conductor(&table);
     settle().await;
     let mut model = Model { book, ..Model::default() };
@@ -476,6 +510,7 @@
         settle().await;
     }
     let answer = call.await;
+    assert_eq!(table.with(|w| w.out[&Id::from("id-1")]), 0, "answered while its attempt is out");
     settle().await;
     (answer, table.with(|w| w.out[&Id::from("id-1")]), table.with(|w| w.releases))
 }
--- a/daemon/src/upstream/mod.rs
+++ b/daemon/src/upstream/mod.rs
@@ -31,12 +31,31 @@
 struct Entry {
     address: SocketAddr,
     gone: Option<Instant>,
+    /// The shortest time in which a connection to it came up: a way there and back.
+    round_trip: Option<Duration>,
 }
 
 impl Book {
     /// Notes where a box is.
     pub fn set(&self, worker: Id, address: SocketAddr) {
-        lock(&self.0).insert(worker, Entry { address, gone: None });
+        let mut book = lock(&self.0);
+        let same = book.get(&worker).filter(|entry| entry.address == address);
+        let round_trip = same.and_then(|entry| entry.round_trip);
+        book.insert(worker, Entry { address, gone: None, round_trip });
+    }
+
+    /// Notes how long a connection to it took to come up.
+    fn came_up(&self, worker: &Id, took: Duration) {
+        if let Some(entry) = lock(&self.0).get_mut(worker) {
+            entry.round_trip = Some(entry.round_trip.map_or(took, |least| least.min(took)));
+        }
+    }
+
+    /// How long a connection's end may be on its way there: two round trips, as one way may be four times as
+    /// slow as half of the shortest. Nothing where no connection has come up.
+    fn end_takes(&self, worker: &Id) -> Duration {
+        let round_trip = lock(&self.0).get(worker).and_then(|entry| entry.round_trip);
+        round_trip.unwrap_or_default() * 2
     }
 
     /// Where it is.
@@ -98,6 +117,10 @@
         attempt::attempt(&self.pool, worker, call, wait).await
     }
 
+    fn end_takes(&self, worker: &Id) -> Duration {
+        self.pool.end_takes(worker)
+    }
+
     async fn release(&self, worker: &Id, request: &Id) -> bool {
         calls::release(&self.pool, worker, request).await
     }
--- a/daemon/src/upstream/pool.rs
+++ b/daemon/src/upstream/pool.rs
@@ -81,7 +81,15 @@
     pub(super) async fn fresh(&self, worker: &Id) -> Option<Link> {
         let address = self.book.get(worker)?;
         let permit = self.permit()?;
-        timeout(self.limits.connect_timeout, Link::open(address, permit)).await.ok()?.ok()
+        let begin = Instant::now();
+        let link = timeout(self.limits.connect_timeout, Link::open(address, permit)).await.ok()?.ok()?;
+        self.book.came_up(worker, begin.elapsed());
+        Some(link)
+    }
+
+    /// How long a connection's end may be on its way.
+    pub(super) fn end_takes(&self, worker: &Id) -> Duration {
+        self.book.end_takes(worker)
     }
 
     /// A permit for one more connection, if need be in place of the one that has been idle longest.
--- a/daemon/tests/connection.rs
+++ b/daemon/tests/connection.rs
@@ -290,3 +290,20 @@
     assert!(told + came < wait + Duration::from_millis(200), "told {told:?}, {came:?} after it began");
     attempt.abort();
 }
+
+/// What is known of the way to a server goes with its address.
+#[tokio::test]
+async fn the_way_to_a_server_is_measured_by_the_connections_that_come_up() {
+    let (first, second) = (StandIn::start(READ).await, StandIn::start(READ).await);
+    let (upstream, book) = upstream_and_book(&[("box", 0, first.address)]);
+    let id = Id::from("box");
+    assert_eq!(upstream.end_takes(&id), Duration::ZERO, "nothing has been heard of it");
+    assert_eq!(attempt(&upstream).await, Outcome::ReadDone);
+    let takes = upstream.end_takes(&id);
+    assert!(takes > Duration::ZERO && takes < Duration::from_secs(1), "{takes:?}");
+    book.set(id.clone(), first.address);
+    assert_eq!(upstream.end_takes(&id), takes, "a list that names it again changes nothing");
+    book.set(id.clone(), second.address);
+    assert_eq!(upstream.end_takes(&id), Duration::ZERO, "the way to another address is another");
+    assert_eq!(upstream.end_takes(&Id::from("unknown")), Duration::ZERO);
+}
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -417,6 +417,12 @@
     Upstream::new(book(boxes), limits(settle))
 }
 
+/// One, and where its servers are.
+pub fn upstream_and_book(boxes: &[(&str, usize, SocketAddr)]) -> (Upstream, Arc<Book>) {
+    let book = book(boxes);
+    (Upstream::new(book.clone(), limits(Duration::ZERO)), book)
+}
+
 /// One that waits so long for a connection to come up.
 pub fn upstream_that_connects_within(boxes: &[(&str, usize, SocketAddr)], time: Duration) -> Upstream {
     Upstream::new(book(boxes), Limits { connect_timeout: time, ..limits(Duration::ZERO) })
