--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -8,7 +8,8 @@
 use frosttrail::{Facade, Id, Load, Outcome, Query, Report, Settings, Verdict, Verdicts};
 use slog::{debug, info, Logger};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::AbortHandle;
+use tokio::task::{yield_now, AbortHandle};
+use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
@@ -23,6 +24,9 @@
 /// Share of it that the request's next attempt waits for a release to end.
 const RELEASE_WAIT: u32 = 2;
 
+/// So much work on what lies in the inbox is done at once: the same thread serves streams and clients' ends.
+const TURN: Duration = Duration::from_millis(2);
+
 /// Tells calls apart, also where two name the same id: the second is turned down, and what it says must
 /// not touch the first.
 pub(crate) type Ticket = u64;
@@ -202,7 +206,12 @@
 
 impl<B: Boxes> Owner<B> {
     async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
+        let mut worked = Duration::ZERO;
         loop {
+            if worked >= TURN {
+                yield_now().await;
+                worked = Duration::ZERO;
+            }
             let wake_at = self.facade.wake_at();
             let bell = async {
                 match wake_at {
@@ -213,11 +222,17 @@
             tokio::select! {
                 biased;
                 () = bell => {
+                    let begin = Instant::now();
                     let verdicts = self.facade.tick(self.clock.now());
                     self.carry_out(verdicts);
+                    worked += begin.elapsed();
                 }
                 message = inbox.recv() => match message {
-                    Some(message) => self.take(message),
+                    Some(message) => {
+                        let begin = Instant::now();
+                        self.take(message);
+                        worked += begin.elapsed();
+                    }
                     None => return,
                 },
             }
--- a/daemon/tests/closes.rs
+++ b/daemon/tests/closes.rs
@@ -104,7 +104,7 @@
 #[tokio::test]
 async fn small_events_pass_as_they_come() {
     let site = Site::start().await;
-    site.writer.next(Does::Ticks(80));
+    site.writer.next(Does::Ticks(80, 5));
     let mut client = send(site.platform, &request("ticks")).await;
     let (mut seen, mut lags) = (String::new(), Vec::new());
     while !seen.contains("[DONE]") {
--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -84,7 +84,7 @@
     let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
     let running = Running::start(program("short-deadlines", &config(&prefill, &decode, 1_000)));
     // Its stream takes 0.9 s.
-    decode.next(Does::Ticks(150));
+    decode.next(Does::Ticks(150, 5));
     let mut streams = send(running.listen, &request("streams", "ask", 1_000)).await;
     streams.readable().await.unwrap();
     let begin = Instant::now();
--- /dev/null
+++ b/daemon/tests/on_time.rs
@@ -0,0 +1,169 @@
+//! Events pass as they come: each on its own, in order, and soon, whatever else the process has to do.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::{json, Value};
+use support::*;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+/// No event may take longer.
+const LATE: u64 = 300_000;
+const STREAMS: usize = 500;
+const BACKLOG: usize = 1_000;
+const LATEST: Duration = Duration::from_secs(60);
+
+fn config(servers: &[(String, &str, SocketAddr)]) -> String {
+    let target = |(uid, model, at): &(String, &str, SocketAddr)| -> Value {
+        json!({"uid": uid, "endpoint": at, "az": "z", "model": model, "pod_group": 0, "state": "active",
+            "capacity_hint": 1.0, "boot_ms": 0})
+    };
+    let targets: Vec<Value> = servers.iter().map(target).collect();
+    json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 8192},
+        "known": {"rev": 1, "all": true, "targets": targets}, "settings": setup()})
+    .to_string()
+}
+
+/// Asks, and gives how late each event of the answer was, or nothing where it was refused.
+async fn lags(to: SocketAddr, id: String) -> Option<Vec<u64>> {
+    let mut client = send(to, &chat(&id, "ask", 7_000)).await;
+    let (mut seen, mut lags, mut bytes) = (String::new(), Vec::new(), [0; 8 << 10]);
+    loop {
+        let read = timeout(LATEST, client.read(&mut bytes)).await.expect("events").unwrap_or(0);
+        if read == 0 {
+            break;
+        }
+        let now = micros();
+        seen.push_str(std::str::from_utf8(&bytes[..read]).unwrap());
+        let times: Vec<u64> =
+            seen.split("{\"at\":").skip(1).filter_map(|t| t.split_once('}')?.0.parse().ok()).collect();
+        assert!(times.is_sorted(), "{id}: out of order");
+        lags.extend(times[lags.len()..].iter().map(|at| now.saturating_sub(*at)));
+    }
+    seen.starts_with("HTTP/1.1 200").then(|| {
+        assert!(seen.ends_with("0\r\n\r\n"), "{id}: not whole");
+        lags
+    })
+}
+
+/// Hundreds of streams run while far more requests wait than can leave, each of which the decisions look at again
+/// and again.
+#[tokio::test]
+async fn events_are_on_time_beside_a_backlog_of_decisions() {
+    let (mut servers, mut stand_ins) = (Vec::new(), Vec::new());
+    for n in 0..8 {
+        for (kind, usual) in [("prefill", READ), ("decode", Does::Ticks(80, 100))] {
+            let stand_in = StandIn::start(usual).await;
+            servers.push((format!("{kind}-{n}"), kind, stand_in.address));
+            stand_ins.push(stand_in);
+        }
+    }
+    let running = Running::start(program("on-time", &config(&servers)));
+    let mut clients = JoinSet::new();
+    for n in 0..STREAMS {
+        clients.spawn(lags(running.listen, format!("stream-{n}")));
+        // All are in time for an answer.
+        sleep(Duration::from_millis(4)).await;
+    }
+    for n in 0..BACKLOG {
+        clients.spawn(lags(running.listen, format!("backlog-{n}")));
+    }
+    let answers = clients.join_all().await;
+    let served = answers.iter().flatten().count();
+    assert!(served >= STREAMS, "{served} served");
+    let mut all: Vec<u64> = answers.into_iter().flatten().flatten().collect();
+    all.sort_unstable();
+    let late = all.iter().filter(|lag| **lag > LATE).count();
+    let longest = all[all.len() - 1];
+    assert!(
+        late * 100 <= all.len() && longest < 3 * LATE,
+        "{late} of {} late, up to {longest} us",
+        all.len()
+    );
+    running.signal("-TERM");
+    running.ends_well().await;
+}
+
+/// A slow client holds up nobody else's events.
+#[tokio::test]
+async fn events_are_on_time_beside_clients_that_take_nothing() {
+    let site = Site::start().await;
+    let mut slow = Vec::new();
+    for n in 0..3 {
+        site.writer.next(Does::StreamsOn);
+        slow.push(send(site.platform, &chat(&format!("slow-{n}"), "ask", 7_000)).await);
+        while site.writer.posts().len() <= n {
+            sleep(Duration::from_millis(2)).await;
+        }
+    }
+    site.writer.next(Does::Ticks(60, 5));
+    let lags = lags(site.platform, "quick".into()).await.expect("it is served");
+    assert_eq!(lags.len(), 60);
+    assert!(lags.iter().all(|lag| *lag < LATE), "{lags:?}");
+}
+
+/// What the client has got of the body so far, chunk by chunk.
+async fn chunks_of(client: &mut TcpStream, seen: &mut Vec<u8>, most: usize) -> Vec<String> {
+    loop {
+        let text = String::from_utf8(seen.clone()).unwrap();
+        let mut rest = text.split_once("\r\n\r\n").map_or("", |(_, rest)| rest);
+        let mut chunks = Vec::new();
+        while let Some((size, more)) = rest.split_once("\r\n") {
+            let size = usize::from_str_radix(size, 16).unwrap();
+            let Some(chunk) = more.get(..size + 2) else { break };
+            chunks.push(chunk[..size].to_string());
+            rest = &more[size + 2..];
+        }
+        if chunks.len() >= most {
+            return chunks;
+        }
+        // Nothing more may come for now.
+        match timeout(
+            Duration::from_millis(if most == usize::MAX { 50 } else { 20_000 }),
+            client.read_buf(seen),
+        )
+        .await
+        {
+            Ok(read) => assert!(read.unwrap() > 0, "it was ended"),
+            Err(_) => return chunks,
+        }
+    }
+}
+
+/// In pieces, or several at once: each event leaves on its own as soon as it is whole, and not before.
+#[tokio::test]
+async fn each_event_leaves_whole_and_alone_however_it_came() {
+    let site = Site::start().await;
+    let told = site.writer.told.clone();
+    site.writer.next(Does::Told);
+    let mut client = send(site.platform, &chat("pieces", "ask", 7_000)).await;
+    let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+    let (first, second) = EVENT.split_at(20);
+    let mut seen = Vec::new();
+    let none: [&str; 0] = [];
+    // Half an event, in a chunk of its own: nothing has begun.
+    told.send(format!("{head}{}", chunk(first))).unwrap();
+    assert_eq!(chunks_of(&mut client, &mut seen, usize::MAX).await, none);
+    assert!(seen.is_empty(), "the answer has begun without an event");
+    // The rest, and half of a chunk that holds half of the next.
+    let half = chunk(&LAST[..30]);
+    let (start, end) = half.split_at(9);
+    told.send(format!("{}{start}", chunk(second))).unwrap();
+    assert_eq!(chunks_of(&mut client, &mut seen, 1).await, [EVENT]);
+    assert_eq!(chunks_of(&mut client, &mut seen, usize::MAX).await, [EVENT]);
+    // Its end, and three events in one chunk behind it.
+    told.send(end.into()).unwrap();
+    assert_eq!(chunks_of(&mut client, &mut seen, usize::MAX).await, [EVENT]);
+    told.send(chunk(&format!("{}{USAGE}{EVENT}{DONE}", &LAST[30..]))).unwrap();
+    assert_eq!(chunks_of(&mut client, &mut seen, 5).await, [EVENT, LAST, USAGE, EVENT, DONE]);
+    // The last chunk is passed on as it comes.
+    told.send("0\r\n\r\n".into()).unwrap();
+    assert_eq!(chunks_of(&mut client, &mut seen, 6).await, [EVENT, LAST, USAGE, EVENT, DONE, ""]);
+}
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -51,8 +51,11 @@
     Pulses(&'static str),
     /// Sends these bytes, which hold a whole answer, and goes on to the next request.
     RawWhole(&'static str),
-    /// Streams so many events, one every 5 ms, whose content is the time since the epoch in microseconds.
-    Ticks(usize),
+    /// Streams so many events, one every so many milliseconds, whose content is the time since the epoch in
+    /// microseconds.
+    Ticks(usize, u64),
+    /// Sends the bytes that the test tells it, as it tells them.
+    Told,
     /// Streams without end.
     StreamsOn,
     /// Ends the connection once it has all of the request.
@@ -89,6 +92,8 @@
     pub given_up: mpsc::UnboundedReceiver<()>,
     /// One message for each state that was let go of.
     pub released: mpsc::UnboundedReceiver<()>,
+    /// What it sends where it does as it is told.
+    pub told: mpsc::UnboundedSender<String>,
     closing: Arc<Mutex<CancellationToken>>,
     connections: TaskTracker,
     accepting: Option<JoinHandle<()>>,
@@ -100,9 +105,11 @@
         let address = listener.local_addr().unwrap();
         let (gave_up, given_up) = mpsc::unbounded_channel();
         let (release, released) = mpsc::unbounded_channel();
+        let (told, as_told) = mpsc::unbounded_channel();
         let (got, accepted, script) = <(Arc<Mutex<Vec<Got>>>, Arc<Mutex<u32>>, Arc<_>)>::default();
         let (closing, connections) = (Arc::new(Mutex::new(CancellationToken::new())), TaskTracker::new());
-        let shared = Shared { usual, got, script, gave_up, release };
+        let as_told = Arc::new(tokio::sync::Mutex::new(as_told));
+        let shared = Shared { usual, got, script, gave_up, release, told: as_told };
         let mut stand_in = StandIn {
             address,
             got: shared.got.clone(),
@@ -110,6 +117,7 @@
             script: shared.script.clone(),
             given_up,
             released,
+            told,
             closing: closing.clone(),
             connections: connections.clone(),
             accepting: None,
@@ -162,6 +170,7 @@
     script: Arc<Mutex<VecDeque<Does>>>,
     gave_up: mpsc::UnboundedSender<()>,
     release: mpsc::UnboundedSender<()>,
+    told: Arc<tokio::sync::Mutex<mpsc::UnboundedReceiver<String>>>,
 }
 
 impl Shared {
@@ -212,15 +221,21 @@
                     return Ok(());
                 }
                 Does::RawWhole(bytes) => stream.write_all(bytes.as_bytes()).await?,
-                Does::Ticks(events) => {
+                Does::Ticks(events, every) => {
                     chunks(&mut stream, &[]).await?;
                     for _ in 0..events {
                         chunk(&mut stream, &format!("data: {{\"at\":{}}}\n\n", micros())).await?;
-                        tokio::time::sleep(Duration::from_millis(5)).await;
+                        tokio::time::sleep(Duration::from_millis(every)).await;
                     }
                     chunk(&mut stream, DONE).await?;
                     stream.write_all(b"0\r\n\r\n").await?;
                 }
+                Does::Told => {
+                    let mut told = self.told.lock().await;
+                    while let Some(bytes) = told.recv().await {
+                        stream.write_all(bytes.as_bytes()).await?;
+                    }
+                }
                 Does::StreamsOn => {
                     chunks(&mut stream, &[]).await?;
                     while chunk(&mut stream, EVENT).await.is_ok() {}
