--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -622,12 +622,12 @@
         r.phase == Phase::Held && (surplus || self.now >= self.last_start(r))
     }
 
-    /// From then on its first token can't be in time any more, as long as the stages took of late, or can't
-    /// be there before its client leaves: what is sent then is cut short and may have run.
+    /// From then on its first token can't be in time, or before its client leaves, as long as the stages took of
+    /// late. Half of either time is left all the same: they also waited, and no long prompt makes that longer.
     fn last_start(&self, r: &Request) -> Micros {
         let usual = |stage| self.patience(stage, r.query.prompt_tokens / 2, 1.0);
-        let both = usual(Stage::Read) + usual(Stage::Write);
-        (r.arrived + r.aim - both.min(r.aim / 2)).min(r.deadline.saturating_sub(2 * both))
+        let (both, time) = (usual(Stage::Read) + usual(Stage::Write), r.deadline - r.arrived);
+        (r.arrived + r.aim - both.min(r.aim / 2)).min(r.deadline - (2 * both).min(time / 2))
     }
 
     /// Time before a deadline in which nothing can be won any more.
@@ -660,8 +660,8 @@
                 let time = last.saturating_sub(*arrived) as f64 * STARVED_SHARE;
                 !late && self.now >= arrived + STARVED.min(time as Micros)
             };
-            let longest = (0..order.len()).filter(|&i| starved(&order[i])).min_by_key(|&i| order[i].2);
-            if let Some(i) = longest {
+            // The longest of them, as no other way leads past the shorter ones.
+            if let Some(i) = (0..order.len()).rev().find(|&i| starved(&order[i])) {
                 order[..=i].rotate_right(1);
             }
         }
--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -165,3 +165,83 @@
         assert_eq!(opened(&all), marks, "{budget} us");
     }
 }
+
+/// Lengths over a factor of 20; a few that are ten times as long; a long tail.
+#[derive(Clone, Copy, Debug)]
+enum Shape {
+    Even,
+    Two,
+    Tail,
+}
+
+impl Shape {
+    fn draw(self, draws: &mut Draws) -> u64 {
+        let x = draws.next();
+        match self {
+            Shape::Even => (300.0 * 20f64.powf(x)) as u64,
+            Shape::Two if x < 0.85 => 700 + (x * 350.0) as u64,
+            Shape::Two => 8_000 + ((x - 0.85) * 13_000.0) as u64,
+            Shape::Tail => ((600.0 * (1.0 - x).powf(-0.6)) as u64).min(14_000),
+        }
+    }
+}
+
+/// Of each class the answered share, and that of its tenth with the longest prompts.
+fn shares_by_class(
+    shape: Shape,
+    [per_ktoken, aim, deadline]: [Micros; 3],
+    times: f64,
+    seed: u64,
+) -> Vec<(f64, f64)> {
+    let safe = Settings::example().classes[0].clone();
+    let slow = Class { aim, aim_per_ktoken: per_ktoken, deadline, ..safe };
+    let quick = Class { aim: aim / 2, deadline: deadline / 2, ..slow.clone() };
+    let classes = vec![slow.clone(), Class { effect: Effect::Unsafe, ..slow }, quick];
+    let (mut draws, mut at, mut queries) = (Draws(seed), 0.0, Vec::new());
+    let mut fleet = Fleet::new(Settings { classes: classes.clone(), ..settings() }, seed, PAIRS, PAIRS);
+    while at < TIME as f64 {
+        at += -(1.0 - draws.next()).ln() / (PER_S * times) * 1e6;
+        let (class, tokens) = ((draws.next() * 3.0) as usize, shape.draw(&mut draws));
+        let budget = classes[class].deadline + 2 * per_ktoken * tokens / 1_000;
+        let query = Query { class, budget, ..query(&format!("q{}", queries.len()), tokens) };
+        fleet.ask_at(at as Micros, query.clone());
+        queries.push((at as Micros, query));
+    }
+    fleet.run(TIME + 30 * SEC);
+    queries.sort_by_key(|q| std::cmp::Reverse(q.1.prompt_tokens));
+    let of = |class| {
+        let all: Vec<_> = queries.iter().filter(|q| q.1.class == class).collect();
+        (share(&fleet, all.iter().copied()), share(&fleet, all[..all.len() / 10].iter().copied()))
+    };
+    (0..3).map(of).collect()
+}
+
+/// Two thirds of its class's answered share on a quiet load, half under too much: in each class, whatever the
+/// lengths and the settings.
+#[test]
+fn the_longest_tenth_of_each_class_gets_its_part_of_the_answers() {
+    let all_times = [
+        [40 * MS, 1_500 * MS, 6 * SEC],
+        [0, 1_500 * MS, 5 * SEC],
+        [120 * MS, 2 * SEC, 8 * SEC],
+        [40 * MS, 700 * MS, 1_800 * MS],
+        [40 * MS, 3 * SEC, 15 * SEC],
+    ];
+    for shape in [Shape::Even, Shape::Two, Shape::Tail] {
+        for class_times in all_times {
+            for (times, part) in [(0.6, 2.0 / 3.0), (1.5, 0.5), (2.0, 0.5)] {
+                for seed in [21, 22, 23] {
+                    for (class, (all, longest)) in
+                        shares_by_class(shape, class_times, times, seed).into_iter().enumerate()
+                    {
+                        assert!(
+                            longest >= all * part,
+                            "{shape:?}, {class_times:?}, {times} times, seed {seed}, class {class}: \
+                             {longest:.2} of {all:.2}"
+                        );
+                    }
+                }
+            }
+        }
+    }
+}
