--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -245,3 +245,62 @@
         }
     }
 }
+
+/// On a quiet load, with servers of every role and half of them just started: whatever is drawn by a hash, by a
+/// prefix, a tenant or a class, no set of requests is refused throughout.
+#[test]
+fn on_a_quiet_load_no_session_and_no_set_of_them_is_shut_out() {
+    for (balancers, mixed, cold) in
+        [(1, 0, false), (1, 2, true), (4, 2, false), (4, 0, true), (24, 0, false), (24, 2, true)]
+    {
+        for seed in [31, 32, 33] {
+            let settings = Settings { balancers, ..settings() };
+            let mut fleet = Fleet::new(settings, seed, 4, 4);
+            let starts =
+                |name: String, kind| Entry { started: if cold { 99 * SEC } else { 0 }, ..entry(&name, kind) };
+            let more = (0..mixed).map(|n| starts(format!("m{n}"), 2));
+            let half = (0..2).flat_map(|n| [starts(format!("p{n}"), 0), starts(format!("d{n}"), 1)]);
+            fleet.tell(ListForm::Changes, more.chain(half).collect());
+            // This router's part of a quiet load, and three times as much where there are several: traffic is uneven.
+            let per_s = PER_S * 2.0 * 0.5 / f64::from(balancers) * if balancers > 1 { 3.0 } else { 1.0 };
+            let (mut draws, mut at, mut queries) = (Draws(seed), 0.0, Vec::new());
+            while at < 4.0 * TIME as f64 {
+                at += -(1.0 - draws.next()).ln() / per_s * 1e6;
+                let session = format!("s{}", (draws.next() * 60.0) as u64);
+                let prefix =
+                    (draws.next() < 0.7).then(|| format!("x{}", (draws.next() * 6.0) as u64).as_str().into());
+                let query = Query {
+                    session: session.as_str().into(),
+                    prefix,
+                    class: (draws.next() * 2.0) as usize,
+                    tenant: Some((draws.next() * 3.0) as usize),
+                    ..query(&format!("q{}", queries.len()), (300.0 * 10f64.powf(draws.next())) as u64)
+                };
+                fleet.ask_at(at as Micros, query.clone());
+                queries.push(query);
+            }
+            fleet.run(4 * TIME + 20 * SEC);
+            let mut sets: BTreeMap<String, (usize, usize)> = BTreeMap::new();
+            for query in &queries {
+                let refused = usize::from(!matches!(fleet.ends.get(&query.id), Some(End::Served(_))));
+                let names = [
+                    format!("session {}", query.session),
+                    format!("prefix {:?}", query.prefix),
+                    format!("tenant {:?}", query.tenant),
+                    format!("class {}", query.class),
+                    "all".to_string(),
+                ];
+                for name in names {
+                    let set = sets.entry(name).or_default();
+                    *set = (set.0 + 1, set.1 + refused);
+                }
+            }
+            let name = format!("{balancers} routers, {mixed} mixed, cold: {cold}, seed {seed}");
+            for (set, (asked, refused)) in &sets {
+                assert!(*asked < 4 || refused * 2 <= *asked, "{name}: {set}: {refused} of {asked} refused");
+            }
+            let (asked, refused) = sets["all"];
+            assert!(refused * 50 <= asked, "{name}: {refused} of {asked} refused");
+        }
+    }
+}
