--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use std::io::{BufRead, BufReader, Lines, Write};
 use std::net::SocketAddr;
 use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -82,10 +83,21 @@
     pub body: String,
 }
 
+/// What a box did with a request, or `None` for a release, in the order in which all boxes of a test got them.
+#[derive(Clone, Debug)]
+pub struct Did {
+    pub nth: u64,
+    pub id: String,
+    pub does: Option<Does>,
+}
+
+static NTH: AtomicU64 = AtomicU64::new(0);
+
 /// A box whose answers are told beforehand; past them it repeats its usual one.
 pub struct StandIn {
     pub address: SocketAddr,
     pub got: Arc<Mutex<Vec<Got>>>,
+    pub did: Arc<Mutex<Vec<Did>>>,
     pub accepted: Arc<Mutex<u32>>,
     script: Arc<Mutex<VecDeque<Does>>>,
     /// One message for each connection that the conductor closed in the midst of an answer.
@@ -109,10 +121,12 @@
         let (got, accepted, script) = <(Arc<Mutex<Vec<Got>>>, Arc<Mutex<u32>>, Arc<_>)>::default();
         let (closing, connections) = (Arc::new(Mutex::new(CancellationToken::new())), TaskTracker::new());
         let as_told = Arc::new(tokio::sync::Mutex::new(as_told));
-        let shared = Shared { usual, got, script, gave_up, release, told: as_told };
+        let did = Arc::default();
+        let shared = Shared { usual, got, did, script, gave_up, release, told: as_told };
         let mut stand_in = StandIn {
             address,
             got: shared.got.clone(),
+            did: shared.did.clone(),
             accepted: accepted.clone(),
             script: shared.script.clone(),
             given_up,
@@ -167,6 +181,7 @@
 struct Shared {
     usual: Does,
     got: Arc<Mutex<Vec<Got>>>,
+    did: Arc<Mutex<Vec<Did>>>,
     script: Arc<Mutex<VecDeque<Does>>>,
     gave_up: mpsc::UnboundedSender<()>,
     release: mpsc::UnboundedSender<()>,
@@ -174,17 +189,33 @@
 }
 
 impl Shared {
+    fn note(&self, id: &str, does: Option<&Does>) {
+        let nth = NTH.fetch_add(1, Ordering::Relaxed);
+        self.did.lock().unwrap().push(Did { nth, id: id.into(), does: does.cloned() });
+    }
+
     async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
         let mut held = Vec::new();
         while let Some(got) = request(&mut stream, &mut held).await? {
-            let deletes = got.line.starts_with("DELETE");
+            let deletes = got
+                .line
+                .strip_prefix("DELETE /state/")
+                .map(|rest| rest.split(' ').next().unwrap().to_string());
+            let id = got
+                .head
+                .lines()
+                .find_map(|line| line.strip_prefix("x-txn: "))
+                .unwrap_or_default()
+                .to_string();
             self.got.lock().unwrap().push(got);
-            if deletes {
+            if let Some(id) = deletes {
+                self.note(&id, None);
                 let _ = self.release.send(());
                 stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await?;
                 continue;
             }
             let does = self.script.lock().unwrap().pop_front().unwrap_or_else(|| self.usual.clone());
+            self.note(&id, Some(&does));
             match does {
                 Does::Says(status, turned_away, body) => {
                     let mark = if turned_away { "x-turned-away: 1\r\n" } else { "" };
@@ -538,7 +569,11 @@
 
 /// Sends a request and reads all that comes back.
 pub async fn exchange(to: SocketAddr, text: &str) -> Answer {
-    let mut stream = send(to, text).await;
+    exchange_on(send(to, text).await).await
+}
+
+/// Reads all that comes back of a request that has been sent.
+pub async fn exchange_on(mut stream: TcpStream) -> Answer {
     let mut bytes = Vec::new();
     // A break is a reset or an end; what came before it counts.
     let _ = stream.read_to_end(&mut bytes).await;
