--- a/daemon/src/upstream/link.rs
+++ b/daemon/src/upstream/link.rs
@@ -224,6 +224,8 @@
     tainted: Arc<AtomicBool>,
     _driver: AbortOnDropHandle<()>,
     _permit: OwnedSemaphorePermit,
+    /// Where it leads.
+    pub(super) address: SocketAddr,
     pub(super) idle_since: Instant,
 }
 
@@ -250,6 +252,7 @@
             tainted: Arc::default(),
             _driver: AbortOnDropHandle::new(driver),
             _permit: permit,
+            address,
             idle_since: Instant::now(),
         })
     }
--- a/daemon/src/upstream/pool.rs
+++ b/daemon/src/upstream/pool.rs
@@ -66,9 +66,11 @@
         // Lets what lies in the sockets be heard first: a close of this connection, or the end of the client
         // for whom it is wanted.
         tokio::task::yield_now().await;
+        let address = self.book.get(worker);
         let mut idle = lock(&self.idle);
         let links = idle.get_mut(worker)?;
-        links.retain(|link| !link.is_spent() && self.is_young(link));
+        // A box that is back elsewhere is not where the connection leads.
+        links.retain(|link| !link.is_spent() && self.is_young(link) && Some(link.address) == address);
         let settled = |link: &Link| link.is_ready() && link.idle_since.elapsed() >= self.limits.settle;
         let link = links.iter().rposition(settled).map(|at| links.remove(at));
         if links.is_empty() {
--- a/daemon/tests/connection.rs
+++ b/daemon/tests/connection.rs
@@ -307,3 +307,20 @@
     assert_eq!(upstream.end_takes(&id), Duration::ZERO, "the way to another address is another");
     assert_eq!(upstream.end_takes(&Id::from("unknown")), Duration::ZERO);
 }
+
+/// A server that is back under another address is reached there, though a connection to the old one was kept.
+#[tokio::test]
+async fn a_kept_connection_is_left_when_its_server_has_moved() {
+    let (first, second) = (StandIn::start(READ).await, StandIn::start(READ).await);
+    let (upstream, book) = upstream_and_book(&[("box", 0, first.address)]);
+    for _ in 0..2 {
+        assert_eq!(attempt(&upstream).await, Outcome::ReadDone);
+    }
+    assert_eq!((first.posts().len(), *first.accepted.lock().unwrap()), (2, 1), "it is kept");
+    book.set("box".into(), second.address);
+    assert_eq!(attempt(&upstream).await, Outcome::ReadDone);
+    assert_eq!((first.posts().len(), second.posts().len()), (2, 1));
+    book.set("box".into(), first.address);
+    assert_eq!(attempt(&upstream).await, Outcome::ReadDone);
+    assert_eq!((first.posts().len(), second.posts().len()), (3, 1));
+}
