--- a/daemon/tests/closes.rs
+++ b/daemon/tests/closes.rs
@@ -124,3 +124,41 @@
     late.sort();
     assert!(late.len() == 40 && late[20] < 15_000, "{late:?}");
 }
+
+/// The time for a first request runs out, or the connection has to make room, in the moment in which its request
+/// comes: answered, or never sent on.
+#[tokio::test]
+async fn a_request_that_meets_a_time_out_or_an_eviction_is_answered_or_never_sent_on() {
+    for evicts in [false, true] {
+        let (mut answered, mut sent_on, mut ended) = (0, 0, 0);
+        for round in 0..6u64 {
+            let site = Site::with(Patience { idle: Duration::from_secs(1), ..PATIENCE }).await;
+            let mut asks = JoinSet::new();
+            for n in 0..7u64 {
+                let id = format!("{evicts}-{round}-{n}");
+                // All places but one are taken by such as rest after an answer, or have never asked.
+                let client =
+                    if evicts { resting(site.platform).await } else { send(site.platform, "").await };
+                let at = if evicts { 30_000 + 300 * n } else { 598_000 + 500 * n };
+                asks.spawn(asks_at_the_end(client, id, Duration::from_micros(at)));
+            }
+            if evicts {
+                sleep(Duration::from_micros(29_500 + 100 * round)).await;
+                let newcomers = (0..4).map(|_| resting(site.platform));
+                let mut held = Vec::new();
+                for newcomer in newcomers {
+                    held.push(timeout(LATEST, newcomer).await.expect("there is room in time"));
+                }
+            }
+            let all = asks.join_all().await;
+            ended += all.iter().filter(|answered| !**answered).count();
+            answered += all.iter().filter(|answered| **answered).count();
+            sent_on += site.writer.posts().len();
+        }
+        assert_eq!(answered, sent_on, "evicts: {evicts}: sent on, and ended without the answer");
+        assert!(
+            answered > 0 && ended > 0,
+            "evicts: {evicts}: {answered} answered, {ended} ended: none has crossed"
+        );
+    }
+}
