--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -154,8 +154,8 @@
                 let wait = Duration::from_micros(stop_at.saturating_sub(self.clock.now()));
                 self.boxes.attempt(worker, &id, call, wait).await
             };
-            // What has been decided stands, also where a reply lies ready beside it: the decisions have let go
-            // of the request, and what would begin to stream now might be cut by the conductor's end.
+            // What has been decided stands, also where a reply lies ready beside it: the decisions have let
+            // go of the request, and what would begin to stream now might be cut by the conductor's end.
             tokio::select! {
                 biased;
                 order = seat.verdicts.recv() => Err(order),
@@ -244,7 +244,8 @@
                         self.silence.as_mut().reset(soonest);
                     }
                 }
-                // One stream that stalls may be that answer's own fault; a box that has vanished shows in others.
+                // One stream that stalls may be that answer's own fault; a box that has vanished shows in
+                // others.
                 ready!(self.silence.as_mut().poll(cx));
                 Step::Broken(Outcome::NoAnswer)
             }
--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -51,8 +51,8 @@
     }
 }
 
-/// Counts an attempt as out until its box has ended it, or has heard that its future, or the stream it became,
-/// was dropped.
+/// Counts an attempt as out until its box has ended it, or has heard that its future, or the stream it
+/// became, was dropped.
 struct Out {
     table: Table,
     id: Id,
--- a/core/tests/unit/request.rs
+++ b/core/tests/unit/request.rs
@@ -63,7 +63,8 @@
     }
 }
 
-/// A final answer that crossed the first event changes nothing, and the move behind it still wakes the stream.
+/// A final answer that crossed the first event changes nothing, and the move behind it still wakes the
+/// stream.
 #[tokio::test(start_paused = true)]
 async fn an_answer_that_came_too_late_hides_no_move() {
     let (mut stream, ends) = stream();
--- a/daemon/src/front/socket.rs
+++ b/daemon/src/front/socket.rs
@@ -24,8 +24,8 @@
 /// bytes would reset the connection, and what was written last would go with it.
 const DRAIN: Duration = Duration::from_millis(300);
 /// So much is read as fast as it comes that the library has not asked for. Who sends more is read on, as the
-/// end may lie behind it, one turn in each of these pauses: that empties a socket's memory well within 0.3 s and
-/// keeps the machine for others.
+/// end may lie behind it, one turn in each of these pauses: that empties a socket's memory well within 0.3 s
+/// and keeps the machine for others.
 const UNASKED_MOST: usize = 1 << 20;
 const PAUSE: Duration = Duration::from_millis(2);
 
--- a/daemon/tests/closes.rs
+++ b/daemon/tests/closes.rs
@@ -125,8 +125,8 @@
     assert!(late.len() == 40 && late[20] < 15_000, "{late:?}");
 }
 
-/// The time for a first request runs out, or the connection has to make room, in the moment in which its request
-/// comes: answered, or never sent on.
+/// The time for a first request runs out, or the connection has to make room, in the moment in which its
+/// request comes: answered, or never sent on.
 #[tokio::test]
 async fn a_request_that_meets_a_time_out_or_an_eviction_is_answered_or_never_sent_on() {
     for evicts in [false, true] {
--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -113,8 +113,8 @@
     running.ends_well().await;
 }
 
-/// Its first half came before the doors closed, the rest after the last answers: it is taken all the same, so it
-/// is answered, and before the end. Signals that come again, and SIGHUP, change nothing of that.
+/// Its first half came before the doors closed, the rest after the last answers: it is taken all the same, so
+/// it is answered, and before the end. Signals that come again, and SIGHUP, change nothing of that.
 #[tokio::test]
 async fn a_request_that_is_whole_only_after_the_last_answers_is_answered_too() {
     let (prefill, decode) = (StandIn::start(Does::Silent).await, StandIn::start(WHOLE).await);
--- a/daemon/tests/gone.rs
+++ b/daemon/tests/gone.rs
@@ -21,8 +21,8 @@
     kept(&chat(id, "ask", 7_000))
 }
 
-/// What lies before the end: nothing, half a line, a whole request, many of them, more than is ever kept, more
-/// than is read as fast as it comes.
+/// What lies before the end: nothing, half a line, a whole request, many of them, more than is ever kept,
+/// more than is read as fast as it comes.
 fn left_unread() -> [(&'static str, String); 6] {
     let many = (0..40).map(|n| request(&format!("second-{n}"))).collect();
     let flood = "x".repeat(300 << 10);
@@ -76,8 +76,8 @@
     }
 }
 
-/// The client ends its connection and a server turns up within one turn of the busy thread: whichever the thread
-/// hears of first, no attempt begins.
+/// The client ends its connection and a server turns up within one turn of the busy thread: whichever the
+/// thread hears of first, no attempt begins.
 #[tokio::test]
 async fn in_the_very_turn_in_which_its_request_would_leave() {
     // More than a socket's window holds can't arrive in one turn.
--- a/daemon/tests/interleavings.rs
+++ b/daemon/tests/interleavings.rs
@@ -1,5 +1,6 @@
-//! Ends that cross each other, drawn by a seed: clients that leave in every way, servers that answer, refuse, break
-//! and spoil, members that drain and come back. What the protocol owes is counted at the servers and at the clients.
+//! Ends that cross each other, drawn by a seed: clients that leave in every way, servers that answer, refuse,
+//! break and spoil, members that drain and come back. What the protocol owes is counted at the servers and at
+//! the clients.
 
 mod support;
 
--- a/daemon/tests/on_time.rs
+++ b/daemon/tests/on_time.rs
@@ -52,8 +52,8 @@
     })
 }
 
-/// Hundreds of streams run while far more requests wait than can leave, each of which the decisions look at again
-/// and again.
+/// Hundreds of streams run while far more requests wait than can leave, each of which the decisions look at
+/// again and again.
 #[tokio::test]
 async fn events_are_on_time_beside_a_backlog_of_decisions() {
     let (mut servers, mut stand_ins) = (Vec::new(), Vec::new());
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -83,7 +83,8 @@
     pub body: String,
 }
 
-/// What a box did with a request, or `None` for a release, in the order in which all boxes of a test got them.
+/// What a box did with a request, or `None` for a release, in the order in which all boxes of a test got
+/// them.
 #[derive(Clone, Debug)]
 pub struct Did {
     pub nth: u64,
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -622,8 +622,8 @@
         r.phase == Phase::Held && (surplus || self.now >= self.last_start(r))
     }
 
-    /// From then on its first token can't be in time, or before its client leaves, as long as the stages took of
-    /// late. Half of either time is left all the same: they also waited, and no long prompt makes that longer.
+    /// From then on its first token can't be in time, or before its client leaves, as long as the stages took
+    /// of late. Half of either time is left all the same: no long prompt makes their waits longer.
     fn last_start(&self, r: &Request) -> Micros {
         let usual = |stage| self.patience(stage, r.query.prompt_tokens / 2, 1.0);
         let (both, time) = (usual(Stage::Read) + usual(Stage::Write), r.deadline - r.arrived);
--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -246,8 +246,8 @@
     }
 }
 
-/// On a quiet load, with servers of every role and half of them just started: whatever is drawn by a hash, by a
-/// prefix, a tenant or a class, no set of requests is refused throughout.
+/// On a quiet load, with servers of every role and half of them just started: whatever is drawn by a hash, by
+/// a prefix, a tenant or a class, no set of requests is refused throughout.
 #[test]
 fn on_a_quiet_load_no_session_and_no_set_of_them_is_shut_out() {
     for (balancers, mixed, cold) in
@@ -261,7 +261,8 @@
             let more = (0..mixed).map(|n| starts(format!("m{n}"), 2));
             let half = (0..2).flat_map(|n| [starts(format!("p{n}"), 0), starts(format!("d{n}"), 1)]);
             fleet.tell(ListForm::Changes, more.chain(half).collect());
-            // This router's part of a quiet load, and three times as much where there are several: traffic is uneven.
+            // This router's part of a quiet load, and three times as much where there are several: traffic is
+            // uneven.
             let per_s = PER_S * 2.0 * 0.5 / f64::from(balancers) * if balancers > 1 { 3.0 } else { 1.0 };
             let (mut draws, mut at, mut queries) = (Draws(seed), 0.0, Vec::new());
             while at < 4.0 * TIME as f64 {
