--- a/daemon/tests/crowds.rs
+++ b/daemon/tests/crowds.rs
@@ -5,7 +5,6 @@
 
 use std::time::{Duration, Instant};
 
-use serde_json::{json, Value};
 use support::*;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
@@ -20,15 +19,8 @@
 const NOBODY: &str = "{\"rev\":9,\"all\":true,\"targets\":[]}\n";
 
 fn config(name: &str, discovery: &str, boxes: &[(&str, &str, &StandIn)]) -> String {
-    let target = |(uid, model, at): &(&str, &str, &StandIn)| -> Value {
-        json!({"uid": uid, "endpoint": at.address, "az": "z", "model": model, "pod_group": 0,
-            "state": "active", "capacity_hint": 1.0, "boot_ms": 0})
-    };
-    let targets: Vec<Value> = boxes.iter().map(target).collect();
-    json!({"name": name, "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": DESCRIPTORS},
-        "known": {"rev": 1, "all": true, "targets": targets}, "settings": setup()})
-    .to_string()
+    let servers: Vec<_> = boxes.iter().map(|(uid, kind, at)| (*uid, *kind, at.address)).collect();
+    config_of(name, discovery, DESCRIPTORS, &servers, &setup())
 }
 
 fn request(id: &str) -> String {
--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -66,15 +66,8 @@
 
 /// The configuration of a process before these two.
 fn config(prefill: &StandIn, decode: &StandIn, deadline: u64) -> String {
-    let targets =
-        [("p", "prefill", prefill.address), ("d", "decode", decode.address)].map(|(uid, model, at)| {
-            json!({"uid": uid, "endpoint": at, "az": "z", "model": model, "pod_group": 0, "state": "active",
-            "capacity_hint": 1.0, "boot_ms": 0})
-        });
-    json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
-        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
-        "known": {"rev": 1, "all": true, "targets": targets}, "settings": with_deadline(deadline)})
-    .to_string()
+    let servers = [("p", "prefill", prefill.address), ("d", "decode", decode.address)];
+    config_of("n1", "127.0.0.1:9", 512, &servers, &with_deadline(deadline))
 }
 
 /// Deadlines of 1 s, so that SIGKILL comes after 1.7 s: in between every request that was read is answered,
--- a/daemon/tests/on_time.rs
+++ b/daemon/tests/on_time.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde_json::{json, Value};
 use support::*;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
@@ -18,18 +17,6 @@
 const BACKLOG: usize = 1_000;
 const LATEST: Duration = Duration::from_secs(60);
 
-fn config(servers: &[(String, &str, SocketAddr)]) -> String {
-    let target = |(uid, model, at): &(String, &str, SocketAddr)| -> Value {
-        json!({"uid": uid, "endpoint": at, "az": "z", "model": model, "pod_group": 0, "state": "active",
-            "capacity_hint": 1.0, "boot_ms": 0})
-    };
-    let targets: Vec<Value> = servers.iter().map(target).collect();
-    json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 8192},
-        "known": {"rev": 1, "all": true, "targets": targets}, "settings": setup()})
-    .to_string()
-}
-
 /// Asks, and gives how late each event of the answer was, or nothing where it was refused.
 async fn lags(to: SocketAddr, id: String) -> Option<Vec<u64>> {
     let mut client = send(to, &chat(&id, "ask", 7_000)).await;
@@ -64,7 +51,9 @@
             stand_ins.push(stand_in);
         }
     }
-    let running = Running::start(program("on-time", &config(&servers)));
+    let servers: Vec<_> = servers.iter().map(|(uid, kind, at)| (uid.as_str(), *kind, *at)).collect();
+    let config = config_of("n1", "127.0.0.1:9", 8_192, &servers, &setup());
+    let running = Running::start(program("on-time", &config));
     let mut clients = JoinSet::new();
     for n in 0..STREAMS {
         clients.spawn(lags(running.listen, format!("stream-{n}")));
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -605,6 +605,25 @@
     (body, false)
 }
 
+/// A process's configuration: its discovery, descriptors and settings, and its servers by id and kind.
+pub fn config_of(
+    name: &str,
+    discovery: &str,
+    sockets: usize,
+    servers: &[(&str, &str, SocketAddr)],
+    settings: &Value,
+) -> String {
+    let target = |(uid, model, at): &(&str, &str, SocketAddr)| -> Value {
+        json!({"uid": uid, "endpoint": at, "az": "z", "model": model, "pod_group": 0, "state": "active",
+            "capacity_hint": 1.0, "boot_ms": 0})
+    };
+    let targets: Vec<Value> = servers.iter().map(target).collect();
+    json!({"name": name, "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        "known": {"rev": 1, "all": true, "targets": targets}, "settings": settings})
+    .to_string()
+}
+
 /// The program with this configuration, which waits in a folder of its own.
 pub fn program(name: &str, config: &str) -> Command {
     let file = std::env::temp_dir().join(format!("frosttrail-{name}-{}.json", std::process::id()));
