Answer operators on a second address, exclude instances by hand, share the client address

Change: listeners set SO_REUSEPORT where operators' calls are on; a server on a thread of its own answers ready, exclude and include; exclusions are a state beside the list (core/src/exclusion.rs), kept in one file each below TMPDIR. An instance that is put back counts as started then, as discovery may tell of its restart later.

--- /dev/null
+++ b/core/src/exclusion.rs
@@ -0,0 +1,106 @@
+//! Instances that operators have taken out of use: a state beside what discovery says, kept without I/O.
+//!
+//! The decisions are told of an excluded instance as one that drains, whatever the list says of it. One that
+//! is put back counts as started at that moment unless the list names a later start: operators restart an
+//! instance while it is out, and discovery may tell of the start seconds after.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use frosttrail::{Entry, Health, Id, ListForm, Micros};
+
+/// So many instances may be excluded at a time.
+const EXCLUDED_MAX: usize = 4_096;
+
+/// Why an instance can't be taken out or put back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ExclusionError {
+    /// No instance of that id is listed or excluded.
+    #[error("no such instance; take the id from discovery's list")]
+    Unknown,
+    /// The bound on excluded instances is reached.
+    #[error("{EXCLUDED_MAX} instances are excluded; include some that have gone")]
+    TooMany,
+}
+
+/// The listed instances, and which of them operators have excluded.
+#[derive(Debug, Default)]
+pub struct Exclusions {
+    listed: BTreeMap<Id, Entry>,
+    excluded: BTreeSet<Id>,
+    /// When an instance was put back, for as long as it counts as started then.
+    included: BTreeMap<Id, Micros>,
+    /// How long an instance takes to warm up.
+    warm_within: Micros,
+}
+
+impl Exclusions {
+    /// Nothing is listed yet; these are excluded from before.
+    pub fn new(excluded: impl IntoIterator<Item = Id>, warm_within: Micros) -> Self {
+        let excluded = excluded.into_iter().take(EXCLUDED_MAX).collect();
+        Exclusions { excluded, warm_within, ..Exclusions::default() }
+    }
+
+    /// News of the list; gives the entries as the decisions should have them.
+    pub fn news(&mut self, now: Micros, form: ListForm, entries: &[Entry]) -> Vec<Entry> {
+        self.included.retain(|_, at| now < *at + self.warm_within);
+        if matches!(form, ListForm::Full | ListForm::WarmCopy) {
+            self.listed.clear();
+        }
+        for entry in entries {
+            match entry.health {
+                Health::Gone => self.listed.remove(&entry.worker),
+                Health::Up | Health::Draining => self.listed.insert(entry.worker.clone(), entry.clone()),
+            };
+        }
+        entries.iter().map(|entry| self.effective(entry)).collect()
+    }
+
+    /// Takes an instance out.
+    pub fn exclude(&mut self, id: &Id) -> Result<(), ExclusionError> {
+        self.check_known(id)?;
+        if !self.excluded.contains(id) && self.excluded.len() >= EXCLUDED_MAX {
+            return Err(ExclusionError::TooMany);
+        }
+        self.excluded.insert(id.clone());
+        self.included.remove(id);
+        Ok(())
+    }
+
+    /// Puts an instance back; one that is not out stays as it is.
+    pub fn include(&mut self, now: Micros, id: &Id) -> Result<(), ExclusionError> {
+        self.check_known(id)?;
+        if self.excluded.remove(id) {
+            self.included.insert(id.clone(), now);
+        }
+        Ok(())
+    }
+
+    /// A listed instance as the decisions should have it.
+    pub fn entry(&self, id: &Id) -> Option<Entry> {
+        self.listed.get(id).map(|entry| self.effective(entry))
+    }
+
+    /// Whether an instance is excluded.
+    pub fn is_excluded(&self, id: &Id) -> bool {
+        self.excluded.contains(id)
+    }
+
+    /// Fails for an id that is neither listed nor excluded.
+    pub fn check_known(&self, id: &Id) -> Result<(), ExclusionError> {
+        match self.listed.contains_key(id) || self.excluded.contains(id) {
+            true => Ok(()),
+            false => Err(ExclusionError::Unknown),
+        }
+    }
+
+    fn effective(&self, entry: &Entry) -> Entry {
+        let mut entry = entry.clone();
+        if entry.health == Health::Up && self.excluded.contains(&entry.worker) {
+            entry.health = Health::Draining;
+        }
+        if let Some(included) = self.included.get(&entry.worker) {
+            entry.started = entry.started.max(*included);
+        }
+        entry
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,6 +12,7 @@
 #![warn(missing_docs)]
 
 mod clock;
+mod exclusion;
 mod owner;
 mod release;
 mod request;
@@ -19,6 +20,7 @@
 mod traits;
 
 pub use clock::Clock;
+pub use exclusion::{ExclusionError, Exclusions};
 pub use owner::{start, Conductor, Parts};
 pub use request::{Answer, AnswerStream, Broken, CallError, Request};
 pub use traits::{Boxes, Events, MemberList, News, Reply, Step};
--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -2,10 +2,10 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use frosttrail::{Facade, Id, Load, Outcome, Query, Report, Settings, Verdict, Verdicts};
+use frosttrail::{Facade, Id, ListForm, Load, Outcome, Query, Report, Settings, Verdict, Verdicts};
 use slog::{debug, info, Logger};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{yield_now, AbortHandle};
@@ -13,6 +13,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
+use crate::exclusion::{ExclusionError, Exclusions};
 use crate::release::release;
 use crate::standing::Standing;
 use crate::traits::{Boxes, MemberList, News};
@@ -51,6 +52,8 @@
     Close,
     /// This router's part of what all routers share.
     Share(f64),
+    /// An instance was taken out of use or put back.
+    ExclusionChanged(Id),
     /// Dropped once all that was told before has been seen to.
     Seen(oneshot::Sender<()>),
 }
@@ -67,6 +70,8 @@
     pub boxes: Arc<B>,
     /// The list of members.
     pub members: M,
+    /// Instances that operators have taken out of use before.
+    pub excluded: Vec<Id>,
     /// The log.
     pub log: Logger,
 }
@@ -81,6 +86,12 @@
     tickets: Arc<AtomicU64>,
     able: watch::Receiver<bool>,
     releases: TaskTracker,
+    exclusions: Arc<Mutex<Exclusions>>,
+}
+
+/// Whole between any two statements, so that a panic elsewhere does no harm to it.
+fn lock(exclusions: &Mutex<Exclusions>) -> MutexGuard<'_, Exclusions> {
+    exclusions.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl<B> Clone for Conductor<B> {
@@ -93,6 +104,7 @@
             tickets: self.tickets.clone(),
             able: self.able.clone(),
             releases: self.releases.clone(),
+            exclusions: self.exclusions.clone(),
         }
     }
 }
@@ -123,6 +135,25 @@
         let _ = self.tell.send(Message::Share(part));
     }
 
+    /// Fails for an id that no instance has, in the list or among those taken out.
+    pub fn check_known(&self, instance: &Id) -> Result<(), ExclusionError> {
+        lock(&self.exclusions).check_known(instance)
+    }
+
+    /// Takes an instance out of use until [`Conductor::include`], whatever the list says of it meanwhile.
+    pub fn exclude(&self, instance: &Id) -> Result<(), ExclusionError> {
+        lock(&self.exclusions).exclude(instance)?;
+        let _ = self.tell.send(Message::ExclusionChanged(instance.clone()));
+        Ok(())
+    }
+
+    /// Puts an instance back into use. It counts as started now; one that was not out stays as it is.
+    pub fn include(&self, instance: &Id) -> Result<(), ExclusionError> {
+        lock(&self.exclusions).include(self.clock.now(), instance)?;
+        let _ = self.tell.send(Message::ExclusionChanged(instance.clone()));
+        Ok(())
+    }
+
     /// Resolves once every release that was asked for has arrived or been given up. Requests must have
     /// ended before.
     pub async fn released(&self) {
@@ -138,11 +169,12 @@
 
 /// Starts a conductor on the current runtime. It runs until every handle has gone.
 pub fn start<B: Boxes, M: MemberList>(parts: Parts<B, M>) -> Conductor<B> {
-    let Parts { settings, seed, clock, boxes, mut members, log } = parts;
+    let Parts { settings, seed, clock, boxes, mut members, excluded, log } = parts;
     let (tell, inbox) = mpsc::unbounded_channel();
     let (able_tx, able) = watch::channel(false);
     let releases = TaskTracker::new();
     let release = Duration::from_micros(settings.release);
+    let exclusions = Arc::new(Mutex::new(Exclusions::new(excluded, settings.warm_within)));
     let owner = Owner {
         facade: Facade::new(settings, seed),
         clock,
@@ -152,6 +184,7 @@
         standing: Standing::default(),
         able: able_tx,
         releases: releases.clone(),
+        exclusions: exclusions.clone(),
         release,
         log,
     };
@@ -165,7 +198,7 @@
         }
     });
     let release_wait = release / RELEASE_WAIT;
-    Conductor { tell, boxes, clock, release_wait, tickets: Arc::default(), able, releases }
+    Conductor { tell, boxes, clock, release_wait, tickets: Arc::default(), able, releases, exclusions }
 }
 
 /// A request that is open: where its verdicts go, and the boxes it went to, latest first.
@@ -199,6 +232,7 @@
     standing: Standing,
     able: watch::Sender<bool>,
     releases: TaskTracker,
+    exclusions: Arc<Mutex<Exclusions>>,
     /// The settings' time for what is held.
     release: Duration,
     log: Logger,
@@ -282,6 +316,11 @@
             Message::News(news) => self.news(news),
             Message::Close => self.facade.close(now),
             Message::Share(part) => self.facade.share(now, part),
+            Message::ExclusionChanged(instance) => {
+                let entry = lock(&self.exclusions).entry(&instance);
+                info!(self.log, "exclusion changed"; "instance" => %instance, "is" => ?entry);
+                self.facade.members(now, ListForm::Changes, entry.into_iter().collect())
+            }
             Message::Seen(seen) => {
                 let _ = seen.send(());
                 return;
@@ -298,7 +337,9 @@
         self.standing.members(form, &entries);
         let up = self.standing.count();
         info!(self.log, "members"; "form" => ?form, "entries" => entries.len(), "up" => up);
-        let verdicts = self.facade.members(self.clock.now(), form, entries);
+        let now = self.clock.now();
+        let entries = lock(&self.exclusions).news(now, form, &entries);
+        let verdicts = self.facade.members(now, form, entries);
         self.able.send_replace(up > 0);
         verdicts
     }
--- a/core/tests/held.rs
+++ b/core/tests/held.rs
@@ -154,6 +154,7 @@
     };
     let entries = NAMES.iter().enumerate().map(entry).collect();
     let conductor = start(Parts {
+        excluded: Vec::new(),
         settings,
         seed: 7,
         clock: Clock::new(),
--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -211,6 +211,7 @@
     };
     let entries = vec![entry("r1", 0), entry("r2", 0), entry("w1", 1), entry("w2", 1)];
     start(Parts {
+        excluded: Vec::new(),
         settings: settings(),
         seed: 7,
         clock: Clock::new(),
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -3,9 +3,11 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
+use frosttrail::Id;
 use frosttrail_core::{start, Clock, Conductor, Parts};
 use frosttrail_daemon::config::{self, ChatConfig, Config, XdsConfig};
 use frosttrail_daemon::discovery::{Backoff, Discovery, Xds};
@@ -13,6 +15,8 @@
 use frosttrail_daemon::front::chat::Chat;
 use frosttrail_daemon::front::platform::Platform;
 use frosttrail_daemon::front::{Doors, Patience};
+use frosttrail_daemon::ops::{ConductorOperations, ExclusionStore, OpsServer};
+use frosttrail_daemon::state_dir;
 use frosttrail_daemon::upstream::{Book, Limits, Upstream};
 use frosttrail_membership::service::{self, Membership};
 use slog::{info, warn, Logger};
@@ -91,13 +95,16 @@
     log: Logger,
 ) -> Result<(), Fault> {
     let each = (config.sockets - SPARE_SOCKETS) / 2;
+    let ops = config.ops.map(|address| Ops::open(address, &config, &log)).transpose()?;
     let doors = Doors::new(each, PATIENCE, log.clone());
+    let doors = if ops.is_some() { doors.sharing_address() } else { doors };
     let (listen, settings, names) = (config.listen, config.settings.clone(), Arc::new(config.names.clone()));
     let (discovery, address) = watch::channel(config.discovery);
     // It goes on beside an end that is planned: until then, drains are still learned of.
     let _reloads =
         AbortOnDropHandle::new(tokio::spawn(reload(signals.hangup, config.clone(), discovery, log.clone())));
-    let conductor = conductor(config, address, xds, each, &log);
+    let excluded = ops.as_ref().map(|ops| ops.excluded.clone()).unwrap_or_default();
+    let conductor = conductor(config, address, xds, each, excluded, &log);
     let bind = |address| move |e| Fault::Bind(address, e);
     doors.open(listen, Platform::new(conductor.clone(), names.clone())).map_err(bind(listen))?;
     if let Some(chat) = chat {
@@ -108,7 +115,13 @@
         Some(config) => Some(join(config, &conductor, &log).await?),
         None => None,
     };
+    let ending = Arc::new(AtomicBool::new(false));
+    if let Some(ops) = ops {
+        let operations = ConductorOperations::new(conductor.clone(), ops.store, ending.clone());
+        ops.server.start(Arc::new(operations), log.clone())?;
+    }
     signals.terminate.recv().await;
+    ending.store(true, Ordering::Relaxed);
     let Ending { notice, answer_all, last } = Ending::new(&settings);
     info!(log, "SIGTERM: closing"; "within" => ?last);
     doors.leave();
@@ -138,6 +151,22 @@
     Ok(())
 }
 
+/// The operators' address, and what was kept of their calls.
+struct Ops {
+    server: OpsServer,
+    store: ExclusionStore,
+    excluded: Vec<Id>,
+}
+
+impl Ops {
+    fn open(address: SocketAddr, config: &Config, log: &Logger) -> Result<Self, Fault> {
+        let server = OpsServer::bind(address).map_err(|e| Fault::Bind(address, e))?;
+        let store = ExclusionStore::open(&state_dir::open(&config.name, config.listen)?)?;
+        let excluded = store.load(log)?;
+        Ok(Ops { server, store, excluded })
+    }
+}
+
 /// Takes part among those that share the boxes, and tells the decisions what part is theirs.
 async fn join(
     config: service::Config,
@@ -192,6 +221,7 @@
     address: watch::Receiver<SocketAddr>,
     xds: Option<XdsConfig>,
     connections: usize,
+    excluded: Vec<Id>,
     log: &Logger,
 ) -> Conductor<Upstream> {
     let clock = Clock::new();
@@ -209,12 +239,12 @@
     match xds {
         Some(xds) => {
             let members = Xds::new(xds, name, names, clock, book, log.clone());
-            start(Parts { settings, seed, clock, boxes, members, log })
+            start(Parts { settings, seed, clock, boxes, members, excluded, log })
         }
         None => {
             let backoff = Backoff::new(settings.balancers, seed);
             let members = Discovery::new(address, known, backoff, names, clock, book, log.clone());
-            start(Parts { settings, seed, clock, boxes, members, log })
+            start(Parts { settings, seed, clock, boxes, members, excluded, log })
         }
     }
 }
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -40,6 +40,9 @@
     /// A file of ours under `deploy/` is not what it should be.
     #[error("{0}: {1}")]
     Deploy(PathBuf, String),
+    /// The environment names an operators' address that is none.
+    #[error("EDGE_OPS: {0}: not an address such as 127.0.0.1:9800")]
+    Ops(String),
     /// Too few descriptors to serve anything.
     #[error("{0}: limits.sockets: {1} are too few, {MIN_SOCKETS} are needed")]
     Sockets(PathBuf, usize),
@@ -53,6 +56,8 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    #[serde(default)]
+    ops: Option<SocketAddr>,
     seed: String,
     limits: Limits,
     known: Listing,
@@ -73,6 +78,8 @@
     pub listen: SocketAddr,
     /// Where discovery's agent is.
     pub discovery: SocketAddr,
+    /// Where operators call; without one nothing is opened for them.
+    pub ops: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that it may hold.
@@ -89,7 +96,14 @@
     /// Reads the file that the environment names.
     pub fn from_env() -> Result<Self, ConfigError> {
         let path = std::env::var_os("EDGE_CONFIG").ok_or(ConfigError::NoFile)?;
-        Config::read(Path::new(&path))
+        let config = Config::read(Path::new(&path))?;
+        let ops = match std::env::var("EDGE_OPS") {
+            Ok(address) if !address.is_empty() => {
+                Some(address.parse().map_err(|_| ConfigError::Ops(address))?)
+            }
+            _ => config.ops,
+        };
+        Ok(Config { ops, ..config })
     }
 
     /// What differs in a newer configuration and can't change while the program runs. The seed and the
@@ -98,6 +112,7 @@
         let differs = [
             ("name", self.name != newer.name),
             ("listen", self.listen != newer.listen),
+            ("ops", self.ops != newer.ops),
             ("limits", self.sockets != newer.sockets),
             ("settings", self.settings != newer.settings || self.names != newer.names),
         ];
@@ -121,6 +136,7 @@
             name: file.name,
             listen: file.listen,
             discovery: file.discovery,
+            ops: file.ops,
             seed,
             sockets: file.limits.sockets,
             known: file.known,
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -65,6 +65,8 @@
 pub struct Doors {
     clients: Clients,
     patience: Patience,
+    /// Another process may listen at the same address.
+    share_address: bool,
     /// An end is planned: clients are told with each answer to come back on another connection.
     leaving: CancellationToken,
     /// Nothing more is accepted, and each connection ends once it has no request.
@@ -80,6 +82,7 @@
         Doors {
             clients: Clients::new(most),
             patience,
+            share_address: false,
             leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
             accepting: TaskTracker::new(),
@@ -88,11 +91,18 @@
         }
     }
 
+    /// Lets another process of the same conductor listen at the same address.
+    pub fn sharing_address(self) -> Self {
+        Doors { share_address: true, ..self }
+    }
+
     /// Listens, and serves what comes; the address is the one bound.
     pub fn open<S: Service>(&self, address: SocketAddr, service: S) -> std::io::Result<SocketAddr> {
         let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         // A conductor that is started anew takes its address over from connections that linger.
         socket.set_reuseaddr(true)?;
+        // The process that takes over listens while this one still serves.
+        socket.set_reuseport(self.share_address)?;
         socket.bind(address)?;
         let listener = socket.listen(BACKLOG)?;
         let address = listener.local_addr()?;
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -8,4 +8,6 @@
 pub mod discovery;
 pub mod ending;
 pub mod front;
+pub mod ops;
+pub mod state_dir;
 pub mod upstream;
--- /dev/null
+++ b/daemon/src/ops/call.rs
@@ -0,0 +1,143 @@
+//! What operators may ask, and how each call is answered.
+
+use bytes::Bytes;
+use frosttrail::Id;
+use frosttrail_core::ExclusionError;
+use http_body_util::Full;
+use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
+use hyper::{Method, Response, StatusCode};
+
+/// The longest id of an instance.
+pub(super) const ID_BYTES_MAX: usize = 256;
+
+/// What the calls act on.
+pub trait Operations: Send + Sync + 'static {
+    /// Whether this process can serve clients now.
+    fn is_ready(&self) -> bool;
+    /// The figures, in the text form that Prometheus reads.
+    fn telemetry(&self) -> String;
+    /// Takes an instance out of use until it is included again.
+    fn exclude(&self, id: &Id) -> Result<(), CallError>;
+    /// Puts an instance back into use.
+    fn include(&self, id: &Id) -> Result<(), CallError>;
+}
+
+/// Why a call is answered with a no. Each says what its caller can do.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// No such path.
+    #[error("no such path; use GET /api/ready, GET /api/telemetry, POST /api/exclude or POST /api/include")]
+    Path,
+    /// The path takes another method.
+    #[error("this path takes {0} only")]
+    Method(Method),
+    /// The body is not one id.
+    #[error("the body must be the id of one instance, of 1 to {ID_BYTES_MAX} visible ASCII characters")]
+    Id,
+    /// The exclusions do not allow it.
+    #[error("{0}")]
+    Exclusion(#[from] ExclusionError),
+    /// The decision could not be kept, so that it would not outlive this process.
+    #[error("the exclusion could not be stored ({0}); free space in $TMPDIR and call again")]
+    Storage(#[from] std::io::Error),
+    /// This process can't serve yet, or no more.
+    #[error("not ready: no instance is known yet, or the process is ending; ask again")]
+    NotReady,
+}
+
+impl CallError {
+    fn status(&self) -> StatusCode {
+        match self {
+            CallError::Path => StatusCode::NOT_FOUND,
+            CallError::Exclusion(ExclusionError::Unknown) => StatusCode::NOT_FOUND,
+            CallError::Exclusion(ExclusionError::TooMany) => StatusCode::CONFLICT,
+            CallError::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
+            CallError::Id => StatusCode::BAD_REQUEST,
+            CallError::Storage(_) => StatusCode::INSUFFICIENT_STORAGE,
+            CallError::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+/// A call that has come whole.
+enum Call {
+    Ready,
+    Telemetry,
+    Exclude(Id),
+    Include(Id),
+}
+
+impl Call {
+    fn parse(method: &Method, path: &str, body: &[u8]) -> Result<Self, CallError> {
+        let takes = method_of(path).ok_or(CallError::Path)?;
+        if *method != takes {
+            return Err(CallError::Method(takes));
+        }
+        match path {
+            "/api/ready" => Ok(Call::Ready),
+            "/api/telemetry" => Ok(Call::Telemetry),
+            "/api/exclude" => Ok(Call::Exclude(instance_id(body)?)),
+            _ => Ok(Call::Include(instance_id(body)?)),
+        }
+    }
+}
+
+/// The method that a path takes; `None` where there is no such path.
+fn method_of(path: &str) -> Option<Method> {
+    match path {
+        "/api/ready" | "/api/telemetry" => Some(Method::GET),
+        "/api/exclude" | "/api/include" => Some(Method::POST),
+        _ => None,
+    }
+}
+
+fn instance_id(body: &[u8]) -> Result<Id, CallError> {
+    let id = std::str::from_utf8(body).map_err(|_| CallError::Id)?.trim();
+    let fits = (1..=ID_BYTES_MAX).contains(&id.len());
+    let visible = id.bytes().all(|byte| byte.is_ascii_graphic());
+    (fits && visible).then(|| id.into()).ok_or(CallError::Id)
+}
+
+/// Whether a path's call brings a body.
+pub(super) fn takes_body(path: &str) -> bool {
+    method_of(path) == Some(Method::POST)
+}
+
+/// Answers one call.
+pub(super) fn answer<O: Operations>(
+    operations: &O,
+    method: &Method,
+    path: &str,
+    body: &[u8],
+) -> Response<Full<Bytes>> {
+    let done = Call::parse(method, path, body).and_then(|call| match call {
+        Call::Ready if operations.is_ready() => Ok("ready\n".to_string()),
+        Call::Ready => Err(CallError::NotReady),
+        Call::Telemetry => Ok(operations.telemetry()),
+        Call::Exclude(id) => operations.exclude(&id).map(|()| format!("excluded {id}\n")),
+        Call::Include(id) => operations.include(&id).map(|()| format!("included {id}\n")),
+    });
+    match done {
+        Ok(text) => text_response(StatusCode::OK, text),
+        Err(error) => error_response(&error),
+    }
+}
+
+fn text_response(status: StatusCode, text: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    let plain = HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
+    response.headers_mut().insert(CONTENT_TYPE, plain);
+    response
+}
+
+/// The error's status, and its one line.
+pub(super) fn error_response(error: &CallError) -> Response<Full<Bytes>> {
+    let mut response = text_response(error.status(), format!("{error}\n"));
+    if let CallError::Method(method) = error {
+        if let Ok(allowed) = HeaderValue::from_str(method.as_str()) {
+            response.headers_mut().insert(ALLOW, allowed);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/daemon/src/ops/exclusion_store.rs
@@ -0,0 +1,81 @@
+//! Exclusions as they are kept in a folder: one file for each excluded instance, so that two processes that
+//! share the folder never write over each other, and what was said outlives the process that said it.
+
+use std::fs;
+use std::io::{Error, ErrorKind, Result};
+use std::path::{Path, PathBuf};
+
+use frosttrail::Id;
+use slog::{warn, Logger};
+
+use super::call::ID_BYTES_MAX;
+
+const FOLDER: &str = "excluded";
+
+/// The files of one conductor.
+#[derive(Clone, Debug)]
+pub struct ExclusionStore {
+    folder: PathBuf,
+}
+
+impl ExclusionStore {
+    /// Uses a folder below this one, which is made if it is not there.
+    pub fn open(state: &Path) -> Result<Self> {
+        let folder = state.join(FOLDER);
+        fs::create_dir_all(&folder)?;
+        Ok(ExclusionStore { folder })
+    }
+
+    /// All that are kept. A file that is damaged is passed over, with a line in the log.
+    pub fn load(&self, log: &Logger) -> Result<Vec<Id>> {
+        let mut excluded = Vec::new();
+        for file in fs::read_dir(&self.folder)? {
+            let path = file?.path();
+            if path.extension().is_some() {
+                // Being written, or left behind by a process that was killed as it wrote.
+                continue;
+            }
+            match self.read(&path) {
+                Ok(id) => excluded.push(id),
+                Err(e) => {
+                    warn!(log, "an exclusion is passed over; exclude the instance again, remove the file";
+                        "file" => %path.display(), "why" => %e);
+                }
+            }
+        }
+        Ok(excluded)
+    }
+
+    /// Keeps an exclusion; it is whole once this has returned.
+    pub fn insert(&self, id: &Id) -> Result<()> {
+        let path = self.path(id);
+        let temporary = path.with_extension(format!("{}", std::process::id()));
+        fs::write(&temporary, id.as_bytes())?;
+        fs::rename(&temporary, &path)
+    }
+
+    /// Forgets an exclusion, if it is kept.
+    pub fn remove(&self, id: &Id) -> Result<()> {
+        match fs::remove_file(self.path(id)) {
+            Err(e) if e.kind() != ErrorKind::NotFound => Err(e),
+            _ => Ok(()),
+        }
+    }
+
+    /// Named by the id's hash: ids may hold what file names may not.
+    fn path(&self, id: &str) -> PathBuf {
+        self.folder.join(blake3::hash(id.as_bytes()).to_hex().as_str())
+    }
+
+    fn read(&self, path: &Path) -> Result<Id> {
+        let invalid = |why| Error::new(ErrorKind::InvalidData, why);
+        if fs::metadata(path)?.len() > ID_BYTES_MAX as u64 {
+            return Err(invalid("larger than an id"));
+        }
+        let id = String::from_utf8(fs::read(path)?).map_err(|_| invalid("not text"))?;
+        match self.path(&id) == path {
+            true => Ok(id.into()),
+            false => Err(invalid("its name is not the hash of what it holds")),
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/ops/server.rs
@@ -0,0 +1,110 @@
+//! The server of the operators' address: a thread and a runtime of its own, so that no load of requests
+//! delays an answer, with a bound on connections and on the time of each.
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::{debug, info, warn, Logger};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+use tokio_util::task::AbortOnDropHandle;
+
+use super::call::{answer, error_response, takes_body, CallError, Operations, ID_BYTES_MAX};
+
+/// Connections at a time. One more ends the oldest, which has had its chance: a call takes milliseconds.
+const CONNECTIONS_MAX: usize = 16;
+/// A connection ends after this time, whether its call has come or not.
+const CONNECTION_TIME: Duration = Duration::from_secs(2);
+/// After an accept that failed, as when descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// White space around an id.
+const BODY_BYTES_MAX: usize = ID_BYTES_MAX + 64;
+
+/// A bound address that answers operators' calls.
+pub struct OpsServer {
+    listener: TcpListener,
+}
+
+impl OpsServer {
+    /// Binds the address; nothing is answered before [`OpsServer::start`].
+    pub fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        Ok(OpsServer { listener })
+    }
+
+    /// Answers calls until the process ends.
+    pub fn start<O: Operations>(self, operations: Arc<O>, log: Logger) -> std::io::Result<()> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let address = self.listener.local_addr()?;
+        let listener = {
+            let _entered = runtime.enter();
+            tokio::net::TcpListener::from_std(self.listener)?
+        };
+        info!(log, "operators' address"; "at" => %address);
+        let thread = std::thread::Builder::new().name("ops".into());
+        thread.spawn(move || runtime.block_on(accept(listener, operations, log)))?;
+        Ok(())
+    }
+}
+
+async fn accept<O: Operations>(listener: tokio::net::TcpListener, operations: Arc<O>, log: Logger) {
+    let mut connections: VecDeque<AbortOnDropHandle<()>> = VecDeque::new();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                warn!(log, "operators' address: accept"; "why" => %e);
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        connections.retain(|connection| !connection.is_finished());
+        if connections.len() >= CONNECTIONS_MAX {
+            connections.pop_front();
+        }
+        let served = serve(stream, operations.clone(), log.clone());
+        connections.push_back(AbortOnDropHandle::new(tokio::spawn(served)));
+    }
+}
+
+/// One call, then the end of the connection.
+async fn serve<O: Operations>(stream: TcpStream, operations: Arc<O>, log: Logger) {
+    let service = service_fn(move |request| {
+        let operations = operations.clone();
+        async move { Ok::<_, Infallible>(respond(&*operations, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .keep_alive(false)
+        .serve_connection(TokioIo::new(stream), service);
+    match timeout(CONNECTION_TIME, connection).await {
+        Ok(Ok(())) => {}
+        Ok(Err(e)) => debug!(log, "operators' address: connection"; "why" => %e),
+        Err(_) => debug!(log, "operators' address: no whole call came in time"),
+    }
+}
+
+async fn respond<O: Operations>(operations: &O, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (head, body) = request.into_parts();
+    let path = head.uri.path();
+    let body = match takes_body(path) {
+        true => Limited::new(body, BODY_BYTES_MAX).collect().await,
+        // Whatever comes along says nothing here.
+        false => return answer(operations, &head.method, path, &[]),
+    };
+    match body {
+        Ok(body) => answer(operations, &head.method, path, &body.to_bytes()),
+        Err(_) => error_response(&CallError::Id),
+    }
+}
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -507,6 +507,7 @@
     let (news, told) = mpsc::unbounded_channel();
     let _ = news.send(News { form: ListForm::Full, entries });
     let conductor = start(Parts {
+        excluded: Vec::new(),
         settings: settings.clone(),
         seed: 7,
         clock: Clock::new(),
