--- a/core/src/exclusion.rs
+++ b/core/src/exclusion.rs
@@ -40,6 +40,11 @@
         Exclusions { excluded, warm_within, ..Exclusions::default() }
     }
 
+    /// How long an instance takes to warm up, as new settings say.
+    pub fn set_warm_within(&mut self, warm_within: Micros) {
+        self.warm_within = warm_within;
+    }
+
     /// News of the list; gives the entries as the decisions should have them.
     pub fn news(&mut self, now: Micros, form: ListForm, entries: &[Entry]) -> Vec<Entry> {
         self.included.retain(|_, at| now < *at + self.warm_within);
--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -52,6 +52,7 @@
     Close,
     /// This router's part of what all routers share.
     Share(f64),
+    Settings(Arc<Settings>),
     /// An instance was taken out of use or put back.
     ExclusionChanged(Id),
     /// Dropped once all that was told before has been seen to.
@@ -81,8 +82,8 @@
     pub(crate) tell: mpsc::UnboundedSender<Message>,
     pub(crate) boxes: Arc<B>,
     pub(crate) clock: Clock,
-    /// How long an attempt waits for the release before it.
-    pub(crate) release_wait: Duration,
+    /// The settings in force.
+    settings: Arc<watch::Sender<Arc<Settings>>>,
     tickets: Arc<AtomicU64>,
     able: watch::Receiver<bool>,
     releases: TaskTracker,
@@ -100,7 +101,7 @@
             tell: self.tell.clone(),
             boxes: self.boxes.clone(),
             clock: self.clock,
-            release_wait: self.release_wait,
+            settings: self.settings.clone(),
             tickets: self.tickets.clone(),
             able: self.able.clone(),
             releases: self.releases.clone(),
@@ -135,6 +136,24 @@
         let _ = self.tell.send(Message::Share(part));
     }
 
+    /// The settings in force, for requests that come now.
+    pub fn settings(&self) -> Arc<Settings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Puts new settings in force. Requests that are open keep the classes with which they came.
+    pub fn reconfigure(&self, settings: Settings) {
+        let settings = Arc::new(settings);
+        // The decisions first: who reads the new settings may ask at once.
+        let _ = self.tell.send(Message::Settings(settings.clone()));
+        self.settings.send_replace(settings);
+    }
+
+    /// How long an attempt waits for the release before it.
+    pub(crate) fn release_wait(&self) -> Duration {
+        Duration::from_micros(self.settings.borrow().release) / RELEASE_WAIT
+    }
+
     /// Fails for an id that no instance has, in the list or among those taken out.
     pub fn check_known(&self, instance: &Id) -> Result<(), ExclusionError> {
         lock(&self.exclusions).check_known(instance)
@@ -174,6 +193,7 @@
     let (able_tx, able) = watch::channel(false);
     let releases = TaskTracker::new();
     let release = Duration::from_micros(settings.release);
+    let in_force = Arc::new(watch::Sender::new(Arc::new(settings.clone())));
     let exclusions = Arc::new(Mutex::new(Exclusions::new(excluded, settings.warm_within)));
     let owner = Owner {
         facade: Facade::new(settings, seed),
@@ -197,8 +217,7 @@
             let _ = tell.send(Message::News(next));
         }
     });
-    let release_wait = release / RELEASE_WAIT;
-    Conductor { tell, boxes, clock, release_wait, tickets: Arc::default(), able, releases, exclusions }
+    Conductor { tell, boxes, clock, settings: in_force, tickets: Arc::default(), able, releases, exclusions }
 }
 
 /// A request that is open: where its verdicts go, and the boxes it went to, latest first.
@@ -278,7 +297,7 @@
         let verdicts = match message {
             Message::Pick(query, ticket, verdicts) => {
                 let id = query.id.clone();
-                debug!(self.log, "request"; "id" => %id, "class" => query.class, "budget" => query.budget,
+                debug!(self.log, "request"; "id" => %id, "class" => %query.class.name, "budget" => query.budget,
                     "tokens" => query.prompt_tokens, "again" => query.resent);
                 let Some(picked) = self.facade.pick(now, query) else { return };
                 self.seats
@@ -316,6 +335,11 @@
             Message::News(news) => self.news(news),
             Message::Close => self.facade.close(now),
             Message::Share(part) => self.facade.share(now, part),
+            Message::Settings(settings) => {
+                self.release = Duration::from_micros(settings.release);
+                lock(&self.exclusions).set_warm_within(settings.warm_within);
+                self.facade.reconfigure(now, (*settings).clone())
+            }
             Message::ExclusionChanged(instance) => {
                 let entry = lock(&self.exclusions).entry(&instance);
                 info!(self.log, "exclusion changed"; "instance" => %instance, "is" => ?entry);
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -149,7 +149,7 @@
             let attempt = async {
                 if let Some(released) = after {
                     // An error is an end too: the task that has it has gone.
-                    let _ = timeout(self.release_wait, released).await;
+                    let _ = timeout(self.release_wait(), released).await;
                 }
                 let wait = Duration::from_micros(stop_at.saturating_sub(self.clock.now()));
                 self.boxes.attempt(worker, &id, call, wait).await
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -10,16 +10,17 @@
 use frosttrail::Id;
 use frosttrail_core::{start, Clock, Conductor, Parts};
 use frosttrail_daemon::config::{self, ChatConfig, Config, XdsConfig};
-use frosttrail_daemon::discovery::{Backoff, Discovery, Xds};
+use frosttrail_daemon::discovery::{Backoff, Discovery, DiscoveryConfig, Xds};
 use frosttrail_daemon::ending::Ending;
 use frosttrail_daemon::front::chat::Chat;
 use frosttrail_daemon::front::platform::Platform;
 use frosttrail_daemon::front::{Doors, Patience};
 use frosttrail_daemon::ops::{ConductorOperations, ExclusionStore, OpsServer};
+use frosttrail_daemon::reload::Reload;
 use frosttrail_daemon::state_dir;
 use frosttrail_daemon::upstream::{Book, Limits, Upstream};
 use frosttrail_membership::service::{self, Membership};
-use slog::{info, warn, Logger};
+use slog::{info, Logger};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
@@ -69,7 +70,7 @@
         Signals { terminate: signal(SignalKind::terminate())?, hangup: signal(SignalKind::hangup())? }
     };
     let config = Config::from_env()?;
-    let chat = options.chat.map(|file| ChatConfig::read(&file, &config.names)).transpose()?;
+    let chat = options.chat.map(|file| ChatConfig::read(&file, &config.settings)).transpose()?;
     let xds = options.xds.map(|file| XdsConfig::read(&file)).transpose()?;
     let membership = options.membership.map(|file| config::membership(&file)).transpose()?;
     let (log, _guard) = logger(&config.name);
@@ -98,18 +99,18 @@
     let ops = config.ops.map(|address| Ops::open(address, &config, &log)).transpose()?;
     let doors = Doors::new(each, PATIENCE, log.clone());
     let doors = if ops.is_some() { doors.sharing_address() } else { doors };
-    let (listen, settings, names) = (config.listen, config.settings.clone(), Arc::new(config.names.clone()));
-    let (discovery, address) = watch::channel(config.discovery);
-    // It goes on beside an end that is planned: until then, drains are still learned of.
-    let _reloads =
-        AbortOnDropHandle::new(tokio::spawn(reload(signals.hangup, config.clone(), discovery, log.clone())));
+    let listen = config.listen;
+    let (discovery, members) = watch::channel(config.discovery_config());
     let excluded = ops.as_ref().map(|ops| ops.excluded.clone()).unwrap_or_default();
-    let conductor = conductor(config, address, xds, each, excluded, &log);
+    let (conductor, upstream) = conductor(config.clone(), members, xds, each, excluded, &log);
+    let reload = Reload { config, conductor: conductor.clone(), upstream, discovery, log: log.clone() };
+    // It goes on beside an end that is planned: until then, drains are still learned of.
+    let _reloads = AbortOnDropHandle::new(tokio::spawn(reload.run(signals.hangup)));
     let bind = |address| move |e| Fault::Bind(address, e);
-    doors.open(listen, Platform::new(conductor.clone(), names.clone())).map_err(bind(listen))?;
+    doors.open(listen, Platform::new(conductor.clone())).map_err(bind(listen))?;
     if let Some(chat) = chat {
         let listen = chat.listen;
-        doors.open(listen, Chat::new(conductor.clone(), &settings, names, chat)).map_err(bind(listen))?;
+        doors.open(listen, Chat::new(conductor.clone(), chat)).map_err(bind(listen))?;
     }
     let membership = match membership {
         Some(config) => Some(join(config, &conductor, &log).await?),
@@ -122,7 +123,7 @@
     }
     signals.terminate.recv().await;
     ending.store(true, Ordering::Relaxed);
-    let Ending { notice, answer_all, last } = Ending::new(&settings);
+    let Ending { notice, answer_all, last } = Ending::new(&conductor.settings());
     info!(log, "SIGTERM: closing"; "within" => ?last);
     doors.leave();
     let orderly = async {
@@ -197,33 +198,14 @@
     Ok((membership, AbortOnDropHandle::new(shares)))
 }
 
-/// Rereads the configuration at each SIGHUP. Discovery's address takes effect at once; what can't change
-/// while requests run is named in the log. A file that is no good changes nothing.
-async fn reload(mut hangup: Signal, held: Config, discovery: watch::Sender<SocketAddr>, log: Logger) {
-    while hangup.recv().await.is_some() {
-        match Config::from_env() {
-            Err(e) => warn!(log, "SIGHUP: the old configuration stays in force"; "why" => %e),
-            Ok(config) => {
-                let later = held.needs_restart(&config).join(" ");
-                info!(
-                    log, "SIGHUP: configuration read";
-                    "discovery" => %config.discovery, "at restart" => later
-                );
-                discovery
-                    .send_if_modified(|old| std::mem::replace(old, config.discovery) != config.discovery);
-            }
-        }
-    }
-}
-
 fn conductor(
     config: Config,
-    address: watch::Receiver<SocketAddr>,
+    discovery: watch::Receiver<DiscoveryConfig>,
     xds: Option<XdsConfig>,
     connections: usize,
     excluded: Vec<Id>,
     log: &Logger,
-) -> Conductor<Upstream> {
+) -> (Conductor<Upstream>, Arc<Upstream>) {
     let clock = Clock::new();
     let book = Arc::new(Book::default());
     let limits = Limits {
@@ -235,16 +217,17 @@
     };
     let boxes = Arc::new(Upstream::new(book.clone(), limits));
     let Config { name, known, names, settings, seed, .. } = config;
-    let log = log.clone();
-    match xds {
+    let (log, upstream) = (log.clone(), boxes.clone());
+    let conductor = match xds {
         Some(xds) => {
             let members = Xds::new(xds, name, names, clock, book, log.clone());
             start(Parts { settings, seed, clock, boxes, members, excluded, log })
         }
         None => {
             let backoff = Backoff::new(settings.balancers, seed);
-            let members = Discovery::new(address, known, backoff, names, clock, book, log.clone());
+            let members = Discovery::new(discovery, known, backoff, names, clock, book, log.clone());
             start(Parts { settings, seed, clock, boxes, members, excluded, log })
         }
-    }
+    };
+    (conductor, upstream)
 }
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -14,7 +14,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::discovery::Listing;
+use crate::discovery::{DiscoveryConfig, Listing};
 
 /// Why the daemon can't start.
 #[derive(Debug, thiserror::Error)]
@@ -90,6 +90,46 @@
     pub settings: Settings,
     /// What the settings' indices stand for.
     pub names: Names,
+    /// The file as it was, without the list: what its successor may not lack.
+    file: Value,
+}
+
+/// Why a configuration can't follow the one in force. Both leave that one in force.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+pub enum SuccessionError {
+    /// It lacks what the one in force has.
+    #[error(
+        "{0}: missing, though the configuration in force has it; write the file whole and send SIGHUP again"
+    )]
+    Missing(String),
+    /// It changes what servers are already known by.
+    #[error("settings.{0}: can't change while the program runs; start the new configuration as an upgrade")]
+    Fixed(&'static str),
+}
+
+/// Keys that a successor may leave out.
+const OPTIONAL: [&str; 4] = ["ops", "aim-stretch", "dedup-scope", "dedup-window"];
+
+/// The first key of an object, or of one within it, that its successor lacks.
+fn missing_key(held: &Value, newer: &Value, path: &str) -> Option<String> {
+    let Value::Object(keys) = held else { return None };
+    keys.iter().filter(|(key, _)| !OPTIONAL.contains(&key.as_str())).find_map(|(key, value)| {
+        let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+        match newer.get(key) {
+            None => Some(path),
+            Some(newer) => missing_key(value, newer, &path),
+        }
+    })
+}
+
+/// The first key that all classes in force have and one of the successor lacks.
+fn missing_in_classes(held: &Value, newer: &Value) -> Option<String> {
+    let classes = |settings: &Value| settings["grades"].as_array().cloned().unwrap_or_default();
+    let (held, newer) = (classes(held), classes(newer));
+    let keys = held.first()?.as_object()?.keys().filter(|key| !OPTIONAL.contains(&key.as_str()));
+    let common: Vec<&String> = keys.filter(|key| held.iter().all(|class| class.get(key).is_some())).collect();
+    let lacks = |class: &Value| common.iter().find(|key| class.get(key).is_none()).copied();
+    newer.iter().find_map(lacks).map(|key| format!("settings.grades[].{key}"))
 }
 
 impl Config {
@@ -106,6 +146,27 @@
         Ok(Config { ops, ..config })
     }
 
+    /// Whether a newer configuration is whole and may follow this one while requests are open.
+    pub fn check_successor(&self, newer: &Config) -> Result<(), SuccessionError> {
+        let missing = missing_key(&self.file, &newer.file, "");
+        let missing = missing.or_else(|| missing_in_classes(&self.file["settings"], &newer.file["settings"]));
+        if let Some(key) = missing {
+            return Err(SuccessionError::Missing(key));
+        }
+        let (held, new) = (&self.settings, &newer.settings);
+        let fixed = [
+            ("kinds", self.names.kinds() != newer.names.kinds()),
+            ("zones", self.names.zones() != newer.names.zones()),
+            ("zone", held.zone != new.zone),
+            ("specifics.kind-role", held.roles != new.roles),
+            ("membership-mode", held.ask_within.is_some() != new.ask_within.is_some()),
+        ];
+        match fixed.into_iter().find(|(_, differs)| *differs) {
+            Some((key, _)) => Err(SuccessionError::Fixed(key)),
+            None => Ok(()),
+        }
+    }
+
     /// What differs in a newer configuration and can't change while the program runs. The seed and the
     /// known list are of use at a start only, so that they may differ.
     pub fn needs_restart(&self, newer: &Config) -> Vec<&'static str> {
@@ -114,15 +175,23 @@
             ("listen", self.listen != newer.listen),
             ("ops", self.ops != newer.ops),
             ("limits", self.sockets != newer.sockets),
-            ("settings", self.settings != newer.settings || self.names != newer.names),
         ];
         differs.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
     }
 
+    /// What the source of members needs.
+    pub fn discovery_config(&self) -> DiscoveryConfig {
+        DiscoveryConfig { agent: self.discovery, conductors: self.settings.balancers }
+    }
+
     /// Reads a file.
     pub fn read(path: &Path) -> Result<Self, ConfigError> {
         let at = || path.to_path_buf();
-        let file: File = json_file(path)?;
+        let mut raw: Value = json_file(path)?;
+        let file = File::deserialize(&raw).map_err(|e| ConfigError::Malformed(at(), e))?;
+        if let Some(known) = raw.get_mut("known") {
+            *known = Value::Null;
+        }
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(at()))?;
         let settings = |e| ConfigError::Settings(at(), e);
         let names = Names::new(&file.settings).map_err(settings)?;
@@ -142,6 +211,7 @@
             known: file.known,
             settings: setup::settings(&file.settings, &names).map_err(settings)?,
             names,
+            file: raw,
         })
     }
 }
@@ -171,7 +241,7 @@
     /// Models that clients may name.
     pub models: Vec<String>,
     /// The class of a request that names none.
-    pub class: usize,
+    pub class: String,
     /// The answer's limit where none is named.
     pub max_tokens: u64,
 }
@@ -187,13 +257,16 @@
 
 impl ChatConfig {
     /// Reads the file; its class is one of the settings' own.
-    pub fn read(path: &Path, names: &Names) -> Result<Self, ConfigError> {
+    pub fn read(path: &Path, settings: &Settings) -> Result<Self, ConfigError> {
         let file: ChatFile = deploy_file(path)?;
-        let class = setup::index(names.classes(), &file.class, "class");
+        if settings.class(&file.class).is_none() {
+            let unknown = SetupError::Unknown { key: "class".into(), name: file.class };
+            return Err(ConfigError::Deploy(path.to_path_buf(), unknown.to_string()));
+        }
         Ok(ChatConfig {
             listen: file.listen,
             models: file.models,
-            class: class.map_err(|e| ConfigError::Deploy(path.to_path_buf(), e.to_string()))?,
+            class: file.class,
             max_tokens: file.max_tokens,
         })
     }
--- a/daemon/src/discovery/backoff.rs
+++ b/daemon/src/discovery/backoff.rs
@@ -43,6 +43,12 @@
 /// The longest wait, in first ones.
 const TIMES_MOST: u32 = 4;
 
+/// The first wait and the longest, for so many instances.
+fn bounds(instances: u32) -> (Duration, Duration) {
+    let first = FIRST.max(EACH.saturating_mul(instances).min(EACH_MOST));
+    (first, MOST.max(first * TIMES_MOST).min(WAIT_MOST))
+}
+
 /// Waits between one instance's tries, drawn anew each time, so that instances that failed together do not
 /// come again together.
 pub struct Backoff {
@@ -55,13 +61,15 @@
 impl Backoff {
     /// For one of so many instances.
     pub fn new(instances: u32, seed: u64) -> Self {
-        let first = FIRST.max(EACH.saturating_mul(instances).min(EACH_MOST));
-        Backoff {
-            first,
-            most: MOST.max(first * TIMES_MOST).min(WAIT_MOST),
-            wait: first,
-            draws: SmallRng::seed_from_u64(seed),
-        }
+        let (first, most) = bounds(instances);
+        Backoff { first, most, wait: first, draws: SmallRng::seed_from_u64(seed) }
+    }
+
+    /// For one of so many instances from now on.
+    pub fn resize(&mut self, instances: u32) {
+        let fresh = self.is_fresh();
+        (self.first, self.most) = bounds(instances);
+        self.wait = if fresh { self.first } else { self.wait.clamp(self.first, self.most) };
     }
 
     /// A try has brought something, or the next goes elsewhere.
--- a/daemon/src/discovery/mod.rs
+++ b/daemon/src/discovery/mod.rs
@@ -6,5 +6,5 @@
 mod xds;
 
 pub use backoff::Backoff;
-pub use platform::{Discovery, Listing};
+pub use platform::{Discovery, DiscoveryConfig, Listing};
 pub use xds::Xds;
--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -77,10 +77,19 @@
     Left,
 }
 
+/// What a configuration says of discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DiscoveryConfig {
+    /// The agent's address.
+    pub agent: SocketAddr,
+    /// How many conductors may ask together.
+    pub conductors: u32,
+}
+
 /// The platform's list of members.
 pub struct Discovery {
-    /// The agent's address; it changes where a new configuration names another.
-    address: watch::Receiver<SocketAddr>,
+    /// Changes with a new configuration.
+    config: watch::Receiver<DiscoveryConfig>,
     agent: Agent,
     backoff: Backoff,
     names: Names,
@@ -93,7 +102,7 @@
 impl Discovery {
     /// Starts from the list as last known.
     pub fn new(
-        mut address: watch::Receiver<SocketAddr>,
+        mut config: watch::Receiver<DiscoveryConfig>,
         known: Listing,
         backoff: Backoff,
         names: Names,
@@ -101,8 +110,8 @@
         book: Arc<Book>,
         log: Logger,
     ) -> Self {
-        let agent = Agent::new(*address.borrow_and_update(), Some(known.rev));
-        Discovery { address, agent, backoff, names, clock, book, log, known: Some(known) }
+        let agent = Agent::new(config.borrow_and_update().agent, Some(known.rev));
+        Discovery { config, agent, backoff, names, clock, book, log, known: Some(known) }
     }
 
     fn news(&self, listing: Listing, form: ListForm) -> News {
@@ -138,8 +147,12 @@
         loop {
             let listing = tokio::select! {
                 biased;
-                () = moved(&mut self.address) => {
-                    let to = *self.address.borrow_and_update();
+                () = changed(&mut self.config) => {
+                    let DiscoveryConfig { agent: to, conductors } = *self.config.borrow_and_update();
+                    self.backoff.resize(conductors);
+                    if to == self.agent.address {
+                        continue;
+                    }
                     info!(self.log, "discovery has moved"; "to" => %to);
                     self.agent = Agent::new(to, None);
                     // What went wrong at the old one says nothing of the new one.
@@ -154,10 +167,10 @@
     }
 }
 
-/// Resolves once another address is named.
-async fn moved(address: &mut watch::Receiver<SocketAddr>) {
-    if address.changed().await.is_err() {
-        // Whoever could name another has gone.
+/// Resolves once the configuration says something else.
+async fn changed(config: &mut watch::Receiver<DiscoveryConfig>) {
+    if config.changed().await.is_err() {
+        // Whoever could say so has gone.
         std::future::pending().await
     }
 }
--- a/daemon/src/ending.rs
+++ b/daemon/src/ending.rs
@@ -34,8 +34,7 @@
 impl Ending {
     /// As the settings' deadlines allow.
     pub fn new(settings: &Settings) -> Self {
-        let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
-        let kill = Duration::from_micros(longest).min(DEADLINE_MOST) + KILL_AFTER;
+        let kill = Duration::from_micros(settings.longest_deadline()).min(DEADLINE_MOST) + KILL_AFTER;
         let last = kill - KILL_SPARE;
         let answer_all = last.saturating_sub(LAST_ANSWERS);
         // With half of the time left, those that were taken last can still be served.
--- a/daemon/src/front/chat/mod.rs
+++ b/daemon/src/front/chat/mod.rs
@@ -7,10 +7,8 @@
 mod sse;
 
 use std::future::poll_fn;
-use std::sync::Arc;
 
-use frosttrail::setup::Names;
-use frosttrail::{Outcome, Settings};
+use frosttrail::Outcome;
 use frosttrail_core::{Answer, AnswerStream, Boxes, Broken, CallError, Conductor, Events};
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
@@ -43,9 +41,9 @@
 
 impl<B: Boxes<Call = Call>> Chat<B> {
     /// A front of this conductor.
-    pub fn new(conductor: Conductor<B>, settings: &Settings, names: Arc<Names>, config: ChatConfig) -> Self {
+    pub fn new(conductor: Conductor<B>, config: ChatConfig) -> Self {
         let ChatConfig { models, class, max_tokens, .. } = config;
-        let reader = Reader::new(settings.classes.clone(), names, models, class, max_tokens);
+        let reader = Reader::new(models, class, max_tokens);
         Chat { conductor, reader }
     }
 
@@ -68,7 +66,7 @@
     async fn complete(&self, request: Request<Incoming>) -> Result<Response<FrontBody<B::Events>>, ApiError> {
         let (head, incoming) = request.into_parts();
         let Asked { query, call, stream, include_usage, model } =
-            self.reader.read(&head.headers, body(&head, incoming).await?)?;
+            self.reader.read(&self.conductor.settings(), &head.headers, body(&head, incoming).await?)?;
         let id = query.id.clone();
         let answer = self.conductor.call(frosttrail_core::Request { query, call }).await;
         let mut response = match answer {
--- a/daemon/src/front/chat/request.rs
+++ b/daemon/src/front/chat/request.rs
@@ -5,8 +5,7 @@
 
 use bytes::Bytes;
 use fnv::FnvHasher;
-use frosttrail::setup::{index, Names};
-use frosttrail::{Class, Id, Query};
+use frosttrail::{Class, Id, Query, Settings};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
 use hyper::{HeaderMap, Method, Uri};
 use serde::Deserialize;
@@ -87,10 +86,9 @@
 
 /// Reads requests.
 pub(super) struct Reader {
-    classes: Vec<Class>,
-    names: Arc<Names>,
     models: Vec<String>,
-    class: usize,
+    /// The class of a request that names none.
+    class: String,
     max_tokens: u64,
     /// Ids of requests that bring none: a count under keys that are new with each start.
     ids: RandomState,
@@ -98,14 +96,8 @@
 }
 
 impl Reader {
-    pub(super) fn new(
-        classes: Vec<Class>,
-        names: Arc<Names>,
-        models: Vec<String>,
-        class: usize,
-        max_tokens: u64,
-    ) -> Self {
-        Reader { classes, names, models, class, max_tokens, ids: RandomState::new(), count: 0.into() }
+    pub(super) fn new(models: Vec<String>, class: String, max_tokens: u64) -> Self {
+        Reader { models, class, max_tokens, ids: RandomState::new(), count: 0.into() }
     }
 
     /// The models that clients may name.
@@ -114,16 +106,21 @@
     }
 
     /// The query, and the request as a box gets it.
-    pub(super) fn read(&self, headers: &HeaderMap, bytes: Bytes) -> Result<Asked, ApiError> {
+    pub(super) fn read(
+        &self,
+        settings: &Settings,
+        headers: &HeaderMap,
+        bytes: Bytes,
+    ) -> Result<Asked, ApiError> {
         let body: Body = serde_json::from_slice(&bytes).map_err(malformed)?;
         self.check(&body)?;
-        let query = self.query(headers, &body)?;
+        let query = self.query(settings, headers, &body)?;
         let stream = body.stream.unwrap_or(false);
         let bytes = if stream { bytes } else { streamed(&bytes)? };
         let call = Call {
             method: Method::POST,
             target: Uri::from_static("/v1/chat/completions"),
-            headers: self.headers(&query)?,
+            headers: box_headers(&query)?,
             body: bytes,
         };
         let include_usage = body.stream_options.is_some_and(|o| o.include_usage);
@@ -149,9 +146,9 @@
         Ok(())
     }
 
-    fn query(&self, headers: &HeaderMap, body: &Body) -> Result<Query, ApiError> {
+    fn query(&self, settings: &Settings, headers: &HeaderMap, body: &Body) -> Result<Query, ApiError> {
         let labels = platform_labels(text(headers, "x-labels").unwrap_or_default())?;
-        let class = self.class(headers, body)?;
+        let class = self.class(settings, headers, body)?;
         let prompt_tokens = match labels.prompt_tokens {
             0 => tokens(body.messages.iter().map(Message::characters).sum()),
             named => named,
@@ -169,9 +166,9 @@
             prefix_tokens: prefix_tokens.min(prompt_tokens),
             prompt_tokens,
             max_tokens: max_tokens.unwrap_or(self.max_tokens),
+            tenant: tenant(headers, settings),
+            budget: budget(headers, &class, prompt_tokens)?,
             class,
-            tenant: tenant(headers, &self.names),
-            budget: self.budget(headers, class, prompt_tokens)?,
             resent,
             came_back,
         })
@@ -188,44 +185,41 @@
         }
     }
 
-    fn class(&self, headers: &HeaderMap, body: &Body) -> Result<usize, InputError> {
+    fn class(&self, settings: &Settings, headers: &HeaderMap, body: &Body) -> Result<Arc<Class>, InputError> {
         let in_body = || body.metadata.as_ref()?.get("class")?.as_str();
-        match text(headers, "x-lane").or_else(in_body) {
-            None => Ok(self.class),
-            Some(name) => {
-                index(self.names.classes(), name, "class").map_err(|_| InputError::Unknown("class"))
-            }
-        }
+        let name = text(headers, "x-lane").or_else(in_body).unwrap_or(&self.class);
+        settings.class(name).ok_or(InputError::Unknown("class"))
     }
+}
 
-    /// What the client will wait: as it says, or else as long as the class's clients do.
-    fn budget(&self, headers: &HeaderMap, class: usize, prompt: u64) -> Result<u64, InputError> {
-        if let Some(named) = text(headers, "x-remaining") {
-            return span(named).ok_or(InputError::Header("X-Remaining"));
-        }
-        let class = &self.classes[class];
-        Ok(class.deadline + 2 * class.aim_per_ktoken.saturating_mul(prompt) / 1_000)
+/// What the client will wait: as it says, or else as long as the class's clients do.
+fn budget(headers: &HeaderMap, class: &Class, prompt: u64) -> Result<u64, InputError> {
+    match text(headers, "x-remaining") {
+        Some(named) => span(named).ok_or(InputError::Header("X-Remaining")),
+        None => Ok(class.deadline + 2 * class.aim_per_ktoken.saturating_mul(prompt) / 1_000),
     }
+}
 
-    /// The platform's headers, so that boxes see what they see behind the other front. A client's
-    /// credentials end here.
-    fn headers(&self, query: &Query) -> Result<HeaderMap, InputError> {
-        let prefix = query.prefix.as_ref().map(|p| format!("prefix={p},")).unwrap_or_default();
-        let labels = format!(
-            "{prefix}prompt_len={},prefix_len={},max_out={}",
-            query.prompt_tokens, query.prefix_tokens, query.max_tokens
-        );
-        let class = self.names.classes().get(query.class).map_or("", String::as_str);
-        let mut headers = HeaderMap::new();
-        for (name, value) in
-            [("x-txn", &*query.id), ("x-lane", class), ("x-entity", &query.session), ("x-labels", &labels)]
-        {
-            let value = HeaderValue::from_str(value).map_err(|_| InputError::Header("X-Labels"))?;
-            headers.insert(HeaderName::from_static(name), value);
-        }
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        Ok(headers)
+/// The platform's headers, so that boxes see what they see behind the other front. A client's
+/// credentials end here.
+fn box_headers(query: &Query) -> Result<HeaderMap, InputError> {
+    let prefix = query.prefix.as_ref().map(|p| format!("prefix={p},")).unwrap_or_default();
+    let labels = format!(
+        "{prefix}prompt_len={},prefix_len={},max_out={}",
+        query.prompt_tokens, query.prefix_tokens, query.max_tokens
+    );
+    let mut headers = HeaderMap::new();
+    for (name, value) in [
+        ("x-txn", &*query.id),
+        ("x-lane", &*query.class.name),
+        ("x-entity", &*query.session),
+        ("x-labels", &*labels),
+    ] {
+        let value = HeaderValue::from_str(value).map_err(|_| InputError::Header("X-Labels"))?;
+        headers.insert(HeaderName::from_static(name), value);
     }
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    Ok(headers)
 }
 
 fn limit(body: &Body) -> Option<u64> {
--- a/daemon/src/front/input.rs
+++ b/daemon/src/front/input.rs
@@ -3,8 +3,7 @@
 use std::collections::HashMap;
 
 use bytes::Bytes;
-use frosttrail::setup::{index, Names};
-use frosttrail::{Id, Micros};
+use frosttrail::{Id, Micros, Settings};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{
@@ -144,8 +143,8 @@
 }
 
 /// The customer, if the settings know the one that is named.
-pub(super) fn tenant(headers: &HeaderMap, names: &Names) -> Option<usize> {
-    index(names.tenants(), text(headers, "x-org")?, "X-Org").ok()
+pub(super) fn tenant(headers: &HeaderMap, settings: &Settings) -> Option<usize> {
+    settings.tenant(text(headers, "x-org")?)
 }
 
 /// Whether this is a repeat, and whether the client is back for the rest of a stream.
--- a/daemon/src/front/platform.rs
+++ b/daemon/src/front/platform.rs
@@ -1,9 +1,6 @@
 //! The platform's front: headers to queries, answers to statuses.
 
-use std::sync::Arc;
-
-use frosttrail::setup::{index, Names};
-use frosttrail::Query;
+use frosttrail::{Query, Settings};
 use frosttrail_core::{Answer, Boxes, CallError, Conductor};
 use hyper::body::Incoming;
 use hyper::header::RETRY_AFTER;
@@ -21,13 +18,12 @@
 /// Translates the platform's protocol.
 pub struct Platform<B> {
     conductor: Conductor<B>,
-    names: Arc<Names>,
 }
 
 impl<B: Boxes<Call = Call>> Platform<B> {
     /// A front of this conductor.
-    pub fn new(conductor: Conductor<B>, names: Arc<Names>) -> Self {
-        Platform { conductor, names }
+    pub fn new(conductor: Conductor<B>) -> Self {
+        Platform { conductor }
     }
 
     async fn route(&self, request: Request<Incoming>) -> Result<Response<FrontBody<B::Events>>, InputError> {
@@ -49,7 +45,7 @@
 
     async fn chat(&self, request: Request<Incoming>) -> Result<Response<FrontBody<B::Events>>, InputError> {
         let (mut head, incoming) = request.into_parts();
-        let mut query = query(&head.headers, &self.names)?;
+        let mut query = query(&head.headers, &self.conductor.settings())?;
         let body = body(&head, incoming).await?;
         if query.prompt_tokens == 0 {
             query.prompt_tokens = body.len() as u64 / TOKEN_BYTES;
@@ -83,7 +79,7 @@
 }
 
 /// What the headers say of a request.
-fn query(headers: &HeaderMap, names: &Names) -> Result<Query, InputError> {
+fn query(headers: &HeaderMap, settings: &Settings) -> Result<Query, InputError> {
     let id = text(headers, "x-txn").filter(|id| is_id(id)).ok_or(InputError::Header("X-Txn"))?;
     let lane = text(headers, "x-lane").ok_or(InputError::Header("X-Lane"))?;
     let labels = platform_labels(text(headers, "x-labels").unwrap_or_default())?;
@@ -95,8 +91,8 @@
         prefix_tokens: labels.prefix_tokens,
         prompt_tokens: labels.prompt_tokens,
         max_tokens: labels.max_tokens,
-        class: index(names.classes(), lane, "X-Lane").map_err(|_| InputError::Unknown("X-Lane"))?,
-        tenant: tenant(headers, names),
+        class: settings.class(lane).ok_or(InputError::Unknown("X-Lane"))?,
+        tenant: tenant(headers, settings),
         budget: text(headers, "x-remaining").and_then(span).ok_or(InputError::Header("X-Remaining"))?,
         resent,
         came_back,
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod ending;
 pub mod front;
 pub mod ops;
+pub mod reload;
 pub mod state_dir;
 pub mod upstream;
--- a/daemon/src/upstream/mod.rs
+++ b/daemon/src/upstream/mod.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use frosttrail::{Health, Id, ListForm, Load, Outcome};
+use frosttrail::{Health, Id, ListForm, Load, Outcome, Settings};
 use frosttrail_core::{Boxes, News, Reply};
 use hyper::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
@@ -107,6 +107,12 @@
     pub fn new(book: Arc<Book>, limits: Limits) -> Self {
         Upstream { pool: Arc::new(Pool::new(book, limits)) }
     }
+
+    /// Takes the times of connections from new settings.
+    pub fn reconfigure(&self, settings: &Settings) {
+        let connect_timeout = Duration::from_micros(settings.connect_timeout);
+        self.pool.set_times(connect_timeout, Duration::from_micros(settings.conn_idle));
+    }
 }
 
 impl Boxes for Upstream {
--- a/daemon/src/upstream/pool.rs
+++ b/daemon/src/upstream/pool.rs
@@ -40,7 +40,7 @@
 /// Idle connections by box, and permits for all.
 pub struct Pool {
     book: Arc<Book>,
-    limits: Limits,
+    limits: Mutex<Limits>,
     permits: Arc<Semaphore>,
     idle: Mutex<HashMap<Id, Vec<Link>>>,
     trust: Mutex<Trust>,
@@ -57,7 +57,17 @@
     pub(super) fn new(book: Arc<Book>, limits: Limits) -> Self {
         let permits = Arc::new(Semaphore::new(limits.connections));
         let trust = Mutex::new(Trust { age: limits.conn_idle / 2, since: Instant::now() });
-        Pool { book, limits, permits, idle: Mutex::default(), trust }
+        Pool { book, limits: Mutex::new(limits), permits, idle: Mutex::default(), trust }
+    }
+
+    fn limits(&self) -> Limits {
+        *lock(&self.limits)
+    }
+
+    /// The settings' times, as new settings have them.
+    pub(super) fn set_times(&self, connect_timeout: Duration, conn_idle: Duration) {
+        let mut limits = lock(&self.limits);
+        (limits.connect_timeout, limits.conn_idle) = (connect_timeout, conn_idle);
     }
 
     /// A connection that was kept, if one is fit for use: open, and far from the age at which the box
@@ -71,7 +81,8 @@
         let links = idle.get_mut(worker)?;
         // A box that is back elsewhere is not where the connection leads.
         links.retain(|link| !link.is_spent() && self.is_young(link) && Some(link.address) == address);
-        let settled = |link: &Link| link.is_ready() && link.idle_since.elapsed() >= self.limits.settle;
+        let settle = self.limits().settle;
+        let settled = |link: &Link| link.is_ready() && link.idle_since.elapsed() >= settle;
         let link = links.iter().rposition(settled).map(|at| links.remove(at));
         if links.is_empty() {
             idle.remove(worker);
@@ -84,7 +95,7 @@
         let address = self.book.get(worker)?;
         let permit = self.permit()?;
         let begin = Instant::now();
-        let link = timeout(self.limits.connect_timeout, Link::open(address, permit)).await.ok()?.ok()?;
+        let link = timeout(self.limits().connect_timeout, Link::open(address, permit)).await.ok()?.ok()?;
         self.book.came_up(worker, begin.elapsed());
         Some(link)
     }
@@ -122,7 +133,7 @@
     /// request that the call was for goes out next.
     pub(super) fn keep_settled(&self, worker: &Id, link: Link) {
         let now = Instant::now();
-        self.keep_from(worker, link, now.checked_sub(self.limits.settle).unwrap_or(now));
+        self.keep_from(worker, link, now.checked_sub(self.limits().settle).unwrap_or(now));
     }
 
     fn keep_from(&self, worker: &Id, mut link: Link, idle_since: Instant) {
@@ -140,7 +151,7 @@
 
     /// Whether a kept connection that broke so long after a request went out had been dead before.
     pub(super) fn was_stale(&self, after: Duration) -> bool {
-        after < self.limits.stale_within
+        after < self.limits().stale_within
     }
 
     /// Far from the age at which the box may close it, and younger than those that were found dead.
@@ -152,7 +163,7 @@
         let trust = lock(&self.trust);
         let doublings = trust.since.elapsed().as_secs() / TRUST_DOUBLES.as_secs();
         let age = trust.age.saturating_mul(1 << doublings.min(20));
-        age.min(self.limits.conn_idle / 2)
+        age.min(self.limits().conn_idle / 2)
     }
 
     /// A connection that had been idle for so long broke at its next request: others may be as dead.
--- /dev/null
+++ b/daemon/tests/support/operations.rs
@@ -0,0 +1,119 @@
+//! What the tests of operators' days share: a deployment with a folder of its own, and operators' calls.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde_json::{json, Value};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout, Instant};
+
+use super::*;
+
+/// Callers wait this long.
+pub const ANSWER_WITHIN: Duration = Duration::from_secs(1);
+/// For conditions that come about by themselves.
+pub const LONGEST: Duration = Duration::from_secs(10);
+
+/// One conductor's configuration and folder, before a prefill and a decode server.
+pub struct Deployment {
+    pub config: Value,
+    pub folder: PathBuf,
+    pub servers: [StandIn; 2],
+}
+
+impl Deployment {
+    pub async fn new(name: &str) -> Self {
+        let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
+        let servers = [("p", "prefill", prefill.address), ("d", "decode", decode.address)];
+        let config = config_of(name, "127.0.0.1:9", 512, &servers, &setup());
+        let mut config: Value = serde_json::from_str(&config).unwrap();
+        config["ops"] = json!("127.0.0.1:0");
+        let folder = std::env::temp_dir().join(format!("frosttrail-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        Deployment { config, folder, servers: [prefill, decode] }
+    }
+
+    /// A process that is ready, and its operators' address.
+    pub async fn start(&self, name: &str) -> (Running, SocketAddr) {
+        let mut running = Running::start(self.command(name));
+        let line = running.logs("operators' address, at: ");
+        let at = line.split_once("at: ").unwrap().1.split(',').next().unwrap().trim();
+        let at = at.parse().unwrap();
+        until_ready(at).await;
+        (running, at)
+    }
+}
+
+impl Deployment {
+    /// The program with the configuration as it stands, in the deployment's folder.
+    pub fn command(&self, name: &str) -> std::process::Command {
+        let mut command = program(name, &self.config.to_string());
+        command.env("TMPDIR", &self.folder);
+        command
+    }
+
+    /// Writes the configuration of a process that runs.
+    pub fn rewrite(&self, name: &str, text: &str) {
+        std::fs::write(config_file(name), text).unwrap();
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Asks until a process is ready.
+pub async fn until_ready(ops: SocketAddr) {
+    let end = Instant::now() + LONGEST;
+    while call(ops, "GET", "/api/ready", "").await.0 != 200 {
+        assert!(Instant::now() < end, "never ready");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// One call, as operators make it: status and body.
+pub async fn call(to: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
+    let length = body.len();
+    let text = format!("{method} {path} HTTP/1.1\r\nhost: ops\r\ncontent-length: {length}\r\n\r\n{body}");
+    let answered = async {
+        let mut stream = TcpStream::connect(to).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.unwrap();
+        answer
+    };
+    let answer = timeout(ANSWER_WITHIN, answered).await.expect("an answer in time");
+    let status = answer.split(' ').nth(1).unwrap().parse().unwrap();
+    (status, answer.split_once("\r\n\r\n").unwrap().1.to_string())
+}
+
+pub async fn exclude(to: SocketAddr, id: &str) -> u16 {
+    call(to, "POST", "/api/exclude", id).await.0
+}
+
+pub async fn include(to: SocketAddr, id: &str) -> u16 {
+    call(to, "POST", "/api/include", id).await.0
+}
+
+pub fn request(id: &str) -> String {
+    let headers = format!(
+        "x-txn: {id}\r\nx-lane: ask\r\nx-entity: s-{id}\r\nx-remaining: 700m\r\nx-labels: prompt_len=600\r\n"
+    );
+    post("/v1/chat/completions", &headers, "{}")
+}
+
+/// Asks until the answer has this status.
+pub async fn until_status(to: SocketAddr, name: &str, status: u16) {
+    let end = Instant::now() + LONGEST;
+    for n in 0.. {
+        assert!(Instant::now() < end, "{name}: never {status}");
+        if exchange(to, &request(&format!("{name}-{n}"))).await.status == status {
+            return;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/rpc/src/client.rs
+++ b/rpc/src/client.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use frosttrail::setup::Names;
 use frosttrail::{Id, Query};
 use frosttrail_core::{Answer as Final, AnswerStream, Broken, CallError, Conductor, Request};
 use futures_core::Stream;
@@ -69,13 +68,12 @@
 #[derive(Clone)]
 pub struct Client {
     conductor: Conductor<Upstream>,
-    classes: Vec<String>,
 }
 
 impl Client {
-    /// Speaks for a conductor whose settings have these names.
-    pub fn new(conductor: Conductor<Upstream>, names: &Names) -> Self {
-        Client { conductor, classes: names.classes().to_vec() }
+    /// Speaks for a conductor.
+    pub fn new(conductor: Conductor<Upstream>) -> Self {
+        Client { conductor }
     }
 
     /// Takes a request to the first event of its answer, or to its one final error.
@@ -90,7 +88,7 @@
     }
 
     fn request(&self, ask: Ask) -> Result<Request<Call>, GenerateError> {
-        let class = self.classes.iter().position(|c| *c == ask.class).ok_or(GenerateError::Class)?;
+        let class = self.conductor.settings().class(&ask.class).ok_or(GenerateError::Class)?;
         let fits = |text: &str| (1..=MOST_ID).contains(&text.len());
         if !fits(&ask.id) || !fits(&ask.conversation) {
             return Err(GenerateError::Size);
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -125,6 +125,16 @@
         self.handle(now, Event::Closing)
     }
 
+    /// New settings, for requests that come from now on.
+    pub fn reconfigure(&mut self, now: Micros, settings: Settings) -> Verdicts {
+        self.handle(now, Event::Settings(settings))
+    }
+
+    /// Listed workers whose circuit breaker is open.
+    pub fn ejected(&self) -> usize {
+        self.router.ejected()
+    }
+
     /// The part of what all routers share that is this one's.
     pub fn share(&mut self, now: Micros, part: f64) -> Verdicts {
         self.handle(now, Event::Share { part })
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -140,9 +140,13 @@
     pub outstanding: Option<f64>,
 }
 
-/// A class of requests.
+/// A class of requests. Each request holds its own, so that new settings change nothing for open ones.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
+    /// Its name.
+    pub name: Id,
+    /// Attempts allowed for one request.
+    pub max_attempts: u32,
     /// The first token is wanted within this time.
     pub aim: Micros,
     /// What each 1,000 prompt tokens add to the aim.
@@ -162,6 +166,8 @@
 /// A customer's quota.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
+    /// Its name.
+    pub name: Id,
     /// Requests a second, over all routers, within its share.
     pub quota_per_s: f64,
 }
@@ -180,13 +186,11 @@
     /// Memory of each kind, in tokens; 0 where not known.
     pub memory_tokens: Vec<u64>,
     /// The classes.
-    pub classes: Vec<Class>,
+    pub classes: Vec<Arc<Class>>,
     /// The customers; may be none.
     pub tenants: Vec<Tenant>,
     /// What a request beyond its customer's quota is worth.
     pub over_share_worth: f64,
-    /// Attempts allowed for one request.
-    pub max_attempts: u32,
     /// Two attempts of one request may be out at a time.
     pub parallel_tries: bool,
     /// An attempt may be cancelled.
@@ -238,8 +242,8 @@
     pub prompt_tokens: u64,
     /// Most tokens that the answer may have.
     pub max_tokens: u64,
-    /// Its class.
-    pub class: usize,
+    /// Its class, as the settings had it when the request came.
+    pub class: Arc<Class>,
     /// Its customer.
     pub tenant: Option<usize>,
     /// Time left before the client gives this try up.
@@ -318,6 +322,8 @@
         /// The part.
         part: f64,
     },
+    /// New settings, for all that comes from now on.
+    Settings(Settings),
     /// The router is about to stop: each request that has not begun to stream is owed its answer now.
     Closing,
     /// A timer that was asked for.
@@ -386,7 +392,45 @@
     Log(String),
 }
 
+impl Class {
+    /// A class whose repeats are harmless, for examples and tests.
+    pub fn example() -> Self {
+        Class {
+            name: "ask".into(),
+            max_attempts: 4,
+            aim: 1_000_000,
+            aim_per_ktoken: 50_000,
+            deadline: 5_000_000,
+            token_aim: 60_000,
+            effect: Effect::Safe,
+            worth: 1.0,
+            late_share: 0.2,
+        }
+    }
+}
+
+impl Default for Class {
+    fn default() -> Self {
+        Class::example()
+    }
+}
+
 impl Settings {
+    /// The class of this name.
+    pub fn class(&self, name: &str) -> Option<Arc<Class>> {
+        self.classes.iter().find(|class| &*class.name == name).cloned()
+    }
+
+    /// The index of the customer of this name.
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        self.tenants.iter().position(|tenant| &*tenant.name == name)
+    }
+
+    /// The longest deadline of a class.
+    pub fn longest_deadline(&self) -> Micros {
+        self.classes.iter().map(|class| class.deadline).max().unwrap_or(0)
+    }
+
     /// A small fleet of readers, writers and mixed servers with one class, for examples and tests.
     pub fn example() -> Self {
         Settings {
@@ -395,18 +439,9 @@
             tick: 1_000,
             roles: vec![Role::Read, Role::Write, Role::Both],
             memory_tokens: vec![200_000; 3],
-            classes: vec![Class {
-                aim: 1_000_000,
-                aim_per_ktoken: 50_000,
-                deadline: 5_000_000,
-                token_aim: 60_000,
-                effect: Effect::Safe,
-                worth: 1.0,
-                late_share: 0.2,
-            }],
+            classes: vec![Arc::new(Class::example())],
             tenants: Vec::new(),
             over_share_worth: 1.0,
-            max_attempts: 4,
             parallel_tries: false,
             may_cancel: true,
             may_probe: false,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,7 +31,7 @@
 //!     prefix_tokens: 0,
 //!     prompt_tokens: 1_200,
 //!     max_tokens: 200,
-//!     class: 0,
+//!     class: Default::default(),
 //!     tenant: None,
 //!     budget: 5_000_000,
 //!     resent: false,
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -4,6 +4,9 @@
 //! caps, else it is held; held ones leave shortest prompt first, starved ones ahead; the prefix hashes to
 //! a reader; the writer is picked after the read by fewest own streams. All else is a guard or departure.
 
+mod figures;
+mod reconfigure;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::hash::{hash, mix, share_of};
@@ -235,6 +238,7 @@
             }
             Event::ClientGone { id } => self.end(&id, false, out),
             Event::Closing => self.close(out),
+            Event::Settings(settings) => self.reconfigure(settings),
             Event::Share { part } => self.routers = 1.0 / part.clamp(1e-6, 1.0),
             Event::Bell { token } if token == self.bell => {
                 self.sweep(out);
@@ -336,16 +340,11 @@
         self.zones.values_mut().for_each(|zone| zone.failed.retain(|w| !gone.contains(w)));
     }
 
-    /// How many entries are kept under ids that others give: of workers, requests and sessions.
-    pub fn entries(&self) -> usize {
-        self.workers.len() + self.index.len() + self.requests.len() + self.held.len() + self.kept.len()
-    }
-
     fn query(&mut self, query: Query, out: &mut Vec<Action>) {
-        if self.requests.contains_key(&query.id) || query.class >= self.settings.classes.len() {
+        if self.requests.contains_key(&query.id) {
             return;
         }
-        let class = &self.settings.classes[query.class];
+        let class = &query.class;
         let per_token = |us: Micros| us.saturating_mul(query.prompt_tokens) / 1_000;
         let deadline = class.deadline + 2 * per_token(class.aim_per_ktoken);
         // A repeat has waited before: what its client has left of its patience tells how long.
@@ -495,11 +494,11 @@
         // What is not read yet wants a reader and a writer, where nobody does both.
         let whole = self.settings.self_prefill || self.listed(Stage::Whole).next().is_some();
         let steps = if request.phase == Phase::Held && !whole { 2 } else { 1 };
-        let spent = request.attempts + steps > self.settings.max_attempts;
+        let spent = request.attempts + steps > request.query.class.max_attempts;
         let waited = self.now > request.since;
-        let held = (waited || self.now < self.shed + self.class(request).aim) && self.hopeless(request);
+        let held = (waited || self.now < self.shed + request.query.class.aim) && self.hopeless(request);
         let late = self.closing || self.now + self.margin() >= request.deadline || held;
-        let stuck = matches!((self.class(request).effect, request.ran), (Effect::Unsafe, Some(_)));
+        let stuck = matches!((request.query.class.effect, request.ran), (Effect::Unsafe, Some(_)));
         if spent || late || stuck {
             self.shed = if held && waited { self.now } else { self.shed };
             self.end(id, true, out);
@@ -520,7 +519,7 @@
     /// The one place that sends. Its guards: drain, attempts, one out at a time, effect, cold.
     fn send(&mut self, id: &Id, w: usize, out: &mut Vec<Action>) -> bool {
         let Some(request) = self.requests.get(id) else { return false };
-        let allowed = request.out.is_none() && request.attempts < self.settings.max_attempts;
+        let allowed = request.out.is_none() && request.attempts < request.query.class.max_attempts;
         if !allowed || !self.may_take(request, w) {
             return false;
         }
@@ -532,7 +531,7 @@
         };
         let query = &request.query;
         let tokens = if reading { self.cost(query, w) } else { footprint(query) };
-        let last = request.attempts + 1 >= self.settings.max_attempts;
+        let last = request.attempts + 1 >= query.class.max_attempts;
         let limit = self.patience(stage, query.prompt_tokens, PATIENCE).max(PATIENCE_FLOOR);
         let latest = request.deadline.saturating_sub(self.settings.tick + 1_000);
         let half = self.now + (latest.saturating_sub(self.now)) * 6 / 10;
@@ -566,14 +565,14 @@
             self.held.retain(|h| h != id);
         }
         if owed {
-            let class = &self.settings.classes[request.query.class];
+            let class = &request.query.class;
             // A client that is back for the rest of a stream had it from an attempt that did run.
             let harmless = (request.ran.is_none() && !request.query.came_back)
                 || matches!(class.effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. });
             // Those that are refused together must not come back together.
             let spread = 0.5 + 0.5 * share_of(hash(id, self.seed));
             // One whose attempts went wrong met no backlog: it may be in time if it comes back soon.
-            let spent = request.attempts + 1 >= self.settings.max_attempts && !request.crowded;
+            let spent = request.attempts + 1 >= class.max_attempts && !request.crowded;
             let most = self.settings.max_retry_after.min(if spent { SPENT_RETRY } else { Micros::MAX });
             let retry_after = (most as f64 * spread) as Micros;
             let id = id.clone();
@@ -609,10 +608,6 @@
         }
     }
 
-    fn class(&self, request: &Request) -> &Class {
-        &self.settings.classes[request.query.class]
-    }
-
     /// Held for so long that it is given up, against a backlog that is served late whole. Beyond its tenant's
     /// quota that comes early. Harms where late answers are worth much and few others wait.
     fn hopeless(&self, r: &Request) -> bool {
@@ -686,7 +681,7 @@
 
     /// The worker with which a held request leaves now, if any.
     fn place(&self, request: &Request) -> Option<usize> {
-        let two_stages = request.attempts + 2 <= self.settings.max_attempts;
+        let two_stages = request.attempts + 2 <= request.query.class.max_attempts;
         let room = |w: &usize| self.has_room(*w, request);
         // What is being read will want a writer soon: its place is counted as taken.
         let writers = self.candidates(request, Stage::Write);
@@ -724,7 +719,7 @@
             (_, _, Some(m)) => Some(m),
             // Readers are gone or full: a writer that can read by itself takes a short prompt whole.
             (None, Some(_), None) if self.settings.self_prefill => {
-                let waited = self.now - request.arrived > self.class(request).aim / 4;
+                let waited = self.now - request.arrived > request.query.class.aim / 4;
                 let mut able = self.candidates(request, Stage::Write);
                 able.retain(|w| !two_stages || no_readers || (waited && short(w)));
                 home(able)
@@ -870,7 +865,7 @@
         if !worker.up || (cold && !self.warms(request, w)) {
             return false;
         }
-        match (self.class(request).effect, request.ran) {
+        match (request.query.class.effect, request.ran) {
             (Effect::Safe, _) | (_, None) => true,
             (Effect::Unsafe, Some(_)) => false,
             (Effect::Keyed { scope, window }, Some((first, sent))) => {
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -4,6 +4,9 @@
 //! conductor from its configuration. The settings name kinds, zones, classes and customers; the
 //! library speaks of them by index, and [`Names`] keeps what the indices stand for.
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
 use serde_json::Value;
 
 use crate::interface::*;
@@ -12,6 +15,9 @@
 const CONNECT_TIMEOUT: Micros = 250_000;
 const CONN_IDLE: Micros = 30_000_000;
 
+/// No client waits longer than a day.
+const DEADLINE_MAX: Micros = 86_400_000_000;
+
 /// Why settings, or a value that refers to them, could not be read.
 #[derive(Debug, thiserror::Error, PartialEq, Eq)]
 pub enum SetupError {
@@ -26,6 +32,25 @@
         /// The name.
         name: String,
     },
+    /// A number that must be whole and above zero is not, or is beyond its range.
+    #[error("{key}: must be a whole number from 1 to {most}")]
+    NotPositive {
+        /// Where it stood.
+        key: String,
+        /// The largest that is taken.
+        most: u64,
+    },
+    /// Two members of a list have one name.
+    #[error("{list}: the name {name} stands there twice")]
+    Repeated {
+        /// The list.
+        list: String,
+        /// The name.
+        name: String,
+    },
+    /// A list that must name something is empty.
+    #[error("{0}: is empty")]
+    Empty(String),
     /// Roles and kinds do not pair up.
     #[error("specifics.kind-role: not one for each of kinds")]
     Roles,
@@ -42,6 +67,9 @@
     fn within(self, list: &str) -> Self {
         match self {
             SetupError::Missing(key) => SetupError::Missing(format!("{list}[].{key}")),
+            SetupError::NotPositive { key, most } => {
+                SetupError::NotPositive { key: format!("{list}[].{key}"), most }
+            }
             other => other,
         }
     }
@@ -52,8 +80,6 @@
 pub struct Names {
     kinds: Vec<String>,
     zones: Vec<String>,
-    classes: Vec<String>,
-    tenants: Vec<String>,
 }
 
 /// The value, or the complaint that `key` lacks it.
@@ -96,21 +122,35 @@
     list_of(setup, key)?.iter().map(|v| want(v.as_str().map(str::to_string), key)).collect()
 }
 
-fn member_names(setup: &Value, key: &str) -> Result<Vec<String>, SetupError> {
-    let name =
-        |v: &Value| want(v.get("name").and_then(Value::as_str).map(str::to_string), &format!("{key}[].name"));
-    list_of(setup, key)?.iter().map(name).collect()
+/// The name of a member of a list.
+fn name_of(member: &Value) -> Result<Id, SetupError> {
+    want(member.get("name").and_then(Value::as_str).map(Id::from), "name")
+}
+
+/// A whole number above zero, up to a bound.
+fn positive_of(setup: &Value, key: &str, most: u64) -> Result<u64, SetupError> {
+    let value = want(dig(setup, key), key)?;
+    let whole = |x: &f64| x.fract() == 0.0 && *x >= 0.0 && *x <= most as f64;
+    let number = value.as_u64().or_else(|| value.as_f64().filter(whole).map(|x| x as u64));
+    let number = number.filter(|n| (1..=most).contains(n));
+    number.ok_or_else(|| SetupError::NotPositive { key: key.into(), most })
+}
+
+/// No two members of a list have one name.
+fn check_unique<'a>(names: impl Iterator<Item = &'a Id>, list: &str) -> Result<(), SetupError> {
+    let mut seen = BTreeSet::new();
+    for name in names {
+        if !seen.insert(name) {
+            return Err(SetupError::Repeated { list: list.into(), name: name.to_string() });
+        }
+    }
+    Ok(())
 }
 
 impl Names {
     /// Reads the names from the settings.
     pub fn new(setup: &Value) -> Result<Self, SetupError> {
-        Ok(Names {
-            kinds: names_of(setup, "kinds")?,
-            zones: names_of(setup, "zones")?,
-            classes: member_names(setup, "grades")?,
-            tenants: member_names(setup, "tenants")?,
-        })
+        Ok(Names { kinds: names_of(setup, "kinds")?, zones: names_of(setup, "zones")? })
     }
 
     /// The kinds of machine.
@@ -122,16 +162,6 @@
     pub fn zones(&self) -> &[String] {
         &self.zones
     }
-
-    /// The classes of requests.
-    pub fn classes(&self) -> &[String] {
-        &self.classes
-    }
-
-    /// The customers.
-    pub fn tenants(&self) -> &[String] {
-        &self.tenants
-    }
 }
 
 /// The index of a name in one of the lists of [`Names`].
@@ -151,7 +181,12 @@
     }
 }
 
-fn class(grade: &Value, aim_per_ktoken: Micros, token_aim: Micros) -> Result<Class, SetupError> {
+fn class(
+    grade: &Value,
+    aim_per_ktoken: Micros,
+    token_aim: Micros,
+    max_attempts: u32,
+) -> Result<Class, SetupError> {
     let named = |e: SetupError| e.within("grades");
     let effect = match dig(grade, "effect").and_then(Value::as_str) {
         Some("retryable") => Effect::Safe,
@@ -168,9 +203,11 @@
         _ => return Err(named(SetupError::Missing("effect".into()))),
     };
     Ok(Class {
+        name: name_of(grade).map_err(named)?,
+        max_attempts,
         aim: whole_of(grade, "slo").map_err(named)?,
         aim_per_ktoken,
-        deadline: whole_of(grade, "deadline").map_err(named)?,
+        deadline: positive_of(grade, "deadline", DEADLINE_MAX).map_err(named)?,
         token_aim,
         effect,
         worth: float_of(grade, "points").map_err(named)?,
@@ -178,6 +215,10 @@
     })
 }
 
+fn tenant(tenant: &Value) -> Result<Tenant, SetupError> {
+    Ok(Tenant { name: name_of(tenant)?, quota_per_s: float_of(tenant, "quota-per-s")? })
+}
+
 /// Reads the settings.
 pub fn settings(setup: &Value, names: &Names) -> Result<Settings, SetupError> {
     let roles = list_of(setup, "specifics.kind-role")?.iter().map(role).collect::<Result<Vec<_>, _>>()?;
@@ -191,11 +232,17 @@
         (per_class("specifics.aim-us-per-1000-prompt-tokens")?, per_class("specifics.token-aim")?);
     let grades = list_of(setup, "grades")?.iter().enumerate();
     let at = |list: &[u64], i: usize| list.get(i).copied().unwrap_or(0);
+    let max_attempts = positive_of(setup, "limits.max-attempts", u64::from(u32::MAX))? as u32;
     let classes = grades
-        .map(|(i, g)| class(g, at(&per_ktoken, i), at(&token_aim, i)))
+        .map(|(i, g)| class(g, at(&per_ktoken, i), at(&token_aim, i), max_attempts).map(Arc::new))
         .collect::<Result<Vec<_>, _>>()?;
-    let quota = |t: &Value| float_of(t, "quota-per-s").map_err(|e| e.within("tenants"));
-    let tenants = list_of(setup, "tenants")?.iter().map(|t| Ok(Tenant { quota_per_s: quota(t)? }));
+    check_unique(classes.iter().map(|class| &class.name), "grades")?;
+    if classes.is_empty() {
+        return Err(SetupError::Empty("grades".into()));
+    }
+    let tenants = list_of(setup, "tenants")?.iter().map(|t| tenant(t).map_err(|e| e.within("tenants")));
+    let tenants = tenants.collect::<Result<Vec<_>, SetupError>>()?;
+    check_unique(tenants.iter().map(|tenant| &tenant.name), "tenants")?;
     let zone = want(dig(setup, "zone").and_then(Value::as_str), "zone")?;
     let mode = want(dig(setup, "membership-mode").and_then(Value::as_str), "membership-mode")?;
     Ok(Settings {
@@ -205,9 +252,8 @@
         memory_tokens: per_class("specifics.kv-tokens")?,
         roles,
         classes,
-        tenants: tenants.collect::<Result<Vec<_>, SetupError>>()?,
+        tenants,
         over_share_worth: float_of(setup, "over-share-worth")?,
-        max_attempts: whole_of(setup, "limits.max-attempts")?.min(u64::from(u32::MAX)) as u32,
         parallel_tries: flag_of(setup, "limits.parallel-tries")?,
         may_cancel: flag_of(setup, "limits.cancel")?,
         may_probe: flag_of(setup, "limits.may-probe")?,
