Count requests, attempts, instances and configurations, and show them to operators

Change: core/src/figures.rs (the prometheus crate); a request's account lives in its seat and is counted as the seat is dropped, an attempt as its last byte is known to be written, files as they are taken or turned down at SIGHUP. Found by the new test: a scrape between the two steps of an ending request saw one less than was taken; both steps and the reading of all figures now exclude each other. Ruled out as the cause: the test's own count (it read one scrape at a time).

--- /dev/null
+++ b/core/src/figures.rs
@@ -0,0 +1,155 @@
+//! What a conductor counts of itself, in the text form that Prometheus reads.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use frosttrail::Settings;
+use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// Names begin with this.
+const NAMESPACE: &str = "svc";
+/// The label that holds a request's class.
+const CLASS: &str = "group";
+
+/// Counters and gauges. Clones count together.
+#[derive(Clone)]
+pub struct Figures {
+    registry: Registry,
+    /// Held while a request moves from the open ones to the ended ones, and while all figures are read.
+    moving: Arc<Mutex<()>>,
+    answered: IntCounterVec,
+    deferred: IntCounterVec,
+    errored: IntCounterVec,
+    current: IntGauge,
+    /// Attempts written whole to instances.
+    pub sends: IntCounter,
+    /// Instances in the list.
+    pub cluster_size: IntGauge,
+    /// Listed instances that are avoided, by hand or by choice.
+    pub cluster_unhealthy: IntGauge,
+    /// Files that were put in force at SIGHUP.
+    pub conf_loaded: IntCounter,
+    /// Files that were turned down at SIGHUP.
+    pub conf_invalid: IntCounter,
+}
+
+impl Figures {
+    /// All at zero. Fails only where a name stands twice.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let by_class = |name: &str, help: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help).namespace(NAMESPACE), &[CLASS])?;
+            registry.register(Box::new(counters.clone()))?;
+            prometheus::Result::Ok(counters)
+        };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::with_opts(Opts::new(name, help).namespace(NAMESPACE))?;
+            registry.register(Box::new(counter.clone()))?;
+            prometheus::Result::Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::with_opts(Opts::new(name, help).namespace(NAMESPACE))?;
+            registry.register(Box::new(gauge.clone()))?;
+            prometheus::Result::Ok(gauge)
+        };
+        Ok(Figures {
+            answered: by_class("answered", "Requests served to their last chunk.")?,
+            deferred: by_class("deferred", "Requests refused.")?,
+            errored: by_class("errored", "Requests that failed, or whose client left.")?,
+            current: gauge("current", "Requests taken and not ended.")?,
+            sends: counter("sends", "Attempts written whole to instances.")?,
+            cluster_size: gauge("cluster_size", "Instances in the list.")?,
+            cluster_unhealthy: gauge("cluster_unhealthy", "Listed instances that are avoided now.")?,
+            conf_loaded: counter("conf_loaded", "Configurations put in force at SIGHUP.")?,
+            conf_invalid: counter("conf_invalid", "Configurations turned down at SIGHUP.")?,
+            moving: Arc::default(),
+            registry,
+        })
+    }
+
+    /// All of them as text.
+    pub fn text(&self) -> prometheus::Result<String> {
+        let mut text = Vec::new();
+        let figures = {
+            let _moving = lock(&self.moving);
+            self.registry.gather()
+        };
+        TextEncoder::new().encode(&figures, &mut text)?;
+        Ok(String::from_utf8_lossy(&text).into_owned())
+    }
+
+    /// Each class has its figures before its first request.
+    pub(crate) fn add_classes(&self, settings: &Settings) {
+        for class in &settings.classes {
+            for counters in [&self.answered, &self.deferred, &self.errored] {
+                counters.with_label_values(&[&*class.name]);
+            }
+        }
+    }
+
+    /// A request of this class has been taken.
+    pub(crate) fn open(&self, class: &str) -> Account {
+        self.current.inc();
+        Account {
+            answered: self.answered.with_label_values(&[class]),
+            deferred: self.deferred.with_label_values(&[class]),
+            errored: self.errored.with_label_values(&[class]),
+            current: self.current.clone(),
+            moving: self.moving.clone(),
+            end: End::Errored,
+        }
+    }
+}
+
+/// It guards no data, so that a panic elsewhere does no harm.
+fn lock(moving: &Mutex<()>) -> MutexGuard<'_, ()> {
+    moving.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Answered,
+    Deferred,
+    Errored,
+    NotTaken,
+}
+
+/// One open request. It is counted when this is dropped: as failed, unless it was marked otherwise.
+#[derive(Debug)]
+pub(crate) struct Account {
+    answered: IntCounter,
+    deferred: IntCounter,
+    errored: IntCounter,
+    current: IntGauge,
+    moving: Arc<Mutex<()>>,
+    end: End,
+}
+
+impl Account {
+    /// The last chunk of its answer has come.
+    pub(crate) fn answered(&mut self) {
+        self.end = End::Answered;
+    }
+
+    /// It is refused.
+    pub(crate) fn deferred(&mut self) {
+        self.end = End::Deferred;
+    }
+
+    /// It was no request: its id is in use.
+    pub(crate) fn not_taken(&mut self) {
+        self.end = End::NotTaken;
+    }
+}
+
+impl Drop for Account {
+    fn drop(&mut self) {
+        let _moving = lock(&self.moving);
+        self.current.dec();
+        match self.end {
+            End::Answered => self.answered.inc(),
+            End::Deferred => self.deferred.inc(),
+            End::Errored => self.errored.inc(),
+            End::NotTaken => {}
+        }
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod clock;
 mod exclusion;
+mod figures;
 mod owner;
 mod release;
 mod request;
@@ -21,6 +22,7 @@
 
 pub use clock::Clock;
 pub use exclusion::{ExclusionError, Exclusions};
+pub use figures::Figures;
 pub use owner::{start, Conductor, Parts};
 pub use request::{Answer, AnswerStream, Broken, CallError, Request};
 pub use traits::{Boxes, Events, MemberList, News, Reply, Step};
--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use frosttrail::{Facade, Id, ListForm, Load, Outcome, Query, Report, Settings, Verdict, Verdicts};
+use frosttrail::{Facade, Id, ListForm, Load, Micros, Outcome, Query, Report, Settings, Verdict, Verdicts};
 use slog::{debug, info, Logger};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{yield_now, AbortHandle};
@@ -14,6 +14,7 @@
 
 use crate::clock::Clock;
 use crate::exclusion::{ExclusionError, Exclusions};
+use crate::figures::Figures;
 use crate::release::release;
 use crate::standing::Standing;
 use crate::traits::{Boxes, MemberList, News};
@@ -25,6 +26,9 @@
 /// Share of it that the request's next attempt waits for a release to end.
 const RELEASE_WAIT: u32 = 2;
 
+/// The figures of instances are read this often.
+const READ_FIGURES_EVERY: Micros = 100_000;
+
 /// So much work on what lies in the inbox is done at once: the same thread serves streams and clients' ends.
 const TURN: Duration = Duration::from_millis(2);
 
@@ -73,6 +77,8 @@
     pub members: M,
     /// Instances that operators have taken out of use before.
     pub excluded: Vec<Id>,
+    /// What is counted.
+    pub figures: Figures,
     /// The log.
     pub log: Logger,
 }
@@ -88,6 +94,7 @@
     able: watch::Receiver<bool>,
     releases: TaskTracker,
     exclusions: Arc<Mutex<Exclusions>>,
+    pub(crate) figures: Figures,
 }
 
 /// Whole between any two statements, so that a panic elsewhere does no harm to it.
@@ -106,6 +113,7 @@
             able: self.able.clone(),
             releases: self.releases.clone(),
             exclusions: self.exclusions.clone(),
+            figures: self.figures.clone(),
         }
     }
 }
@@ -188,7 +196,8 @@
 
 /// Starts a conductor on the current runtime. It runs until every handle has gone.
 pub fn start<B: Boxes, M: MemberList>(parts: Parts<B, M>) -> Conductor<B> {
-    let Parts { settings, seed, clock, boxes, mut members, excluded, log } = parts;
+    let Parts { settings, seed, clock, boxes, mut members, excluded, figures, log } = parts;
+    figures.add_classes(&settings);
     let (tell, inbox) = mpsc::unbounded_channel();
     let (able_tx, able) = watch::channel(false);
     let releases = TaskTracker::new();
@@ -205,6 +214,8 @@
         able: able_tx,
         releases: releases.clone(),
         exclusions: exclusions.clone(),
+        figures: figures.clone(),
+        read_figures_at: 0,
         release,
         log,
     };
@@ -217,7 +228,17 @@
             let _ = tell.send(Message::News(next));
         }
     });
-    Conductor { tell, boxes, clock, settings: in_force, tickets: Arc::default(), able, releases, exclusions }
+    Conductor {
+        tell,
+        boxes,
+        clock,
+        settings: in_force,
+        tickets: Arc::default(),
+        able,
+        releases,
+        exclusions,
+        figures,
+    }
 }
 
 /// A request that is open: where its verdicts go, and the boxes it went to, latest first.
@@ -252,6 +273,9 @@
     able: watch::Sender<bool>,
     releases: TaskTracker,
     exclusions: Arc<Mutex<Exclusions>>,
+    figures: Figures,
+    /// When the figures of instances are read next.
+    read_figures_at: Micros,
     /// The settings' time for what is held.
     release: Duration,
     log: Logger,
@@ -276,8 +300,10 @@
                 biased;
                 () = bell => {
                     let begin = Instant::now();
-                    let verdicts = self.facade.tick(self.clock.now());
+                    let now = self.clock.now();
+                    let verdicts = self.facade.tick(now);
                     self.carry_out(verdicts);
+                    self.read_figures(now);
                     worked += begin.elapsed();
                 }
                 message = inbox.recv() => match message {
@@ -337,6 +363,7 @@
             Message::Share(part) => self.facade.share(now, part),
             Message::Settings(settings) => {
                 self.release = Duration::from_micros(settings.release);
+                self.figures.add_classes(&settings);
                 lock(&self.exclusions).set_warm_within(settings.warm_within);
                 self.facade.reconfigure(now, (*settings).clone())
             }
@@ -353,6 +380,18 @@
         self.carry_out(verdicts);
     }
 
+    /// How many instances are listed and how many of them are avoided.
+    fn read_figures(&mut self, now: Micros) {
+        if now < self.read_figures_at {
+            return;
+        }
+        self.read_figures_at = now + READ_FIGURES_EVERY;
+        let listed = self.standing.count();
+        let avoided = listed.saturating_sub(self.facade.usable());
+        self.figures.cluster_size.set(listed as i64);
+        self.figures.cluster_unhealthy.set(avoided as i64);
+    }
+
     fn news(&mut self, news: News) -> Verdicts {
         let News { form, entries } = news;
         for entry in &entries {
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout, Instant};
 
+use crate::figures::Account;
 use crate::owner::{Conductor, Message, Order, Ticket};
 use crate::traits::{Boxes, Events, Reply, Step};
 
@@ -69,6 +70,7 @@
     ticket: Ticket,
     verdicts: mpsc::UnboundedReceiver<Order>,
     tell: mpsc::UnboundedSender<Message>,
+    account: Account,
 }
 
 impl Seat {
@@ -103,11 +105,13 @@
         let Request { query, call } = request;
         let (to_seat, verdicts) = mpsc::unbounded_channel();
         let ticket = self.ticket();
-        let mut seat = Seat { id: query.id.clone(), ticket, verdicts, tell: self.tell.clone() };
+        let account = self.figures.open(&query.class.name);
+        let mut seat = Seat { id: query.id.clone(), ticket, verdicts, tell: self.tell.clone(), account };
         // Cannot fail: the owner runs for as long as there is a handle.
         let _ = self.tell.send(Message::Pick(query, ticket, to_seat));
         let mut next = seat.verdicts.recv().await;
         if next.is_none() {
+            seat.account.not_taken();
             return Err(CallError::IdInUse);
         }
         let mut last = None;
@@ -124,7 +128,8 @@
                     }
                 }
                 Verdict::Refuse { retry_after } => {
-                    return Ok(Answer::Refused { retry_after: Duration::from_micros(retry_after), last })
+                    seat.account.deferred();
+                    return Ok(Answer::Refused { retry_after: Duration::from_micros(retry_after), last });
                 }
                 Verdict::Fail => return Ok(Answer::Failed { last }),
                 // Nothing is out, nothing runs; the owner sees to releases itself.
@@ -257,6 +262,7 @@
                 Some(Ok(bytes))
             }
             Step::End => {
+                seat.account.answered();
                 seat.ended(Outcome::Served, 0, None);
                 self.seat = None;
                 None
--- a/core/tests/held.rs
+++ b/core/tests/held.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use frosttrail::{Entry, Health, Id, ListForm, Load, Outcome, Role, Settings};
-use frosttrail_core::{start, Answer, Boxes, Clock, Events, News, Parts, Reply, Request, Step};
+use frosttrail_core::{start, Answer, Boxes, Clock, Events, Figures, News, Parts, Reply, Request, Step};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use support::{paused, query, Fixed};
 use tokio::time::{sleep, timeout, Instant};
@@ -155,6 +155,7 @@
     let entries = NAMES.iter().enumerate().map(entry).collect();
     let conductor = start(Parts {
         excluded: Vec::new(),
+        figures: Figures::new().unwrap(),
         settings,
         seed: 7,
         clock: Clock::new(),
--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use frosttrail::{Entry, Health, Id, ListForm, Load, Outcome, Role, Settings};
-use frosttrail_core::{start, Answer, Boxes, Clock, Conductor, Events, News, Parts, Reply};
+use frosttrail_core::{start, Answer, Boxes, Clock, Conductor, Events, Figures, News, Parts, Reply};
 use frosttrail_core::{CallError, Request, Step};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use support::{classes, paused, query, Fixed};
@@ -210,6 +210,7 @@
     let entries = vec![entry("r1", 0), entry("r2", 0), entry("w1", 1), entry("w2", 1)];
     start(Parts {
         excluded: Vec::new(),
+        figures: Figures::new().unwrap(),
         settings: settings(),
         seed: 7,
         clock: Clock::new(),
--- a/core/tests/unit/request.rs
+++ b/core/tests/unit/request.rs
@@ -23,7 +23,8 @@
     let (orders, verdicts) = mpsc::unbounded_channel();
     let (events, told) = mpsc::unbounded_channel();
     let (tell, reports) = mpsc::unbounded_channel();
-    let seat = Seat { id: "id".into(), ticket: 0, verdicts, tell };
+    let account = crate::Figures::new().unwrap().open("ask");
+    let seat = Seat { id: "id".into(), ticket: 0, verdicts, tell, account };
     (AnswerStream::new(seat, Told(told)), Ends { orders, events, reports })
 }
 
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use frosttrail::Id;
-use frosttrail_core::{start, Clock, Conductor, Parts};
+use frosttrail_core::{start, Clock, Conductor, Figures, Parts};
 use frosttrail_daemon::config::{self, ChatConfig, Config, XdsConfig};
 use frosttrail_daemon::discovery::{Backoff, Discovery, DiscoveryConfig, Xds};
 use frosttrail_daemon::ending::Ending;
@@ -102,8 +102,17 @@
     let listen = config.listen;
     let (discovery, members) = watch::channel(config.discovery_config());
     let excluded = ops.as_ref().map(|ops| ops.excluded.clone()).unwrap_or_default();
-    let (conductor, upstream) = conductor(config.clone(), members, xds, each, excluded, &log);
-    let reload = Reload { config, conductor: conductor.clone(), upstream, discovery, log: log.clone() };
+    let figures = Figures::new().map_err(std::io::Error::other)?;
+    let kept = Kept { excluded, figures: figures.clone() };
+    let (conductor, upstream) = conductor(config.clone(), members, xds, each, kept, &log);
+    let reload = Reload {
+        config,
+        conductor: conductor.clone(),
+        upstream,
+        discovery,
+        figures: figures.clone(),
+        log: log.clone(),
+    };
     // It goes on beside an end that is planned: until then, drains are still learned of.
     let _reloads = AbortOnDropHandle::new(tokio::spawn(reload.run(signals.hangup)));
     let bind = |address| move |e| Fault::Bind(address, e);
@@ -118,7 +127,7 @@
     };
     let ending = Arc::new(AtomicBool::new(false));
     if let Some(ops) = ops {
-        let operations = ConductorOperations::new(conductor.clone(), ops.store, ending.clone());
+        let operations = ConductorOperations::new(conductor.clone(), ops.store, figures, ending.clone());
         ops.server.start(Arc::new(operations), log.clone())?;
     }
     signals.terminate.recv().await;
@@ -152,6 +161,12 @@
     Ok(())
 }
 
+/// What outlives the conductor itself: exclusions from before, and the figures.
+struct Kept {
+    excluded: Vec<Id>,
+    figures: Figures,
+}
+
 /// The operators' address, and what was kept of their calls.
 struct Ops {
     server: OpsServer,
@@ -203,7 +218,7 @@
     discovery: watch::Receiver<DiscoveryConfig>,
     xds: Option<XdsConfig>,
     connections: usize,
-    excluded: Vec<Id>,
+    Kept { excluded, figures }: Kept,
     log: &Logger,
 ) -> (Conductor<Upstream>, Arc<Upstream>) {
     let clock = Clock::new();
@@ -215,18 +230,18 @@
         settle: SETTLE,
         stale_within: STALE_WITHIN,
     };
-    let boxes = Arc::new(Upstream::new(book.clone(), limits));
+    let boxes = Arc::new(Upstream::new(book.clone(), limits, figures.sends.clone()));
     let Config { name, known, names, settings, seed, .. } = config;
     let (log, upstream) = (log.clone(), boxes.clone());
     let conductor = match xds {
         Some(xds) => {
             let members = Xds::new(xds, name, names, clock, book, log.clone());
-            start(Parts { settings, seed, clock, boxes, members, excluded, log })
+            start(Parts { settings, seed, clock, boxes, members, excluded, figures, log })
         }
         None => {
             let backoff = Backoff::new(settings.balancers, seed);
             let members = Discovery::new(discovery, known, backoff, names, clock, book, log.clone());
-            start(Parts { settings, seed, clock, boxes, members, excluded, log })
+            start(Parts { settings, seed, clock, boxes, members, excluded, figures, log })
         }
     };
     (conductor, upstream)
--- a/daemon/src/ops/call.rs
+++ b/daemon/src/ops/call.rs
@@ -15,7 +15,7 @@
     /// Whether this process can serve clients now.
     fn is_ready(&self) -> bool;
     /// The figures, in the text form that Prometheus reads.
-    fn telemetry(&self) -> String;
+    fn telemetry(&self) -> Result<String, CallError>;
     /// Takes an instance out of use until it is included again.
     fn exclude(&self, id: &Id) -> Result<(), CallError>;
     /// Puts an instance back into use.
@@ -40,6 +40,9 @@
     /// The decision could not be kept, so that it would not outlive this process.
     #[error("the exclusion could not be stored ({0}); free space in $TMPDIR and call again")]
     Storage(#[from] std::io::Error),
+    /// The figures could not be written out.
+    #[error("the figures could not be written ({0}); ask again")]
+    Figures(#[from] prometheus::Error),
     /// This process can't serve yet, or no more.
     #[error("not ready: no instance is known yet, or the process is ending; ask again")]
     NotReady,
@@ -55,6 +58,7 @@
             CallError::Id => StatusCode::BAD_REQUEST,
             CallError::Storage(_) => StatusCode::INSUFFICIENT_STORAGE,
             CallError::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            CallError::Figures(_) => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
 }
@@ -113,7 +117,7 @@
     let done = Call::parse(method, path, body).and_then(|call| match call {
         Call::Ready if operations.is_ready() => Ok("ready\n".to_string()),
         Call::Ready => Err(CallError::NotReady),
-        Call::Telemetry => Ok(operations.telemetry()),
+        Call::Telemetry => operations.telemetry(),
         Call::Exclude(id) => operations.exclude(&id).map(|()| format!("excluded {id}\n")),
         Call::Include(id) => operations.include(&id).map(|()| format!("included {id}\n")),
     });
--- a/daemon/src/ops/conductor.rs
+++ b/daemon/src/ops/conductor.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use frosttrail::Id;
-use frosttrail_core::{Boxes, Conductor};
+use frosttrail_core::{Boxes, Conductor, Figures};
 
 use super::call::{CallError, Operations};
 use super::exclusion_store::ExclusionStore;
@@ -13,13 +13,19 @@
 pub struct ConductorOperations<B> {
     conductor: Conductor<B>,
     store: ExclusionStore,
+    figures: Figures,
     ending: Arc<AtomicBool>,
 }
 
 impl<B: Boxes> ConductorOperations<B> {
     /// Calls on this conductor; `ending` is set once it takes nothing new.
-    pub fn new(conductor: Conductor<B>, store: ExclusionStore, ending: Arc<AtomicBool>) -> Self {
-        ConductorOperations { conductor, store, ending }
+    pub fn new(
+        conductor: Conductor<B>,
+        store: ExclusionStore,
+        figures: Figures,
+        ending: Arc<AtomicBool>,
+    ) -> Self {
+        ConductorOperations { conductor, store, figures, ending }
     }
 }
 
@@ -28,8 +34,8 @@
         self.conductor.able() && !self.ending.load(Ordering::Relaxed)
     }
 
-    fn telemetry(&self) -> String {
-        String::new()
+    fn telemetry(&self) -> Result<String, CallError> {
+        Ok(self.figures.text()?)
     }
 
     fn exclude(&self, id: &Id) -> Result<(), CallError> {
--- a/daemon/src/reload.rs
+++ b/daemon/src/reload.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use frosttrail_core::Conductor;
+use frosttrail_core::{Conductor, Figures};
 use slog::{info, warn, Logger};
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
@@ -30,6 +30,8 @@
     pub upstream: Arc<Upstream>,
     /// The source of members.
     pub discovery: watch::Sender<DiscoveryConfig>,
+    /// What is counted.
+    pub figures: Figures,
     /// The log.
     pub log: Logger,
 }
@@ -40,7 +42,10 @@
         while hangup.recv().await.is_some() {
             match self.read() {
                 Ok(config) => self.apply(config),
-                Err(e) => warn!(self.log, "SIGHUP: the old configuration stays in force"; "why" => %e),
+                Err(e) => {
+                    self.figures.conf_invalid.inc();
+                    warn!(self.log, "SIGHUP: the old configuration stays in force"; "why" => %e);
+                }
             }
         }
     }
@@ -59,5 +64,6 @@
         self.upstream.reconfigure(&config.settings);
         self.discovery.send_replace(config.discovery_config());
         self.config = config;
+        self.figures.conf_loaded.inc();
     }
 }
--- a/daemon/src/upstream/attempt.rs
+++ b/daemon/src/upstream/attempt.rs
@@ -32,7 +32,7 @@
 
 /// Makes one attempt. Given up before the last byte was written, it never ran.
 pub(super) async fn attempt(pool: &Arc<Pool>, worker: &Id, call: &Call, wait: Duration) -> Reply<BoxEvents> {
-    let (written, stop_at) = (Written::default(), Instant::now() + wait);
+    let (written, stop_at) = (Written::counted(pool.sends.clone()), Instant::now() + wait);
     match timeout_at(stop_at, run(pool, worker, call, stop_at, &written)).await {
         Ok(reply) => reply,
         Err(_) if written.is_whole() => Reply::Ended(Outcome::NoAnswer, None),
--- a/daemon/src/upstream/link.rs
+++ b/daemon/src/upstream/link.rs
@@ -16,6 +16,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use prometheus::IntCounter;
 use tokio::net::TcpStream;
 use tokio::sync::{watch, OwnedSemaphorePermit};
 use tokio::time::{sleep_until, Instant};
@@ -43,9 +44,16 @@
     whole: AtomicBool,
     /// When the head of an answer began to come.
     answering: watch::Sender<Option<Instant>>,
+    /// Counts the request once it is whole.
+    counter: Option<IntCounter>,
 }
 
 impl Written {
+    /// A request that is counted once it is written whole.
+    pub(super) fn counted(counter: IntCounter) -> Self {
+        Written(Arc::new(Progress { counter: Some(counter), ..Progress::default() }))
+    }
+
     /// Whether the last byte has been written.
     pub(super) fn is_whole(&self) -> bool {
         self.0.whole.load(Ordering::Relaxed)
@@ -53,7 +61,7 @@
 
     /// The request goes out anew: what an earlier connection took of it does not count.
     fn begin(&self) {
-        let Progress { taken, wrote, whole, answering } = &*self.0;
+        let Progress { taken, wrote, whole, answering, .. } = &*self.0;
         [taken, wrote, whole].iter().for_each(|mark| mark.store(false, Ordering::Relaxed));
         answering.send_replace(None);
     }
@@ -99,7 +107,10 @@
     /// The library flushes only what it has written whole.
     fn flushed(&self) {
         if self.0.taken.load(Ordering::Relaxed) && self.0.wrote.load(Ordering::Relaxed) {
-            self.0.whole.store(true, Ordering::Relaxed);
+            let first = !self.0.whole.swap(true, Ordering::Relaxed);
+            if let Some(counter) = self.0.counter.as_ref().filter(|_| first) {
+                counter.inc();
+            }
         }
     }
 }
--- a/daemon/src/upstream/mod.rs
+++ b/daemon/src/upstream/mod.rs
@@ -15,6 +15,7 @@
 use frosttrail::{Health, Id, ListForm, Load, Outcome, Settings};
 use frosttrail_core::{Boxes, News, Reply};
 use hyper::{HeaderMap, Method, Uri};
+use prometheus::IntCounter;
 use tokio::time::Instant;
 
 pub use attempt::BoxEvents;
@@ -103,9 +104,9 @@
 }
 
 impl Upstream {
-    /// The boxes that the book knows.
-    pub fn new(book: Arc<Book>, limits: Limits) -> Self {
-        Upstream { pool: Arc::new(Pool::new(book, limits)) }
+    /// The boxes that the book knows; `sends` counts attempts that are written whole.
+    pub fn new(book: Arc<Book>, limits: Limits, sends: IntCounter) -> Self {
+        Upstream { pool: Arc::new(Pool::new(book, limits, sends)) }
     }
 
     /// Takes the times of connections from new settings.
--- a/daemon/src/upstream/pool.rs
+++ b/daemon/src/upstream/pool.rs
@@ -7,6 +7,7 @@
 use frosttrail::Id;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use prometheus::IntCounter;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{timeout, Instant};
 
@@ -44,6 +45,8 @@
     permits: Arc<Semaphore>,
     idle: Mutex<HashMap<Id, Vec<Link>>>,
     trust: Mutex<Trust>,
+    /// Attempts that were written whole.
+    pub(super) sends: IntCounter,
 }
 
 /// Up to which age idle connections were trusted when one was last found to be dead. Boxes, and whatever
@@ -54,10 +57,10 @@
 }
 
 impl Pool {
-    pub(super) fn new(book: Arc<Book>, limits: Limits) -> Self {
+    pub(super) fn new(book: Arc<Book>, limits: Limits, sends: IntCounter) -> Self {
         let permits = Arc::new(Semaphore::new(limits.connections));
         let trust = Mutex::new(Trust { age: limits.conn_idle / 2, since: Instant::now() });
-        Pool { book, limits: Mutex::new(limits), permits, idle: Mutex::default(), trust }
+        Pool { book, limits: Mutex::new(limits), permits, idle: Mutex::default(), trust, sends }
     }
 
     fn limits(&self) -> Limits {
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -13,7 +13,7 @@
 
 use frosttrail::setup::{settings, Names};
 use frosttrail::{Entry, Health, Id, ListForm, Settings};
-use frosttrail_core::{start, Clock, Conductor, MemberList, News, Parts};
+use frosttrail_core::{start, Clock, Conductor, Figures, MemberList, News, Parts};
 use frosttrail_daemon::config::ChatConfig;
 use frosttrail_daemon::front::chat::Chat;
 use frosttrail_daemon::front::platform::Platform;
@@ -458,24 +458,29 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// A counter that nobody reads.
+pub fn sends() -> prometheus::IntCounter {
+    prometheus::IntCounter::new("sends", "Attempts").unwrap()
+}
+
 pub fn upstream(boxes: &[(&str, usize, SocketAddr)]) -> Upstream {
     upstream_that_settles(boxes, Duration::ZERO)
 }
 
 /// One that leaves connections alone for so long after an answer.
 pub fn upstream_that_settles(boxes: &[(&str, usize, SocketAddr)], settle: Duration) -> Upstream {
-    Upstream::new(book(boxes), limits(settle))
+    Upstream::new(book(boxes), limits(settle), sends())
 }
 
 /// One, and where its servers are.
 pub fn upstream_and_book(boxes: &[(&str, usize, SocketAddr)]) -> (Upstream, Arc<Book>) {
     let book = book(boxes);
-    (Upstream::new(book.clone(), limits(Duration::ZERO)), book)
+    (Upstream::new(book.clone(), limits(Duration::ZERO), sends()), book)
 }
 
 /// One that waits so long for a connection to come up.
 pub fn upstream_that_connects_within(boxes: &[(&str, usize, SocketAddr)], time: Duration) -> Upstream {
-    Upstream::new(book(boxes), Limits { connect_timeout: time, ..limits(Duration::ZERO) })
+    Upstream::new(book(boxes), Limits { connect_timeout: time, ..limits(Duration::ZERO) }, sends())
 }
 
 fn book(boxes: &[(&str, usize, SocketAddr)]) -> Arc<Book> {
@@ -511,10 +516,11 @@
     let _ = news.send(News { form: ListForm::Full, entries });
     let conductor = start(Parts {
         excluded: Vec::new(),
+        figures: Figures::new().unwrap(),
         settings: settings.clone(),
         seed: 7,
         clock: Clock::new(),
-        boxes: Arc::new(Upstream::new(book.clone(), limits(Duration::ZERO))),
+        boxes: Arc::new(Upstream::new(book.clone(), limits(Duration::ZERO), sends())),
         members: Told(told),
         log: slog::Logger::root(slog::Discard, slog::o!()),
     });
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -130,9 +130,9 @@
         self.handle(now, Event::Settings(settings))
     }
 
-    /// Listed workers whose circuit breaker is open.
-    pub fn ejected(&self) -> usize {
-        self.router.ejected()
+    /// Workers that requests may go to now.
+    pub fn usable(&self) -> usize {
+        self.router.usable()
     }
 
     /// The part of what all routers share that is this one's.
--- a/src/scheduler/figures.rs
+++ b/src/scheduler/figures.rs
@@ -1,6 +1,6 @@
 //! What a router shows of itself. Nothing here decides.
 
-use super::{Router, TRIP};
+use super::Router;
 
 impl Router {
     /// How many entries are kept under ids that others give: of workers, requests and sessions.
@@ -8,8 +8,8 @@
         self.workers.len() + self.index.len() + self.requests.len() + self.held.len() + self.kept.len()
     }
 
-    /// Listed workers that are avoided by choice: their circuit breaker is open.
-    pub fn ejected(&self) -> usize {
-        self.workers.iter().filter(|worker| worker.up && worker.fails >= TRIP).count()
+    /// Workers that requests may go to now: listed, not draining, and not left alone after failures.
+    pub fn usable(&self) -> usize {
+        (0..self.workers.len()).filter(|&w| self.workers[w].up && self.healthy(w)).count()
     }
 }
