--- a/core/src/exclusion.rs
+++ b/core/src/exclusion.rs
@@ -40,6 +40,30 @@
         Exclusions { excluded, warm_within, ..Exclusions::default() }
     }
 
+    /// Instances that were put back a while ago and still count as started then, and how long ago that was.
+    pub fn included_before(&self, now: Micros) -> Vec<(Id, Micros)> {
+        self.included.iter().map(|(id, at)| (id.clone(), now.saturating_sub(*at))).collect()
+    }
+
+    /// The same as another process has it.
+    pub fn set_included_before(&mut self, now: Micros, included: Vec<(Id, Micros)>) {
+        let at = included.into_iter().map(|(id, before)| (id, now.saturating_sub(before)));
+        self.included.extend(at.take(EXCLUDED_MAX));
+    }
+
+    /// Makes the excluded instances these, and gives those that changed: whatever another process was told.
+    pub fn replace(&mut self, now: Micros, excluded: BTreeSet<Id>) -> Vec<Id> {
+        let changed: Vec<Id> = self.excluded.symmetric_difference(&excluded).cloned().collect();
+        for id in &changed {
+            match excluded.contains(id) {
+                true => self.included.remove(id),
+                false => self.included.insert(id.clone(), now),
+            };
+        }
+        self.excluded = excluded;
+        changed
+    }
+
     /// How long an instance takes to warm up, as new settings say.
     pub fn set_warm_within(&mut self, warm_within: Micros) {
         self.warm_within = warm_within;
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -23,6 +23,6 @@
 pub use clock::Clock;
 pub use exclusion::{ExclusionError, Exclusions};
 pub use figures::Figures;
-pub use owner::{start, Conductor, Parts};
+pub use owner::{start, Conductor, Learned, Parts};
 pub use request::{Answer, AnswerStream, Broken, CallError, Request};
 pub use traits::{Boxes, Events, MemberList, News, Reply, Step};
--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -1,11 +1,14 @@
 //! The task that owns the decisions, and the handle by which others speak to it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use frosttrail::{Facade, Id, ListForm, Load, Micros, Outcome, Query, Report, Settings, Verdict, Verdicts};
+use frosttrail::{
+    Facade, Id, ListForm, Load, Micros, Outcome, Query, Report, Settings, Snapshot, Verdict, Verdicts,
+};
+use serde::{Deserialize, Serialize};
 use slog::{debug, info, Logger};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{yield_now, AbortHandle};
@@ -26,6 +29,9 @@
 /// Share of it that the request's next attempt waits for a release to end.
 const RELEASE_WAIT: u32 = 2;
 
+/// What the process before has learned is of use for this long.
+const INHERIT_WITHIN: Micros = 10_000_000;
+
 /// The figures of instances are read this often.
 const READ_FIGURES_EVERY: Micros = 100_000;
 
@@ -57,12 +63,28 @@
     /// This router's part of what all routers share.
     Share(f64),
     Settings(Arc<Settings>),
+    Snapshot(oneshot::Sender<Snapshot>),
     /// An instance was taken out of use or put back.
     ExclusionChanged(Id),
     /// Dropped once all that was told before has been seen to.
     Seen(oneshot::Sender<()>),
 }
 
+/// What a conductor has learned, for the process that takes its place.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Learned {
+    /// The decisions' part.
+    decisions: Snapshot,
+    /// Instances that were put back by hand, and how many microseconds before.
+    included: Vec<(Id, Micros)>,
+}
+
+/// What is still to be taken over from the process before, and when that was said.
+struct Inherited {
+    snapshot: Snapshot,
+    at: Micros,
+}
+
 /// What a conductor is made of.
 pub struct Parts<B, M> {
     /// The settings.
@@ -79,6 +101,8 @@
     pub excluded: Vec<Id>,
     /// What is counted.
     pub figures: Figures,
+    /// What the process before has learned, and how long ago it said so.
+    pub learned: Option<(Learned, Duration)>,
     /// The log.
     pub log: Logger,
 }
@@ -181,6 +205,23 @@
         Ok(())
     }
 
+    /// What it has learned up to now; `None` once it has ended.
+    pub async fn learned(&self) -> Option<Learned> {
+        let (to, snapshot) = oneshot::channel();
+        let _ = self.tell.send(Message::Snapshot(to));
+        let decisions = snapshot.await.ok()?;
+        let included = lock(&self.exclusions).included_before(self.clock.now());
+        Some(Learned { decisions, included })
+    }
+
+    /// Makes these the excluded instances, as another process of the same conductor was told.
+    pub fn replace_excluded(&self, excluded: BTreeSet<Id>) {
+        let changed = lock(&self.exclusions).replace(self.clock.now(), excluded);
+        for instance in changed {
+            let _ = self.tell.send(Message::ExclusionChanged(instance));
+        }
+    }
+
     /// Resolves once every release that was asked for has arrived or been given up. Requests must have
     /// ended before.
     pub async fn released(&self) {
@@ -196,7 +237,7 @@
 
 /// Starts a conductor on the current runtime. It runs until every handle has gone.
 pub fn start<B: Boxes, M: MemberList>(parts: Parts<B, M>) -> Conductor<B> {
-    let Parts { settings, seed, clock, boxes, mut members, excluded, figures, log } = parts;
+    let Parts { settings, seed, clock, boxes, mut members, excluded, figures, learned, log } = parts;
     figures.add_classes(&settings);
     let (tell, inbox) = mpsc::unbounded_channel();
     let (able_tx, able) = watch::channel(false);
@@ -204,6 +245,11 @@
     let release = Duration::from_micros(settings.release);
     let in_force = Arc::new(watch::Sender::new(Arc::new(settings.clone())));
     let exclusions = Arc::new(Mutex::new(Exclusions::new(excluded, settings.warm_within)));
+    let inherited = learned.map(|(learned, age)| {
+        let at = clock.now().saturating_sub(age.as_micros() as Micros);
+        lock(&exclusions).set_included_before(at, learned.included);
+        Inherited { snapshot: learned.decisions, at }
+    });
     let owner = Owner {
         facade: Facade::new(settings, seed),
         clock,
@@ -216,6 +262,7 @@
         exclusions: exclusions.clone(),
         figures: figures.clone(),
         read_figures_at: 0,
+        inherited,
         release,
         log,
     };
@@ -276,6 +323,7 @@
     figures: Figures,
     /// When the figures of instances are read next.
     read_figures_at: Micros,
+    inherited: Option<Inherited>,
     /// The settings' time for what is held.
     release: Duration,
     log: Logger,
@@ -361,6 +409,10 @@
             Message::News(news) => self.news(news),
             Message::Close => self.facade.close(now),
             Message::Share(part) => self.facade.share(now, part),
+            Message::Snapshot(to) => {
+                let _ = to.send(self.facade.snapshot(now));
+                return;
+            }
             Message::Settings(settings) => {
                 self.release = Duration::from_micros(settings.release);
                 self.figures.add_classes(&settings);
@@ -380,6 +432,16 @@
         self.carry_out(verdicts);
     }
 
+    /// Takes over what the process before has learned of servers that are listed by now.
+    fn inherit(&mut self, now: Micros) {
+        let Some(Inherited { mut snapshot, at }) = self.inherited.take() else { return };
+        let age = now.saturating_sub(at);
+        self.facade.restore(now, age, &mut snapshot);
+        if !snapshot.is_empty() && age < INHERIT_WITHIN {
+            self.inherited = Some(Inherited { snapshot, at });
+        }
+    }
+
     /// How many instances are listed and how many of them are avoided.
     fn read_figures(&mut self, now: Micros) {
         if now < self.read_figures_at {
@@ -403,6 +465,7 @@
         let now = self.clock.now();
         let entries = lock(&self.exclusions).news(now, form, &entries);
         let verdicts = self.facade.members(now, form, entries);
+        self.inherit(now);
         self.able.send_replace(up > 0);
         verdicts
     }
--- a/core/tests/held.rs
+++ b/core/tests/held.rs
@@ -155,6 +155,7 @@
     let entries = NAMES.iter().enumerate().map(entry).collect();
     let conductor = start(Parts {
         excluded: Vec::new(),
+        learned: None,
         figures: Figures::new().unwrap(),
         settings,
         seed: 7,
--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -210,6 +210,7 @@
     let entries = vec![entry("r1", 0), entry("r2", 0), entry("w1", 1), entry("w2", 1)];
     start(Parts {
         excluded: Vec::new(),
+        learned: None,
         figures: Figures::new().unwrap(),
         settings: settings(),
         seed: 7,
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use frosttrail::Id;
-use frosttrail_core::{start, Clock, Conductor, Figures, Parts};
+use frosttrail_core::{start, Clock, Conductor, Figures, Learned, Parts};
 use frosttrail_daemon::config::{self, ChatConfig, Config, XdsConfig};
 use frosttrail_daemon::discovery::{Backoff, Discovery, DiscoveryConfig, Xds};
 use frosttrail_daemon::ending::Ending;
@@ -17,10 +17,11 @@
 use frosttrail_daemon::front::{Doors, Patience};
 use frosttrail_daemon::ops::{ConductorOperations, ExclusionStore, OpsServer};
 use frosttrail_daemon::reload::Reload;
+use frosttrail_daemon::snapshot_file::SnapshotFile;
 use frosttrail_daemon::state_dir;
 use frosttrail_daemon::upstream::{Book, Limits, Upstream};
 use frosttrail_membership::service::{self, Membership};
-use slog::{info, Logger};
+use slog::{info, warn, Logger};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
@@ -42,6 +43,10 @@
 /// Descriptors for all that is neither a client nor a box: log, timers, discovery, listeners.
 const SPARE_SOCKETS: usize = 48;
 
+/// What was learned is written this often.
+const SNAPSHOT_EVERY: Duration = Duration::from_millis(500);
+/// What another process was told of exclusions is read this often, well within the rule on drains.
+const EXCLUSIONS_EVERY: Duration = Duration::from_millis(100);
 /// Requests are counted this often, for this instance's share of the traffic.
 const COUNT: Duration = Duration::from_millis(500);
 /// For a goodbye to those that share the boxes.
@@ -103,7 +108,8 @@
     let (discovery, members) = watch::channel(config.discovery_config());
     let excluded = ops.as_ref().map(|ops| ops.excluded.clone()).unwrap_or_default();
     let figures = Figures::new().map_err(std::io::Error::other)?;
-    let kept = Kept { excluded, figures: figures.clone() };
+    let learned = ops.as_ref().and_then(|ops| ops.learned.clone());
+    let kept = Kept { excluded, learned, figures: figures.clone() };
     let (conductor, upstream) = conductor(config.clone(), members, xds, each, kept, &log);
     let reload = Reload {
         config,
@@ -126,12 +132,21 @@
         None => None,
     };
     let ending = Arc::new(AtomicBool::new(false));
+    let mut handover = None;
     if let Some(ops) = ops {
+        let (store, snapshot) = (ops.store.clone(), ops.snapshot.clone());
+        let (conductor_too, log_too) = (conductor.clone(), log.clone());
+        handover = Some((
+            AbortOnDropHandle::new(tokio::spawn(keep_snapshot(conductor.clone(), snapshot, log.clone()))),
+            AbortOnDropHandle::new(tokio::spawn(follow_exclusions(conductor_too, store, log_too))),
+        ));
         let operations = ConductorOperations::new(conductor.clone(), ops.store, figures, ending.clone());
         ops.server.start(Arc::new(operations), log.clone())?;
     }
     signals.terminate.recv().await;
     ending.store(true, Ordering::Relaxed);
+    // The process that takes over writes from now on; what is excluded still binds this one.
+    let _follows = handover.map(|(_keeps, follows)| follows);
     let Ending { notice, answer_all, last } = Ending::new(&conductor.settings());
     info!(log, "SIGTERM: closing"; "within" => ?last);
     doors.leave();
@@ -164,6 +179,7 @@
 /// What outlives the conductor itself: exclusions from before, and the figures.
 struct Kept {
     excluded: Vec<Id>,
+    learned: Option<(Learned, Duration)>,
     figures: Figures,
 }
 
@@ -172,14 +188,60 @@
     server: OpsServer,
     store: ExclusionStore,
     excluded: Vec<Id>,
+    snapshot: SnapshotFile,
+    learned: Option<(Learned, Duration)>,
 }
 
 impl Ops {
     fn open(address: SocketAddr, config: &Config, log: &Logger) -> Result<Self, Fault> {
         let server = OpsServer::bind(address).map_err(|e| Fault::Bind(address, e))?;
-        let store = ExclusionStore::open(&state_dir::open(&config.name, config.listen)?)?;
+        let folder = state_dir::open(&config.name, config.listen)?;
+        let (store, snapshot) = (ExclusionStore::open(&folder)?, SnapshotFile::in_folder(&folder));
         let excluded = store.load(log)?;
-        Ok(Ops { server, store, excluded })
+        let learned = snapshot.read().unwrap_or_else(|e| {
+            warn!(log, "what the process before has learned is passed over"; "why" => %e);
+            None
+        });
+        Ok(Ops { server, store, excluded, snapshot, learned })
+    }
+}
+
+/// Writes what was learned again and again, for the process that takes over.
+async fn keep_snapshot(conductor: Conductor<Upstream>, file: SnapshotFile, log: Logger) {
+    let mut failed = false;
+    loop {
+        sleep(SNAPSHOT_EVERY).await;
+        let Some(learned) = conductor.learned().await else { return };
+        let file = file.clone();
+        let written = tokio::task::spawn_blocking(move || file.write(&learned)).await;
+        let Ok(written) = written else { return };
+        if let Err(e) = &written {
+            // One line for each outage.
+            if !failed {
+                warn!(log, "what was learned could not be written"; "why" => %e);
+            }
+        }
+        failed = written.is_err();
+    }
+}
+
+/// Takes over what another process of the same conductor was told of exclusions.
+async fn follow_exclusions(conductor: Conductor<Upstream>, store: ExclusionStore, log: Logger) {
+    let mut seen = None;
+    loop {
+        sleep(EXCLUSIONS_EVERY).await;
+        let changed = store.changed();
+        if changed.is_some() && changed == seen {
+            continue;
+        }
+        match store.load(&log) {
+            Ok(excluded) => {
+                conductor.replace_excluded(excluded.into_iter().collect());
+                // What changes twice within the file system's smallest step looks like one change.
+                seen = changed.filter(|at| at.elapsed().is_ok_and(|age| age > EXCLUSIONS_EVERY));
+            }
+            Err(e) => warn!(log, "exclusions could not be read again"; "why" => %e),
+        }
     }
 }
 
@@ -218,7 +280,7 @@
     discovery: watch::Receiver<DiscoveryConfig>,
     xds: Option<XdsConfig>,
     connections: usize,
-    Kept { excluded, figures }: Kept,
+    Kept { excluded, learned, figures }: Kept,
     log: &Logger,
 ) -> (Conductor<Upstream>, Arc<Upstream>) {
     let clock = Clock::new();
@@ -236,12 +298,12 @@
     let conductor = match xds {
         Some(xds) => {
             let members = Xds::new(xds, name, names, clock, book, log.clone());
-            start(Parts { settings, seed, clock, boxes, members, excluded, figures, log })
+            start(Parts { settings, seed, clock, boxes, members, excluded, figures, learned, log })
         }
         None => {
             let backoff = Backoff::new(settings.balancers, seed);
             let members = Discovery::new(discovery, known, backoff, names, clock, book, log.clone());
-            start(Parts { settings, seed, clock, boxes, members, excluded, figures, log })
+            start(Parts { settings, seed, clock, boxes, members, excluded, figures, learned, log })
         }
     };
     (conductor, upstream)
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod front;
 pub mod ops;
 pub mod reload;
+pub mod snapshot_file;
 pub mod state_dir;
 pub mod upstream;
--- a/daemon/src/ops/conductor.rs
+++ b/daemon/src/ops/conductor.rs
@@ -51,7 +51,8 @@
 
     fn include(&self, id: &Id) -> Result<(), CallError> {
         self.conductor.check_known(id)?;
-        self.store.remove(id)?;
-        Ok(self.conductor.include(id)?)
+        // In this order: what is in neither place would be no instance that anybody knows.
+        self.conductor.include(id)?;
+        Ok(self.store.remove(id)?)
     }
 }
--- a/daemon/src/ops/exclusion_store.rs
+++ b/daemon/src/ops/exclusion_store.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::io::{Error, ErrorKind, Result};
 use std::path::{Path, PathBuf};
+use std::time::SystemTime;
 
 use frosttrail::Id;
 use slog::{warn, Logger};
@@ -46,6 +47,11 @@
         Ok(excluded)
     }
 
+    /// When the folder last changed, where the file system says so.
+    pub fn changed(&self) -> Option<SystemTime> {
+        fs::metadata(&self.folder).and_then(|folder| folder.modified()).ok()
+    }
+
     /// Keeps an exclusion; it is whole once this has returned.
     pub fn insert(&self, id: &Id) -> Result<()> {
         let path = self.path(id);
--- /dev/null
+++ b/daemon/src/snapshot_file.rs
@@ -0,0 +1,88 @@
+//! What a process has learned, in a file for the process that takes its place.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use frosttrail_core::Learned;
+
+/// The first word of the file, and the version of what follows.
+const MAGIC: &str = "frosttrail-snapshot-1";
+/// No file is larger.
+const BYTES_MAX: usize = 4 << 20;
+/// What is older tells of another time.
+const AGE_MAX: Duration = Duration::from_secs(10);
+
+/// Why a snapshot is not used, or not written.
+#[derive(Debug, thiserror::Error)]
+pub enum SnapshotError {
+    /// It can't be read or written.
+    #[error("{0}; check that $TMPDIR has room and belongs to this user")]
+    Io(#[from] std::io::Error),
+    /// It is not a snapshot, or one of another version.
+    #[error("not a snapshot of this version; it will be replaced")]
+    Foreign,
+    /// It is not what was written.
+    #[error("damaged; it will be replaced")]
+    Damaged,
+    /// It was written too long ago.
+    #[error("written {0:?} ago, by a process that is no more; it will be replaced")]
+    Old(Duration),
+    /// It has more bytes than are kept.
+    #[error("larger than {BYTES_MAX} bytes")]
+    TooLarge,
+}
+
+/// The file of one conductor.
+#[derive(Clone, Debug)]
+pub struct SnapshotFile(PathBuf);
+
+fn unix_time() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
+impl SnapshotFile {
+    /// The file in a conductor's folder.
+    pub fn in_folder(folder: &Path) -> Self {
+        SnapshotFile(folder.join("snapshot"))
+    }
+
+    /// Replaces the file at once.
+    pub fn write(&self, learned: &Learned) -> Result<(), SnapshotError> {
+        let body = serde_json::to_string(learned).map_err(|_| SnapshotError::Damaged)?;
+        if body.len() > BYTES_MAX {
+            return Err(SnapshotError::TooLarge);
+        }
+        let hash = blake3::hash(body.as_bytes()).to_hex();
+        let text = format!("{MAGIC} {hash} {}\n{body}", unix_time().as_millis());
+        let temporary = self.0.with_extension(std::process::id().to_string());
+        fs::write(&temporary, text)?;
+        Ok(fs::rename(&temporary, &self.0)?)
+    }
+
+    /// What was written last, and how long ago; `None` where nothing was.
+    pub fn read(&self) -> Result<Option<(Learned, Duration)>, SnapshotError> {
+        match fs::metadata(&self.0) {
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+            Err(e) => return Err(e.into()),
+            Ok(file) if file.len() > 2 * BYTES_MAX as u64 => return Err(SnapshotError::TooLarge),
+            Ok(_) => {}
+        }
+        let text = String::from_utf8(fs::read(&self.0)?).map_err(|_| SnapshotError::Damaged)?;
+        let (head, body) = text.split_once('\n').ok_or(SnapshotError::Foreign)?;
+        let mut words = head.split(' ');
+        if words.next() != Some(MAGIC) {
+            return Err(SnapshotError::Foreign);
+        }
+        if words.next() != Some(blake3::hash(body.as_bytes()).to_hex().as_str()) {
+            return Err(SnapshotError::Damaged);
+        }
+        let written = words.next().and_then(|ms| ms.parse().ok()).ok_or(SnapshotError::Damaged)?;
+        let age = unix_time().saturating_sub(Duration::from_millis(written));
+        if age > AGE_MAX {
+            return Err(SnapshotError::Old(age));
+        }
+        let learned = serde_json::from_str(body).map_err(|_| SnapshotError::Foreign)?;
+        Ok(Some((learned, age)))
+    }
+}
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -516,6 +516,7 @@
     let _ = news.send(News { form: ListForm::Full, entries });
     let conductor = start(Parts {
         excluded: Vec::new(),
+        learned: None,
         figures: Figures::new().unwrap(),
         settings: settings.clone(),
         seed: 7,
@@ -666,14 +667,24 @@
 }
 
 impl Running {
-    pub fn start(mut command: Command) -> Self {
+    pub fn start(command: Command) -> Self {
+        let mut running = Running::spawn(command);
+        running.listens();
+        running
+    }
+
+    /// The same before it listens.
+    pub fn spawn(mut command: Command) -> Self {
         let mut child = command.spawn().unwrap();
         let log = BufReader::new(child.stderr.take().unwrap()).lines();
-        let mut running = Running { child, log, listen: ([127, 0, 0, 1], 0).into() };
-        let line = running.logs("listening, at: ");
+        Running { child, log, listen: ([127, 0, 0, 1], 0).into() }
+    }
+
+    /// Waits until it listens, and notes where.
+    pub fn listens(&mut self) {
+        let line = self.logs("listening, at: ");
         let at = line.split_once("at: ").unwrap().1.split(',').next().unwrap().trim();
-        running.listen = at.parse().unwrap();
-        running
+        self.listen = at.parse().unwrap();
     }
 
     /// Waits for a line that says this.
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeSet, HashMap};
 
 use crate::interface::*;
+use crate::scheduler::handover::Snapshot;
 use crate::scheduler::Router;
 
 /// What is to be done about a request.
@@ -130,6 +131,16 @@
         self.handle(now, Event::Settings(settings))
     }
 
+    /// What the module has learned up to now.
+    pub fn snapshot(&self, now: Micros) -> Snapshot {
+        self.router.snapshot(now)
+    }
+
+    /// Takes over what a snapshot of this age says of workers that are listed; the rest stays in it.
+    pub fn restore(&mut self, now: Micros, age: Micros, snapshot: &mut Snapshot) {
+        self.router.restore(now, age, snapshot);
+    }
+
     /// Workers that requests may go to now.
     pub fn usable(&self) -> usize {
         self.router.usable()
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -5,6 +5,7 @@
 //! a reader; the writer is picked after the read by fewest own streams. All else is a guard or departure.
 
 mod figures;
+pub mod handover;
 mod reconfigure;
 
 use std::collections::{BTreeMap, BTreeSet};
--- /dev/null
+++ b/src/scheduler/handover.rs
@@ -0,0 +1,136 @@
+//! What a router that takes another's place is given of what that one has learned. Nothing here decides.
+//!
+//! Times are spans before or after the moment of the snapshot, as each process has a clock of its own.
+
+use serde::{Deserialize, Serialize};
+
+use super::Router;
+use crate::interface::{Id, Micros};
+
+/// Sessions whose last reader is handed over: the latest ones.
+const SESSIONS_MAX: usize = 4_096;
+/// Two clocks are set to the wall clock's milliseconds: starts this close are one.
+const SAME_START: Micros = 10_000;
+
+/// What a router has learned.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    pace: [f64; 3],
+    tenants: Vec<TenantSnapshot>,
+    workers: Vec<WorkerSnapshot>,
+    sessions: Vec<SessionSnapshot>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct TenantSnapshot {
+    name: Id,
+    quota_left: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct WorkerSnapshot {
+    id: Id,
+    /// `None`: long ago.
+    started_before: Option<Micros>,
+    rate: f64,
+    rate_before: Micros,
+    fails: u32,
+    open_for: Micros,
+    full: u32,
+    rests_for: Micros,
+    cold_next_in: Micros,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct SessionSnapshot {
+    id: Id,
+    worker: Id,
+    prompt_tokens: u64,
+    before: Micros,
+}
+
+impl Snapshot {
+    /// Whether all of it has been taken over.
+    pub fn is_empty(&self) -> bool {
+        self.workers.is_empty()
+    }
+}
+
+impl Router {
+    /// What it has learned up to now.
+    pub fn snapshot(&self, now: Micros) -> Snapshot {
+        let listed = self.workers.iter().filter(|worker| !worker.id.is_empty());
+        let workers = listed.map(|worker| WorkerSnapshot {
+            id: worker.id.clone(),
+            started_before: (worker.started > 0).then(|| now.saturating_sub(worker.started)),
+            rate: worker.rate,
+            rate_before: now.saturating_sub(worker.rate_at),
+            fails: worker.fails,
+            open_for: worker.open_until.saturating_sub(now),
+            full: worker.full,
+            rests_for: worker.rest.saturating_sub(now),
+            cold_next_in: worker.cold_next.saturating_sub(now),
+        });
+        let tenants = self.settings.tenants.iter().zip(&self.quotas);
+        let tenants = tenants.map(|(t, quota)| TenantSnapshot { name: t.name.clone(), quota_left: quota.0 });
+        let mut sessions: Vec<_> = self.kept.iter().collect();
+        sessions.sort_by_key(|(_, kept)| std::cmp::Reverse(kept.2));
+        let sessions = sessions.into_iter().take(SESSIONS_MAX).map(|(id, kept)| SessionSnapshot {
+            id: id.clone(),
+            worker: self.workers[kept.0].id.clone(),
+            prompt_tokens: kept.1,
+            before: now.saturating_sub(kept.2),
+        });
+        Snapshot {
+            pace: self.pace,
+            tenants: tenants.collect(),
+            workers: workers.collect(),
+            sessions: sessions.collect(),
+        }
+    }
+
+    /// Takes over what a snapshot of this age says of workers that are listed, and leaves the rest in it for
+    /// when they are.
+    pub fn restore(&mut self, now: Micros, age: Micros, snapshot: &mut Snapshot) {
+        if snapshot.pace.iter().all(|pace| *pace > 0.0 && pace.is_finite()) {
+            self.pace = std::mem::take(&mut snapshot.pace);
+        }
+        for tenant in snapshot.tenants.drain(..) {
+            if let Some(i) = self.settings.tenant(&tenant.name) {
+                self.quotas[i] = (tenant.quota_left, now.saturating_sub(age));
+            }
+        }
+        let (known, unknown) = std::mem::take(&mut snapshot.workers)
+            .into_iter()
+            .partition::<Vec<_>, _>(|worker| self.index.contains_key(&worker.id));
+        snapshot.workers = unknown;
+        for worker in known {
+            self.restore_worker(now, age, &worker);
+        }
+        let (known, unknown) = std::mem::take(&mut snapshot.sessions)
+            .into_iter()
+            .partition::<Vec<_>, _>(|session| self.index.contains_key(&session.worker));
+        snapshot.sessions = unknown;
+        for session in known {
+            let at = now.saturating_sub(age + session.before);
+            let kept = (self.index[&session.worker], session.prompt_tokens, at);
+            self.kept.entry(session.id).or_insert(kept);
+        }
+    }
+
+    fn restore_worker(&mut self, now: Micros, age: Micros, of: &WorkerSnapshot) {
+        let worker = &mut self.workers[self.index[&of.id]];
+        let started = of.started_before.map_or(0, |before| now.saturating_sub(age + before));
+        if worker.started > started + SAME_START {
+            // It has restarted since: nothing of this is true any more.
+            return;
+        }
+        let left = |span: Micros| now + span.saturating_sub(age);
+        worker.started = worker.started.max(started);
+        worker.rate = of.rate;
+        worker.rate_at = now.saturating_sub(age + of.rate_before);
+        (worker.fails, worker.open_until) = (of.fails, left(of.open_for));
+        (worker.full, worker.rest) = (of.full, left(of.rests_for));
+        worker.cold_next = left(of.cold_next_in);
+    }
+}
