Pass the listeners on to the next process, and stop accepting at SIGTERM if it lives

Cause: connections were reset as the old listener closed, or accepted right before the close and ended unread. Change: daemon/src/listener_handover.rs (descriptors over a Unix socket in the conductor's folder, rustix); at SIGTERM the old process accepts nothing more where its successor lives.

--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -371,8 +371,8 @@
         let verdicts = match message {
             Message::Pick(query, ticket, verdicts) => {
                 let id = query.id.clone();
-                debug!(self.log, "request"; "id" => %id, "class" => %query.class.name, "budget" => query.budget,
-                    "tokens" => query.prompt_tokens, "again" => query.resent);
+                debug!(self.log, "request"; "id" => %id, "class" => %query.class.name,
+                    "budget" => query.budget, "tokens" => query.prompt_tokens, "again" => query.resent);
                 let Some(picked) = self.facade.pick(now, query) else { return };
                 self.seats
                     .insert(id, Seat { ticket, verdicts, sent_to: Vec::new(), release: None, last: None });
--- a/daemon/src/command/mod.rs
+++ b/daemon/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The program's commands.
 
+mod operations;
 pub mod serve;
 pub mod transfer;
 
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -1,32 +1,29 @@
 //! The conductor: reads its configuration, opens its doors, rereads the configuration on SIGHUP, and on
 //! SIGTERM closes its doors in good order.
 
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
-use frosttrail::Id;
-use frosttrail_core::{start, Clock, Conductor, Figures, Learned, Parts};
+use frosttrail_core::{start, Clock, Conductor, Figures, Parts};
 use frosttrail_daemon::config::{self, ChatConfig, Config, XdsConfig};
 use frosttrail_daemon::discovery::{Backoff, Discovery, DiscoveryConfig, Xds};
 use frosttrail_daemon::ending::Ending;
 use frosttrail_daemon::front::chat::Chat;
 use frosttrail_daemon::front::platform::Platform;
 use frosttrail_daemon::front::{Doors, Patience};
-use frosttrail_daemon::ops::{ConductorOperations, ExclusionStore, OpsServer};
+use frosttrail_daemon::listener_handover::Bequest;
 use frosttrail_daemon::reload::Reload;
-use frosttrail_daemon::snapshot_file::SnapshotFile;
-use frosttrail_daemon::state_dir;
 use frosttrail_daemon::upstream::{Book, Limits, Upstream};
 use frosttrail_membership::service::{self, Membership};
-use slog::{info, warn, Logger};
+use slog::{info, Logger};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
+use super::operations::{Kept, Listeners, Ops, OpsService};
 use super::{incarnation, logger, runtime, Fault};
 
 /// How long clients may take: a request is small and comes from near, idle connections cost memory and
@@ -43,10 +40,6 @@
 /// Descriptors for all that is neither a client nor a box: log, timers, discovery, listeners.
 const SPARE_SOCKETS: usize = 48;
 
-/// What was learned is written this often.
-const SNAPSHOT_EVERY: Duration = Duration::from_millis(500);
-/// What another process was told of exclusions is read this often, well within the rule on drains.
-const EXCLUSIONS_EVERY: Duration = Duration::from_millis(100);
 /// Requests are counted this often, for this instance's share of the traffic.
 const COUNT: Duration = Duration::from_millis(500);
 /// For a goodbye to those that share the boxes.
@@ -101,16 +94,14 @@
     log: Logger,
 ) -> Result<(), Fault> {
     let each = (config.sockets - SPARE_SOCKETS) / 2;
-    let ops = config.ops.map(|address| Ops::open(address, &config, &log)).transpose()?;
+    let mut ops = config.ops.map(|address| Ops::open(address, &config, &log)).transpose()?;
     let doors = Doors::new(each, PATIENCE, log.clone());
     let doors = if ops.is_some() { doors.sharing_address() } else { doors };
     let listen = config.listen;
     let (discovery, members) = watch::channel(config.discovery_config());
-    let excluded = ops.as_ref().map(|ops| ops.excluded.clone()).unwrap_or_default();
     let figures = Figures::new().map_err(std::io::Error::other)?;
-    let learned = ops.as_ref().and_then(|ops| ops.learned.clone());
-    let kept = Kept { excluded, learned, figures: figures.clone() };
-    let (conductor, upstream) = conductor(config.clone(), members, xds, each, kept, &log);
+    let kept = ops.as_mut().map(Ops::kept).unwrap_or_default();
+    let (conductor, upstream) = conductor(config.clone(), members, xds, each, kept, &figures, &log);
     let reload = Reload {
         config,
         conductor: conductor.clone(),
@@ -121,37 +112,39 @@
     };
     // It goes on beside an end that is planned: until then, drains are still learned of.
     let _reloads = AbortOnDropHandle::new(tokio::spawn(reload.run(signals.hangup)));
-    let bind = |address| move |e| Fault::Bind(address, e);
-    doors.open(listen, Platform::new(conductor.clone())).map_err(bind(listen))?;
+    let mut listeners = Listeners::new(&doors, ops.as_mut().and_then(Ops::inherited));
+    doors.serve_on(listeners.bind(listen)?, Platform::new(conductor.clone()))?;
     if let Some(chat) = chat {
-        let listen = chat.listen;
-        doors.open(listen, Chat::new(conductor.clone(), chat)).map_err(bind(listen))?;
+        doors.serve_on(listeners.bind(chat.listen)?, Chat::new(conductor.clone(), chat))?;
     }
     let membership = match membership {
         Some(config) => Some(join(config, &conductor, &log).await?),
         None => None,
     };
     let ending = Arc::new(AtomicBool::new(false));
-    let mut handover = None;
-    if let Some(ops) = ops {
-        let (store, snapshot) = (ops.store.clone(), ops.snapshot.clone());
-        let (conductor_too, log_too) = (conductor.clone(), log.clone());
-        handover = Some((
-            AbortOnDropHandle::new(tokio::spawn(keep_snapshot(conductor.clone(), snapshot, log.clone()))),
-            AbortOnDropHandle::new(tokio::spawn(follow_exclusions(conductor_too, store, log_too))),
-        ));
-        let operations = ConductorOperations::new(conductor.clone(), ops.store, figures, ending.clone());
-        ops.server.start(Arc::new(operations), log.clone())?;
-    }
+    let mut service = match ops {
+        Some(ops) => Some(ops.start(&conductor, figures, listeners, ending.clone(), &log)?),
+        None => {
+            // A descriptor that stays open would keep the queue of a listener that has closed.
+            drop(listeners);
+            None
+        }
+    };
     signals.terminate.recv().await;
     ending.store(true, Ordering::Relaxed);
-    // The process that takes over writes from now on; what is excluded still binds this one.
-    let _follows = handover.map(|(_keeps, follows)| follows);
+    let bequest = service.as_mut().and_then(OpsService::end);
     let Ending { notice, answer_all, last } = Ending::new(&conductor.settings());
-    info!(log, "SIGTERM: closing"; "within" => ?last);
+    let succeeded = bequest.as_ref().is_some_and(Bequest::has_successor);
+    info!(log, "SIGTERM: closing"; "within" => ?last, "another process accepts" => succeeded);
     doors.leave();
+    if succeeded {
+        doors.stop_accepting();
+    }
     let orderly = async {
         sleep(notice).await;
+        if let Some(bequest) = bequest {
+            bequest.close().await;
+        }
         doors.close().await;
         conductor.released().await;
     };
@@ -176,75 +169,6 @@
     Ok(())
 }
 
-/// What outlives the conductor itself: exclusions from before, and the figures.
-struct Kept {
-    excluded: Vec<Id>,
-    learned: Option<(Learned, Duration)>,
-    figures: Figures,
-}
-
-/// The operators' address, and what was kept of their calls.
-struct Ops {
-    server: OpsServer,
-    store: ExclusionStore,
-    excluded: Vec<Id>,
-    snapshot: SnapshotFile,
-    learned: Option<(Learned, Duration)>,
-}
-
-impl Ops {
-    fn open(address: SocketAddr, config: &Config, log: &Logger) -> Result<Self, Fault> {
-        let server = OpsServer::bind(address).map_err(|e| Fault::Bind(address, e))?;
-        let folder = state_dir::open(&config.name, config.listen)?;
-        let (store, snapshot) = (ExclusionStore::open(&folder)?, SnapshotFile::in_folder(&folder));
-        let excluded = store.load(log)?;
-        let learned = snapshot.read().unwrap_or_else(|e| {
-            warn!(log, "what the process before has learned is passed over"; "why" => %e);
-            None
-        });
-        Ok(Ops { server, store, excluded, snapshot, learned })
-    }
-}
-
-/// Writes what was learned again and again, for the process that takes over.
-async fn keep_snapshot(conductor: Conductor<Upstream>, file: SnapshotFile, log: Logger) {
-    let mut failed = false;
-    loop {
-        sleep(SNAPSHOT_EVERY).await;
-        let Some(learned) = conductor.learned().await else { return };
-        let file = file.clone();
-        let written = tokio::task::spawn_blocking(move || file.write(&learned)).await;
-        let Ok(written) = written else { return };
-        if let Err(e) = &written {
-            // One line for each outage.
-            if !failed {
-                warn!(log, "what was learned could not be written"; "why" => %e);
-            }
-        }
-        failed = written.is_err();
-    }
-}
-
-/// Takes over what another process of the same conductor was told of exclusions.
-async fn follow_exclusions(conductor: Conductor<Upstream>, store: ExclusionStore, log: Logger) {
-    let mut seen = None;
-    loop {
-        sleep(EXCLUSIONS_EVERY).await;
-        let changed = store.changed();
-        if changed.is_some() && changed == seen {
-            continue;
-        }
-        match store.load(&log) {
-            Ok(excluded) => {
-                conductor.replace_excluded(excluded.into_iter().collect());
-                // What changes twice within the file system's smallest step looks like one change.
-                seen = changed.filter(|at| at.elapsed().is_ok_and(|age| age > EXCLUSIONS_EVERY));
-            }
-            Err(e) => warn!(log, "exclusions could not be read again"; "why" => %e),
-        }
-    }
-}
-
 /// Takes part among those that share the boxes, and tells the decisions what part is theirs.
 async fn join(
     config: service::Config,
@@ -280,7 +204,8 @@
     discovery: watch::Receiver<DiscoveryConfig>,
     xds: Option<XdsConfig>,
     connections: usize,
-    Kept { excluded, learned, figures }: Kept,
+    Kept { excluded, learned }: Kept,
+    figures: &Figures,
     log: &Logger,
 ) -> (Conductor<Upstream>, Arc<Upstream>) {
     let clock = Clock::new();
@@ -294,7 +219,7 @@
     };
     let boxes = Arc::new(Upstream::new(book.clone(), limits, figures.sends.clone()));
     let Config { name, known, names, settings, seed, .. } = config;
-    let (log, upstream) = (log.clone(), boxes.clone());
+    let (log, upstream, figures) = (log.clone(), boxes.clone(), figures.clone());
     let conductor = match xds {
         Some(xds) => {
             let members = Xds::new(xds, name, names, clock, book, log.clone());
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -69,6 +69,8 @@
     share_address: bool,
     /// An end is planned: clients are told with each answer to come back on another connection.
     leaving: CancellationToken,
+    /// Another process accepts what waits in the queue.
+    passed_on: CancellationToken,
     /// Nothing more is accepted, and each connection ends once it has no request.
     closing: CancellationToken,
     accepting: TaskTracker,
@@ -84,6 +86,7 @@
             patience,
             share_address: false,
             leaving: CancellationToken::new(),
+            passed_on: CancellationToken::new(),
             closing: CancellationToken::new(),
             accepting: TaskTracker::new(),
             connections: TaskTracker::new(),
@@ -98,14 +101,29 @@
 
     /// Listens, and serves what comes; the address is the one bound.
     pub fn open<S: Service>(&self, address: SocketAddr, service: S) -> std::io::Result<SocketAddr> {
+        self.serve_on(self.bind(address)?, service)
+    }
+
+    /// Listens at an address and accepts nothing yet.
+    pub fn bind(&self, address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
         let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         // A conductor that is started anew takes its address over from connections that linger.
         socket.set_reuseaddr(true)?;
         // The process that takes over listens while this one still serves.
         socket.set_reuseport(self.share_address)?;
         socket.bind(address)?;
-        let listener = socket.listen(BACKLOG)?;
+        socket.listen(BACKLOG)?.into_std()
+    }
+
+    /// Serves what comes to a listener; the address is its own.
+    pub fn serve_on<S: Service>(
+        &self,
+        listener: std::net::TcpListener,
+        service: S,
+    ) -> std::io::Result<SocketAddr> {
+        listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
+        let listener = TcpListener::from_std(listener)?;
         info!(self.log, "listening"; "at" => %address);
         self.accepting.spawn(self.clone().accept(listener, Arc::new(service)));
         Ok(address)
@@ -116,6 +134,11 @@
         self.leaving.cancel();
     }
 
+    /// Accepts nothing more: another process does, from the same queue.
+    pub fn stop_accepting(&self) {
+        self.passed_on.cancel();
+    }
+
     /// Accepts nothing more; resolves once every request that has been taken is answered.
     pub async fn close(&self) {
         self.closing.cancel();
@@ -134,6 +157,7 @@
         loop {
             let accepted = tokio::select! {
                 biased;
+                () = self.passed_on.cancelled() => return,
                 accepted = listener.accept() => accepted,
                 // Only once none is left with the kernel: what is written to those counts as taken.
                 () = self.closing.cancelled() => return,
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod discovery;
 pub mod ending;
 pub mod front;
+pub mod listener_handover;
 pub mod ops;
 pub mod reload;
 pub mod snapshot_file;
--- a/daemon/tests/upgrade.rs
+++ b/daemon/tests/upgrade.rs
@@ -1,5 +1,5 @@
-//! An upgrade in service: two real processes on one client address and one folder, and signals, calls and kills
-//! in between.
+//! An upgrade in service: two real processes on one client address and one folder, and signals, calls and
+//! kills in between.
 
 mod support;
 
