Count the open work of both processes of an upgrade as one conductor's

Change: each process writes its open work by server every 0.1 s and counts the others' (src/scheduler/handover.rs, open_work_files.rs); the decisions' caps hold for both together, with no new rule.

--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use frosttrail::{
-    Facade, Id, ListForm, Load, Micros, Outcome, Query, Report, Settings, Snapshot, Verdict, Verdicts,
+    Facade, Id, ListForm, Load, Micros, OpenWork, Outcome, Query, Report, Settings, Snapshot, Verdict,
+    Verdicts,
 };
 use serde::{Deserialize, Serialize};
 use slog::{debug, info, Logger};
@@ -64,6 +65,8 @@
     Share(f64),
     Settings(Arc<Settings>),
     Snapshot(oneshot::Sender<Snapshot>),
+    OpenWork(oneshot::Sender<OpenWork>),
+    ForeignWork(OpenWork),
     /// An instance was taken out of use or put back.
     ExclusionChanged(Id),
     /// Dropped once all that was told before has been seen to.
@@ -214,6 +217,18 @@
         Some(Learned { decisions, included })
     }
 
+    /// What is open at instances; `None` once it has ended.
+    pub async fn open_work(&self) -> Option<OpenWork> {
+        let (to, work) = oneshot::channel();
+        let _ = self.tell.send(Message::OpenWork(to));
+        work.await.ok()
+    }
+
+    /// What other processes of the same conductor have open at instances counts as its own.
+    pub fn set_foreign_work(&self, work: OpenWork) {
+        let _ = self.tell.send(Message::ForeignWork(work));
+    }
+
     /// Makes these the excluded instances, as another process of the same conductor was told.
     pub fn replace_excluded(&self, excluded: BTreeSet<Id>) {
         let changed = lock(&self.exclusions).replace(self.clock.now(), excluded);
@@ -409,6 +424,14 @@
             Message::News(news) => self.news(news),
             Message::Close => self.facade.close(now),
             Message::Share(part) => self.facade.share(now, part),
+            Message::OpenWork(to) => {
+                let _ = to.send(self.facade.open_work());
+                return;
+            }
+            Message::ForeignWork(work) => {
+                self.facade.set_foreign_work(work);
+                return;
+            }
             Message::Snapshot(to) => {
                 let _ = to.send(self.facade.snapshot(now));
                 return;
--- a/daemon/src/command/operations.rs
+++ b/daemon/src/command/operations.rs
@@ -7,11 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use frosttrail::Id;
+use frosttrail::{Id, OpenWork};
 use frosttrail_core::{Conductor, Figures, Learned};
 use frosttrail_daemon::config::Config;
 use frosttrail_daemon::front::Doors;
 use frosttrail_daemon::listener_handover::{Bequest, Inherited};
+use frosttrail_daemon::open_work_files::OpenWorkFiles;
 use frosttrail_daemon::ops::{ConductorOperations, ExclusionStore, OpsServer};
 use frosttrail_daemon::snapshot_file::SnapshotFile;
 use frosttrail_daemon::state_dir;
@@ -24,6 +25,8 @@
 
 /// What was learned is written this often.
 const SNAPSHOT_EVERY: Duration = Duration::from_millis(500);
+/// What is open at instances is told to other processes this often.
+const OPEN_WORK_EVERY: Duration = Duration::from_millis(100);
 /// What another process was told of exclusions is read this often, well within the rule on drains.
 const EXCLUSIONS_EVERY: Duration = Duration::from_millis(100);
 
@@ -88,6 +91,8 @@
                     "folder" => %folder.display(), "why" => %e);
             })
             .ok();
+        let files = OpenWorkFiles::open(&folder)?;
+        let shares = tokio::spawn(share_open_work(conductor.clone(), files.clone(), log.clone()));
         let keeps = tokio::spawn(keep_snapshot(conductor.clone(), snapshot, log.clone()));
         let follows = tokio::spawn(follow_exclusions(conductor.clone(), store.clone(), log.clone()));
         let operations = ConductorOperations::new(conductor.clone(), store, figures, ending);
@@ -96,6 +101,8 @@
             bequest,
             keeps: Some(AbortOnDropHandle::new(keeps)),
             _follows: AbortOnDropHandle::new(follows),
+            _shares: AbortOnDropHandle::new(shares),
+            open_work: files,
             _inherited: listeners.inherited,
         })
     }
@@ -132,6 +139,8 @@
     bequest: Option<Bequest>,
     keeps: Option<AbortOnDropHandle<()>>,
     _follows: AbortOnDropHandle<()>,
+    _shares: AbortOnDropHandle<()>,
+    open_work: OpenWorkFiles,
     /// For the process before, to which it says that this one lives.
     _inherited: Option<Inherited>,
 }
@@ -164,6 +173,39 @@
     }
 }
 
+impl Drop for OpsService {
+    fn drop(&mut self) {
+        self.open_work.remove();
+    }
+}
+
+/// Tells the other processes of the same conductor what this one has open, and counts what they have.
+async fn share_open_work(conductor: Conductor<Upstream>, files: OpenWorkFiles, log: Logger) {
+    let (mut counted, mut failed) = (OpenWork::default(), false);
+    loop {
+        sleep(OPEN_WORK_EVERY).await;
+        let Some(own) = conductor.open_work().await else { return };
+        let files = files.clone();
+        let Ok(others) = tokio::task::spawn_blocking(move || files.exchange(&own)).await else { return };
+        match others {
+            Ok(others) => {
+                if others != counted {
+                    conductor.set_foreign_work(others.clone());
+                    counted = others;
+                }
+                failed = false;
+            }
+            Err(e) => {
+                // One line for each outage.
+                if !failed {
+                    warn!(log, "open work can't be told to other processes"; "why" => %e);
+                }
+                failed = true;
+            }
+        }
+    }
+}
+
 /// Takes over what another process of the same conductor was told of exclusions.
 async fn follow_exclusions(conductor: Conductor<Upstream>, store: ExclusionStore, log: Logger) {
     let mut seen = None;
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod ending;
 pub mod front;
 pub mod listener_handover;
+pub mod open_work_files;
 pub mod ops;
 pub mod reload;
 pub mod snapshot_file;
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeSet, HashMap};
 
 use crate::interface::*;
-use crate::scheduler::handover::Snapshot;
+use crate::scheduler::handover::{OpenWork, Snapshot};
 use crate::scheduler::Router;
 
 /// What is to be done about a request.
@@ -136,6 +136,16 @@
         self.router.snapshot(now)
     }
 
+    /// What is open at workers.
+    pub fn open_work(&self) -> OpenWork {
+        self.router.open_work()
+    }
+
+    /// What other processes of the same conductor have open counts as its own.
+    pub fn set_foreign_work(&mut self, foreign: OpenWork) {
+        self.router.set_foreign_work(foreign);
+    }
+
     /// Takes over what a snapshot of this age says of workers that are listed; the rest stays in it.
     pub fn restore(&mut self, now: Micros, age: Micros, snapshot: &mut Snapshot) {
         self.router.restore(now, age, snapshot);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,5 +53,5 @@
 
 pub use facade::{Facade, Report, Verdict, Verdicts};
 pub use interface::*;
-pub use scheduler::handover::Snapshot;
+pub use scheduler::handover::{OpenWork, Snapshot};
 pub use scheduler::Router;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -212,6 +212,7 @@
     watch_at: Option<Micros>,
     /// As many routers like this one would share all there is: one part's inverse.
     routers: f64,
+    foreign: handover::OpenWork,
 }
 
 impl Router {
--- a/src/scheduler/handover.rs
+++ b/src/scheduler/handover.rs
@@ -2,6 +2,8 @@
 //!
 //! Times are spans before or after the moment of the snapshot, as each process has a clock of its own.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use super::Router;
@@ -134,3 +136,64 @@
         worker.cold_next = left(of.cold_next_in);
     }
 }
+
+/// What is open at servers, by server.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct OpenWork(BTreeMap<Id, ServerWork>);
+
+/// What is open at one server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct ServerWork {
+    reads: u32,
+    streams: u32,
+    tokens: u64,
+}
+
+impl OpenWork {
+    /// Adds what another process has open.
+    pub fn add(&mut self, other: OpenWork) {
+        for (id, work) in other.0 {
+            let sum = self.0.entry(id).or_default();
+            sum.reads = sum.reads.saturating_add(work.reads);
+            sum.streams = sum.streams.saturating_add(work.streams);
+            sum.tokens = sum.tokens.saturating_add(work.tokens);
+        }
+    }
+}
+
+impl Router {
+    /// What this router has open at servers.
+    pub fn open_work(&self) -> OpenWork {
+        let own = self.workers.iter().filter_map(|worker| {
+            let foreign = self.foreign.0.get(&worker.id).copied().unwrap_or_default();
+            let work = ServerWork {
+                reads: worker.reads.saturating_sub(foreign.reads),
+                streams: worker.streams.saturating_sub(foreign.streams),
+                tokens: worker.tokens.saturating_sub(foreign.tokens),
+            };
+            (work != ServerWork::default()).then(|| (worker.id.clone(), work))
+        });
+        OpenWork(own.collect())
+    }
+
+    /// What other processes of the same conductor have open counts as this router's own, in place of what they
+    /// had before.
+    pub fn set_foreign_work(&mut self, foreign: OpenWork) {
+        let before = std::mem::replace(&mut self.foreign, foreign);
+        for (id, work) in &before.0 {
+            let Some(&w) = self.index.get(id) else { continue };
+            let worker = &mut self.workers[w];
+            worker.reads = worker.reads.saturating_sub(work.reads);
+            worker.streams = worker.streams.saturating_sub(work.streams);
+            worker.tokens = worker.tokens.saturating_sub(work.tokens);
+        }
+        // What is not listed here is not counted, so that it is not taken off again either.
+        self.foreign.0.retain(|id, _| self.index.contains_key(id));
+        for (id, work) in &self.foreign.0 {
+            let worker = &mut self.workers[self.index[id]];
+            worker.reads = worker.reads.saturating_add(work.reads);
+            worker.streams = worker.streams.saturating_add(work.streams);
+            worker.tokens = worker.tokens.saturating_add(work.tokens);
+        }
+    }
+}
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -104,3 +104,43 @@
     next.router.restore(now, 0, &mut snapshot);
     assert!(snapshot.is_empty());
 }
+
+/// Every request that a router sends to its one reader before it holds the rest.
+fn reads_at_once(b: &mut Bench, name: &str) -> usize {
+    (0..30).map(|n| sends(&b.ask(query(&format!("{name}-{n}"), 100))).len()).sum()
+}
+
+#[test]
+fn two_processes_together_have_no_more_open_than_one() {
+    let mut alone = Bench::new(Settings::example(), &FLEET);
+    let cap = reads_at_once(&mut alone, "alone");
+    let (mut old, mut new) =
+        (Bench::new(Settings::example(), &FLEET), Bench::new(Settings::example(), &FLEET));
+    for n in 0..cap - 2 {
+        old.ask(query(&format!("old-{n}"), 100));
+    }
+    new.router.set_foreign_work(old.router.open_work());
+    assert_eq!(reads_at_once(&mut new, "new"), 2);
+    // What the other has is not told to it as one's own, and is free again once it has gone.
+    old.router.set_foreign_work(new.router.open_work());
+    assert_eq!(reads_at_once(&mut old, "more"), 0);
+    new.router.set_foreign_work(OpenWork::default());
+    new.wait(20 * MS);
+    assert_eq!(new.router.open_work(), alone.router.open_work());
+}
+
+#[test]
+fn foreign_work_that_is_told_again_counts_once_and_outlives_no_server() {
+    let (mut old, mut new) =
+        (Bench::new(Settings::example(), &FLEET), Bench::new(Settings::example(), &FLEET));
+    old.ask(query("old", 100));
+    for _ in 0..3 {
+        new.router.set_foreign_work(old.router.open_work());
+    }
+    assert_eq!(new.router.open_work(), OpenWork::default());
+    new.list(ListForm::Full, Vec::new());
+    new.wait(3 * SEC);
+    new.router.set_foreign_work(OpenWork::default());
+    new.list(ListForm::Full, FLEET.iter().map(|(name, kind)| entry(name, *kind)).collect());
+    assert!(reads_at_once(&mut new, "back") > 0);
+}
