Force what waits in a dead process's queue, the bound on callers, and new settings in decisions

Change: a process is stopped with 24 requests waiting and killed; the first of many callers must make room within 1 s; advice to clients follows the new settings.

--- a/daemon/tests/ops.rs
+++ b/daemon/tests/ops.rs
@@ -48,6 +48,9 @@
         unfinished.push(stream);
         assert_eq!(call(ops, "GET", "/api/ready", "").await.0, 200);
     }
+    // The first made room for others, well before its time was over.
+    let room_made = timeout(LONGEST / 10, unfinished.remove(0).read_to_end(&mut Vec::new())).await;
+    assert!(room_made.is_ok(), "connections are not bounded");
     // Each is ended, by its time or to make room.
     for mut stream in unfinished {
         let ended = timeout(LONGEST, stream.read_to_end(&mut Vec::new())).await;
--- a/daemon/tests/reload.rs
+++ b/daemon/tests/reload.rs
@@ -58,6 +58,21 @@
     assert_eq!(decode.posts().len(), 1, "a request that must not run twice was sent again");
 }
 
+#[tokio::test]
+async fn the_decisions_go_by_the_new_settings_too() {
+    let mut deployment = Deployment::new("reload-decisions").await;
+    let (mut running, ops) = deployment.start("reload-decisions").await;
+    assert_eq!(exclude(ops, "p").await, 200);
+    until_status(running.listen, "advised", 503).await;
+    let advice = |answer: Answer| answer.header("retry-after").is_some();
+    assert!(advice(exchange(running.listen, &request("before")).await));
+    deployment.config["settings"]["limits"]["retry-after"] = json!(false);
+    deployment.rewrite("reload-decisions", &deployment.config.to_string());
+    running.signal("-HUP");
+    running.logs("configuration read");
+    assert!(!advice(exchange(running.listen, &request("after")).await));
+}
+
 /// What is wrong with a file, by name, and the file.
 fn broken_files(good: &Value) -> Vec<(String, String)> {
     let text = good.to_string();
--- a/daemon/tests/upgrade.rs
+++ b/daemon/tests/upgrade.rs
@@ -124,6 +124,22 @@
     newer.ends_well().await;
 }
 
+#[tokio::test]
+async fn what_waits_unaccepted_at_a_process_that_dies_is_accepted_by_the_next() {
+    let (deployment, _reserved) = shared("upgrade-queue").await;
+    let (old, _) = deployment.start("upgrade-queue").await;
+    let (_new, _) = deployment.start("upgrade-queue-new").await;
+    old.signal("-STOP");
+    let mut waiting = Vec::new();
+    for nth in 0..24 {
+        waiting.push(send(old.listen, &request(&format!("queue-{nth}"))).await);
+    }
+    old.signal("-KILL");
+    for stream in waiting {
+        assert_eq!(exchange_on(stream).await.status, 200);
+    }
+}
+
 #[tokio::test]
 async fn signals_between_start_and_end_change_nothing_that_is_owed() {
     let (mut deployment, _reserved) = shared("upgrade-signals").await;
