--- a/daemon/src/command/mod.rs
+++ b/daemon/src/command/mod.rs
@@ -14,7 +14,7 @@
 
 /// Why a command ends otherwise than well.
 #[derive(Debug, thiserror::Error)]
-pub enum Fault {
+pub enum ServeError {
     #[error("{0}")]
     Config(#[from] ConfigError),
     #[error("{0}: {1}")]
@@ -25,18 +25,18 @@
     Transfer(#[from] transfer::TransferError),
 }
 
-impl Fault {
+impl ServeError {
     /// 2 for whoever started it to mend, 1 for the rest.
     pub fn code(&self) -> ExitCode {
         match self {
-            Fault::Config(_) => ExitCode::from(2),
-            Fault::Bind(..) | Fault::Io(_) | Fault::Transfer(_) => ExitCode::FAILURE,
+            ServeError::Config(_) => ExitCode::from(2),
+            ServeError::Bind(..) | ServeError::Io(_) | ServeError::Transfer(_) => ExitCode::FAILURE,
         }
     }
 }
 
 /// A process's name, which no other has.
-fn incarnation() -> Result<u64, Fault> {
+fn incarnation() -> Result<u64, ServeError> {
     let drawn = rand::rngs::OsRng.try_next_u64();
     Ok(drawn.map_err(|e| std::io::Error::other(e.to_string()))?)
 }
--- a/daemon/src/command/operations.rs
+++ b/daemon/src/command/operations.rs
@@ -21,7 +21,7 @@
 use tokio::time::sleep;
 use tokio_util::task::AbortOnDropHandle;
 
-use super::Fault;
+use super::ServeError;
 
 /// What was learned is written this often.
 const SNAPSHOT_EVERY: Duration = Duration::from_millis(500);
@@ -51,8 +51,8 @@
 
 impl Ops {
     /// Binds the address and takes over what there is.
-    pub fn open(address: SocketAddr, config: &Config, log: &Logger) -> Result<Self, Fault> {
-        let server = OpsServer::bind(address).map_err(|e| Fault::Bind(address, e))?;
+    pub fn open(address: SocketAddr, config: &Config, log: &Logger) -> Result<Self, ServeError> {
+        let server = OpsServer::bind(address).map_err(|e| ServeError::Bind(address, e))?;
         let folder = state_dir::open(&config.name, config.listen)?;
         let inherited = Inherited::request(&folder, log);
         let (store, snapshot) = (ExclusionStore::open(&folder)?, SnapshotFile::in_folder(&folder));
@@ -82,7 +82,7 @@
         listeners: Listeners,
         ending: Arc<AtomicBool>,
         log: &Logger,
-    ) -> Result<OpsService, Fault> {
+    ) -> Result<OpsService, ServeError> {
         let Ops { server, folder, store, snapshot, .. } = self;
         let bequest = Bequest::offer(&folder, Arc::new(listeners.listeners), log.clone());
         let bequest = bequest
@@ -123,11 +123,11 @@
     }
 
     /// The listener of an address.
-    pub fn bind(&mut self, address: SocketAddr) -> Result<TcpListener, Fault> {
+    pub fn bind(&mut self, address: SocketAddr) -> Result<TcpListener, ServeError> {
         let passed_on = self.inherited.as_mut().and_then(|inherited| inherited.take(address));
         let listener = match passed_on {
             Some(listener) => listener,
-            None => self.doors.bind(address).map_err(|e| Fault::Bind(address, e))?,
+            None => self.doors.bind(address).map_err(|e| ServeError::Bind(address, e))?,
         };
         self.listeners.push(listener.try_clone()?);
         Ok(listener)
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -24,7 +24,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::operations::{Kept, Listeners, Ops, OpsService};
-use super::{incarnation, logger, runtime, Fault};
+use super::{incarnation, logger, runtime, ServeError};
 
 /// How long clients may take: a request is small and comes from near, idle connections cost memory and
 /// descriptors, and a client on a bad line may fall silent for some seconds while its answer streams.
@@ -60,7 +60,7 @@
 }
 
 /// Runs the conductor until SIGTERM.
-pub fn serve(options: Options) -> Result<(), Fault> {
+pub fn serve(options: Options) -> Result<(), ServeError> {
     let runtime = runtime()?;
     // Before all else: a signal that comes early must find its handler.
     let signals = {
@@ -72,11 +72,11 @@
     let xds = options.xds.map(|file| XdsConfig::read(&file)).transpose()?;
     let membership = options.membership.map(|file| config::membership(&file)).transpose()?;
     let (log, _guard) = logger(&config.name);
-    runtime.block_on(run(signals, config, Switched { chat, xds, membership }, log))
+    runtime.block_on(run(signals, config, OptionalFeatures { chat, xds, membership }, log))
 }
 
 /// The parts that files have switched on.
-struct Switched {
+struct OptionalFeatures {
     chat: Option<ChatConfig>,
     xds: Option<XdsConfig>,
     membership: Option<service::Config>,
@@ -90,9 +90,9 @@
 async fn run(
     mut signals: Signals,
     config: Config,
-    Switched { chat, xds, membership }: Switched,
+    OptionalFeatures { chat, xds, membership }: OptionalFeatures,
     log: Logger,
-) -> Result<(), Fault> {
+) -> Result<(), ServeError> {
     let each = (config.sockets - SPARE_SOCKETS) / 2;
     let mut ops = config.ops.map(|address| Ops::open(address, &config, &log)).transpose()?;
     let doors = Doors::new(each, PATIENCE, log.clone());
@@ -174,10 +174,10 @@
     config: service::Config,
     conductor: &Conductor<Upstream>,
     log: &Logger,
-) -> Result<(Membership, AbortOnDropHandle<()>), Fault> {
+) -> Result<(Membership, AbortOnDropHandle<()>), ServeError> {
     let listen = config.listen;
     let membership = Membership::start(config, incarnation()?, log.clone()).await;
-    let membership = membership.map_err(|e| Fault::Bind(listen, e))?;
+    let membership = membership.map_err(|e| ServeError::Bind(listen, e))?;
     let (mut view, traffic, conductor) = (membership.view(), membership.traffic(), conductor.clone());
     conductor.share(view.borrow_and_update().part);
     let shares = tokio::spawn(async move {
--- a/daemon/src/command/transfer.rs
+++ b/daemon/src/command/transfer.rs
@@ -15,7 +15,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::time::timeout;
 
-use super::{incarnation, logger, runtime, Fault};
+use super::{incarnation, logger, runtime, ServeError};
 
 /// What of an id stays as it is in a file's name.
 const PLAIN: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'_');
@@ -104,7 +104,7 @@
 }
 
 /// Runs one of them.
-pub fn run(command: Command) -> Result<(), Fault> {
+pub fn run(command: Command) -> Result<(), ServeError> {
     let runtime = runtime()?;
     match command {
         Command::Serve(args) => {
@@ -126,10 +126,10 @@
     config: TransferConfig,
     (mut terminate, mut hangup): (Signal, Signal),
     log: Logger,
-) -> Result<(), Fault> {
+) -> Result<(), ServeError> {
     let node = Node::new(config.node, incarnation()?, log.clone());
     let mut arrived = node.arrived();
-    let at = node.listen(config.listen).await.map_err(|e| Fault::Bind(config.listen, e))?;
+    let at = node.listen(config.listen).await.map_err(|e| ServeError::Bind(config.listen, e))?;
     info!(log, "listening"; "at" => at);
     loop {
         tokio::select! {
@@ -205,7 +205,7 @@
     written
 }
 
-async fn send(args: Send) -> Result<(), Fault> {
+async fn send(args: Send) -> Result<(), ServeError> {
     let Send { file, id, to, chunk, within } = args;
     let state = std::fs::read(&file).map_err(|e| TransferError::File(file.clone(), e))?;
     let (log, _guard) = logger("send");
@@ -223,7 +223,7 @@
     Ok(())
 }
 
-async fn fetch(args: Fetch) -> Result<(), Fault> {
+async fn fetch(args: Fetch) -> Result<(), ServeError> {
     let Fetch { id, from, out, within } = args;
     let (log, _guard) = logger("fetch");
     let node = Node::new(Config::default(), incarnation()?, log);
@@ -236,7 +236,7 @@
     Ok(())
 }
 
-async fn status(args: Status) -> Result<(), Fault> {
+async fn status(args: Status) -> Result<(), ServeError> {
     let status = ask(args.at, Duration::from_secs(2)).await.map_err(|e| TransferError::Status(args.at, e))?;
     println!("{}", serde_json::to_string_pretty(&status).map_err(std::io::Error::other)?);
     Ok(())
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -8,14 +8,14 @@
 
 use clap::error::ErrorKind;
 use clap::{Parser, Subcommand};
-use command::{serve, transfer, Fault};
+use command::{serve, transfer, ServeError};
 
 /// A conductor for two-stage language-model servers, and the tools beside it.
 ///
 /// Without a command it serves, as `frosttrail serve` does: EDGE_CONFIG names the conductor's configuration.
 #[derive(Parser, Debug)]
 #[command(name = "frosttrail", version, args_conflicts_with_subcommands = true)]
-struct Line {
+struct Cli {
     #[command(subcommand)]
     command: Option<Command>,
     #[command(flatten)]
@@ -32,7 +32,7 @@
 }
 
 fn main() -> ExitCode {
-    let line = match Line::try_parse() {
+    let line = match Cli::try_parse() {
         Ok(line) => line,
         Err(e) => return usage(&e),
     };
@@ -43,9 +43,9 @@
     };
     match run {
         Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
-            eprintln!("frosttrail: {fault}");
-            Fault::code(&fault)
+        Err(error) => {
+            eprintln!("frosttrail: {error}");
+            ServeError::code(&error)
         }
     }
 }
