--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -83,7 +83,7 @@
 }
 
 /// What is still to be taken over from the process before, and when that was said.
-struct Inherited {
+struct PendingSnapshot {
     snapshot: Snapshot,
     at: Micros,
 }
@@ -260,10 +260,10 @@
     let release = Duration::from_micros(settings.release);
     let in_force = Arc::new(watch::Sender::new(Arc::new(settings.clone())));
     let exclusions = Arc::new(Mutex::new(Exclusions::new(excluded, settings.warm_within)));
-    let inherited = learned.map(|(learned, age)| {
+    let pending_snapshot = learned.map(|(learned, age)| {
         let at = clock.now().saturating_sub(age.as_micros() as Micros);
         lock(&exclusions).set_included_before(at, learned.included);
-        Inherited { snapshot: learned.decisions, at }
+        PendingSnapshot { snapshot: learned.decisions, at }
     });
     let owner = Owner {
         facade: Facade::new(settings, seed),
@@ -277,7 +277,7 @@
         exclusions: exclusions.clone(),
         figures: figures.clone(),
         read_figures_at: 0,
-        inherited,
+        pending_snapshot,
         release,
         log,
     };
@@ -338,7 +338,7 @@
     figures: Figures,
     /// When the figures of instances are read next.
     read_figures_at: Micros,
-    inherited: Option<Inherited>,
+    pending_snapshot: Option<PendingSnapshot>,
     /// The settings' time for what is held.
     release: Duration,
     log: Logger,
@@ -457,11 +457,11 @@
 
     /// Takes over what the process before has learned of servers that are listed by now.
     fn inherit(&mut self, now: Micros) {
-        let Some(Inherited { mut snapshot, at }) = self.inherited.take() else { return };
+        let Some(PendingSnapshot { mut snapshot, at }) = self.pending_snapshot.take() else { return };
         let age = now.saturating_sub(at);
         self.facade.restore(now, age, &mut snapshot);
         if !snapshot.is_empty() && age < INHERIT_WITHIN {
-            self.inherited = Some(Inherited { snapshot, at });
+            self.pending_snapshot = Some(PendingSnapshot { snapshot, at });
         }
     }
 
--- a/daemon/src/command/operations.rs
+++ b/daemon/src/command/operations.rs
@@ -11,7 +11,7 @@
 use frosttrail_core::{Conductor, Figures, Learned};
 use frosttrail_daemon::config::Config;
 use frosttrail_daemon::front::Doors;
-use frosttrail_daemon::listener_handover::{Bequest, Inherited};
+use frosttrail_daemon::listener_handover::{InheritedListeners, ListenerHandover};
 use frosttrail_daemon::open_work_files::OpenWorkFiles;
 use frosttrail_daemon::ops::{ConductorOperations, ExclusionStore, OpsServer};
 use frosttrail_daemon::snapshot_file::SnapshotFile;
@@ -32,7 +32,7 @@
 
 /// What the process before has left for the conductor.
 #[derive(Default)]
-pub struct Kept {
+pub struct PreviousState {
     /// Instances that are excluded.
     pub excluded: Vec<Id>,
     /// What was learned, and how long ago that was written.
@@ -45,8 +45,8 @@
     folder: PathBuf,
     store: ExclusionStore,
     snapshot: SnapshotFile,
-    kept: Option<Kept>,
-    inherited: Option<Inherited>,
+    kept: Option<PreviousState>,
+    inherited: Option<InheritedListeners>,
 }
 
 impl Ops {
@@ -54,23 +54,30 @@
     pub fn open(address: SocketAddr, config: &Config, log: &Logger) -> Result<Self, ServeError> {
         let server = OpsServer::bind(address).map_err(|e| ServeError::Bind(address, e))?;
         let folder = state_dir::open(&config.name, config.listen)?;
-        let inherited = Inherited::request(&folder, log);
+        let inherited = InheritedListeners::request(&folder, log);
         let (store, snapshot) = (ExclusionStore::open(&folder)?, SnapshotFile::in_folder(&folder));
         let excluded = store.load(log)?;
         let learned = snapshot.read().unwrap_or_else(|e| {
             warn!(log, "what the process before has learned is passed over"; "why" => %e);
             None
         });
-        Ok(Ops { server, folder, store, snapshot, kept: Some(Kept { excluded, learned }), inherited })
+        Ok(Ops {
+            server,
+            folder,
+            store,
+            snapshot,
+            kept: Some(PreviousState { excluded, learned }),
+            inherited,
+        })
     }
 
     /// What is for the conductor; once.
-    pub fn kept(&mut self) -> Kept {
+    pub fn kept(&mut self) -> PreviousState {
         self.kept.take().unwrap_or_default()
     }
 
     /// The listeners that were passed on; once.
-    pub fn inherited(&mut self) -> Option<Inherited> {
+    pub fn inherited(&mut self) -> Option<InheritedListeners> {
         self.inherited.take()
     }
 
@@ -84,8 +91,8 @@
         log: &Logger,
     ) -> Result<OpsService, ServeError> {
         let Ops { server, folder, store, snapshot, .. } = self;
-        let bequest = Bequest::offer(&folder, Arc::new(listeners.listeners), log.clone());
-        let bequest = bequest
+        let handover = ListenerHandover::offer(&folder, Arc::new(listeners.listeners), log.clone());
+        let handover = handover
             .inspect_err(|e| {
                 warn!(log, "listeners can't be passed on: an upgrade shares the address only";
                     "folder" => %folder.display(), "why" => %e);
@@ -98,7 +105,7 @@
         let operations = ConductorOperations::new(conductor.clone(), store, figures, ending);
         server.start(Arc::new(operations), log.clone())?;
         Ok(OpsService {
-            bequest,
+            handover,
             keeps: Some(AbortOnDropHandle::new(keeps)),
             _follows: AbortOnDropHandle::new(follows),
             _shares: AbortOnDropHandle::new(shares),
@@ -111,14 +118,14 @@
 /// The clients' listeners: those that were passed on, else new ones.
 pub struct Listeners {
     doors: Doors,
-    inherited: Option<Inherited>,
+    inherited: Option<InheritedListeners>,
     /// A descriptor of each, to pass on.
     listeners: Vec<TcpListener>,
 }
 
 impl Listeners {
     /// None is bound yet.
-    pub fn new(doors: &Doors, inherited: Option<Inherited>) -> Self {
+    pub fn new(doors: &Doors, inherited: Option<InheritedListeners>) -> Self {
         Listeners { doors: doors.clone(), inherited, listeners: Vec::new() }
     }
 
@@ -136,21 +143,21 @@
 
 /// The running parts.
 pub struct OpsService {
-    bequest: Option<Bequest>,
+    handover: Option<ListenerHandover>,
     keeps: Option<AbortOnDropHandle<()>>,
     _follows: AbortOnDropHandle<()>,
     _shares: AbortOnDropHandle<()>,
     open_work: OpenWorkFiles,
     /// For the process before, to which it says that this one lives.
-    _inherited: Option<Inherited>,
+    _inherited: Option<InheritedListeners>,
 }
 
 impl OpsService {
     /// An end is planned: the process that takes over writes what is learned from now on, while what is
     /// excluded still binds this one. Gives what passes the listeners on.
-    pub fn end(&mut self) -> Option<Bequest> {
+    pub fn end(&mut self) -> Option<ListenerHandover> {
         self.keeps = None;
-        self.bequest.take()
+        self.handover.take()
     }
 }
 
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -13,7 +13,7 @@
 use frosttrail_daemon::front::chat::Chat;
 use frosttrail_daemon::front::platform::Platform;
 use frosttrail_daemon::front::{Doors, Patience};
-use frosttrail_daemon::listener_handover::Bequest;
+use frosttrail_daemon::listener_handover::ListenerHandover;
 use frosttrail_daemon::reload::Reload;
 use frosttrail_daemon::upstream::{Book, Limits, Upstream};
 use frosttrail_membership::service::{self, Membership};
@@ -23,7 +23,7 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
-use super::operations::{Kept, Listeners, Ops, OpsService};
+use super::operations::{Listeners, Ops, OpsService, PreviousState};
 use super::{incarnation, logger, runtime, ServeError};
 
 /// How long clients may take: a request is small and comes from near, idle connections cost memory and
@@ -132,9 +132,9 @@
     };
     signals.terminate.recv().await;
     ending.store(true, Ordering::Relaxed);
-    let bequest = service.as_mut().and_then(OpsService::end);
+    let handover = service.as_mut().and_then(OpsService::end);
     let Ending { notice, answer_all, last } = Ending::new(&conductor.settings());
-    let succeeded = bequest.as_ref().is_some_and(Bequest::has_successor);
+    let succeeded = handover.as_ref().is_some_and(ListenerHandover::has_successor);
     info!(log, "SIGTERM: closing"; "within" => ?last, "another process accepts" => succeeded);
     doors.leave();
     if succeeded {
@@ -142,8 +142,8 @@
     }
     let orderly = async {
         sleep(notice).await;
-        if let Some(bequest) = bequest {
-            bequest.close().await;
+        if let Some(handover) = handover {
+            handover.close().await;
         }
         doors.close().await;
         conductor.released().await;
@@ -204,7 +204,7 @@
     discovery: watch::Receiver<DiscoveryConfig>,
     xds: Option<XdsConfig>,
     connections: usize,
-    Kept { excluded, learned }: Kept,
+    PreviousState { excluded, learned }: PreviousState,
     figures: &Figures,
     log: &Logger,
 ) -> (Conductor<Upstream>, Arc<Upstream>) {
--- a/daemon/src/listener_handover.rs
+++ b/daemon/src/listener_handover.rs
@@ -30,12 +30,12 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Listeners that the process before has passed on, and the connection that tells it that this one lives.
-pub struct Inherited {
+pub struct InheritedListeners {
     listeners: Vec<TcpListener>,
     _predecessor: UnixStream,
 }
 
-impl Inherited {
+impl InheritedListeners {
     /// Asks the process whose socket lies in this folder; `None` where nobody answers.
     pub fn request(folder: &Path, log: &Logger) -> Option<Self> {
         let asked = UnixStream::connect(path(folder)).and_then(receive);
@@ -62,7 +62,7 @@
     folder.join("listeners")
 }
 
-fn receive(predecessor: UnixStream) -> Result<Inherited> {
+fn receive(predecessor: UnixStream) -> Result<InheritedListeners> {
     predecessor.set_read_timeout(Some(ANSWER_WITHIN))?;
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(LISTENERS_MAX))];
     let mut control = RecvAncillaryBuffer::new(&mut space);
@@ -77,7 +77,7 @@
         _ => None,
     });
     let listeners = descriptors.flatten().map(TcpListener::from).collect();
-    Ok(Inherited { listeners, _predecessor: predecessor })
+    Ok(InheritedListeners { listeners, _predecessor: predecessor })
 }
 
 fn send(successor: &tokio::net::UnixStream, listeners: &[TcpListener]) -> Result<()> {
@@ -90,12 +90,12 @@
 }
 
 /// Passes listeners on to whoever asks, for as long as this lives.
-pub struct Bequest {
+pub struct ListenerHandover {
     successors: watch::Receiver<usize>,
     task: AbortOnDropHandle<()>,
 }
 
-impl Bequest {
+impl ListenerHandover {
     /// Takes the place of whatever socket lies in the folder.
     pub fn offer(folder: &Path, listeners: Arc<Vec<TcpListener>>, log: Logger) -> Result<Self> {
         let (path, own) = (path(folder), folder.join(format!("listeners.{}", std::process::id())));
@@ -105,7 +105,7 @@
         std::fs::rename(&own, &path)?;
         let (count, successors) = watch::channel(0);
         let task = tokio::spawn(accept(socket, listeners, Arc::new(count), log));
-        Ok(Bequest { successors, task: AbortOnDropHandle::new(task) })
+        Ok(ListenerHandover { successors, task: AbortOnDropHandle::new(task) })
     }
 
     /// Resolves once its descriptors of the listeners are closed.
--- a/src/scheduler/handover.rs
+++ b/src/scheduler/handover.rs
@@ -176,8 +176,8 @@
         OpenWork(own.collect())
     }
 
-    /// What other processes of the same conductor have open counts as this router's own, in place of what they
-    /// had before.
+    /// What other processes of the same conductor have open counts as this router's own, in place of what
+    /// they had before.
     pub fn set_foreign_work(&mut self, foreign: OpenWork) {
         let before = std::mem::replace(&mut self.foreign, foreign);
         for (id, work) in &before.0 {
