--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use frosttrail::{
-    Facade, Id, ListForm, Load, Micros, Outcome, Query, Report, Settings, Snapshot, Verdict, Verdicts,
+    Facade, Id, ListForm, Load, Micros, OpenWork, Outcome, Query, Report, Settings, Snapshot, Verdict,
+    Verdicts,
 };
 use serde::{Deserialize, Serialize};
 use slog::{debug, info, Logger};
@@ -64,6 +65,8 @@
     Share(f64),
     Settings(Arc<Settings>),
     Snapshot(oneshot::Sender<Snapshot>),
+    OpenWork(oneshot::Sender<OpenWork>),
+    ForeignWork(OpenWork),
     /// An instance was taken out of use or put back.
     ExclusionChanged(Id),
     /// Dropped once all that was told before has been seen to.
@@ -80,7 +83,7 @@
 }
 
 /// What is still to be taken over from the process before, and when that was said.
-struct Inherited {
+struct PendingSnapshot {
     snapshot: Snapshot,
     at: Micros,
 }
@@ -214,6 +217,18 @@
         Some(Learned { decisions, included })
     }
 
+    /// What is open at instances; `None` once it has ended.
+    pub async fn open_work(&self) -> Option<OpenWork> {
+        let (to, work) = oneshot::channel();
+        let _ = self.tell.send(Message::OpenWork(to));
+        work.await.ok()
+    }
+
+    /// What other processes of the same conductor have open at instances counts as its own.
+    pub fn set_foreign_work(&self, work: OpenWork) {
+        let _ = self.tell.send(Message::ForeignWork(work));
+    }
+
     /// Makes these the excluded instances, as another process of the same conductor was told.
     pub fn replace_excluded(&self, excluded: BTreeSet<Id>) {
         let changed = lock(&self.exclusions).replace(self.clock.now(), excluded);
@@ -245,10 +260,10 @@
     let release = Duration::from_micros(settings.release);
     let in_force = Arc::new(watch::Sender::new(Arc::new(settings.clone())));
     let exclusions = Arc::new(Mutex::new(Exclusions::new(excluded, settings.warm_within)));
-    let inherited = learned.map(|(learned, age)| {
+    let pending_snapshot = learned.map(|(learned, age)| {
         let at = clock.now().saturating_sub(age.as_micros() as Micros);
         lock(&exclusions).set_included_before(at, learned.included);
-        Inherited { snapshot: learned.decisions, at }
+        PendingSnapshot { snapshot: learned.decisions, at }
     });
     let owner = Owner {
         facade: Facade::new(settings, seed),
@@ -262,7 +277,7 @@
         exclusions: exclusions.clone(),
         figures: figures.clone(),
         read_figures_at: 0,
-        inherited,
+        pending_snapshot,
         release,
         log,
     };
@@ -323,7 +338,7 @@
     figures: Figures,
     /// When the figures of instances are read next.
     read_figures_at: Micros,
-    inherited: Option<Inherited>,
+    pending_snapshot: Option<PendingSnapshot>,
     /// The settings' time for what is held.
     release: Duration,
     log: Logger,
@@ -409,6 +424,14 @@
             Message::News(news) => self.news(news),
             Message::Close => self.facade.close(now),
             Message::Share(part) => self.facade.share(now, part),
+            Message::OpenWork(to) => {
+                let _ = to.send(self.facade.open_work());
+                return;
+            }
+            Message::ForeignWork(work) => {
+                self.facade.set_foreign_work(work);
+                return;
+            }
             Message::Snapshot(to) => {
                 let _ = to.send(self.facade.snapshot(now));
                 return;
@@ -434,11 +457,11 @@
 
     /// Takes over what the process before has learned of servers that are listed by now.
     fn inherit(&mut self, now: Micros) {
-        let Some(Inherited { mut snapshot, at }) = self.inherited.take() else { return };
+        let Some(PendingSnapshot { mut snapshot, at }) = self.pending_snapshot.take() else { return };
         let age = now.saturating_sub(at);
         self.facade.restore(now, age, &mut snapshot);
         if !snapshot.is_empty() && age < INHERIT_WITHIN {
-            self.inherited = Some(Inherited { snapshot, at });
+            self.pending_snapshot = Some(PendingSnapshot { snapshot, at });
         }
     }
 
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -13,7 +13,7 @@
 use frosttrail_daemon::front::chat::Chat;
 use frosttrail_daemon::front::platform::Platform;
 use frosttrail_daemon::front::{Doors, Patience};
-use frosttrail_daemon::listener_handover::Bequest;
+use frosttrail_daemon::listener_handover::ListenerHandover;
 use frosttrail_daemon::reload::Reload;
 use frosttrail_daemon::upstream::{Book, Limits, Upstream};
 use frosttrail_membership::service::{self, Membership};
@@ -23,8 +23,8 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
-use super::operations::{Kept, Listeners, Ops, OpsService};
-use super::{incarnation, logger, runtime, Fault};
+use super::operations::{Listeners, Ops, OpsService, PreviousState};
+use super::{incarnation, logger, runtime, ServeError};
 
 /// How long clients may take: a request is small and comes from near, idle connections cost memory and
 /// descriptors, and a client on a bad line may fall silent for some seconds while its answer streams.
@@ -60,7 +60,7 @@
 }
 
 /// Runs the conductor until SIGTERM.
-pub fn serve(options: Options) -> Result<(), Fault> {
+pub fn serve(options: Options) -> Result<(), ServeError> {
     let runtime = runtime()?;
     // Before all else: a signal that comes early must find its handler.
     let signals = {
@@ -72,11 +72,11 @@
     let xds = options.xds.map(|file| XdsConfig::read(&file)).transpose()?;
     let membership = options.membership.map(|file| config::membership(&file)).transpose()?;
     let (log, _guard) = logger(&config.name);
-    runtime.block_on(run(signals, config, Switched { chat, xds, membership }, log))
+    runtime.block_on(run(signals, config, OptionalFeatures { chat, xds, membership }, log))
 }
 
 /// The parts that files have switched on.
-struct Switched {
+struct OptionalFeatures {
     chat: Option<ChatConfig>,
     xds: Option<XdsConfig>,
     membership: Option<service::Config>,
@@ -90,9 +90,9 @@
 async fn run(
     mut signals: Signals,
     config: Config,
-    Switched { chat, xds, membership }: Switched,
+    OptionalFeatures { chat, xds, membership }: OptionalFeatures,
     log: Logger,
-) -> Result<(), Fault> {
+) -> Result<(), ServeError> {
     let each = (config.sockets - SPARE_SOCKETS) / 2;
     let mut ops = config.ops.map(|address| Ops::open(address, &config, &log)).transpose()?;
     let doors = Doors::new(each, PATIENCE, log.clone());
@@ -132,9 +132,9 @@
     };
     signals.terminate.recv().await;
     ending.store(true, Ordering::Relaxed);
-    let bequest = service.as_mut().and_then(OpsService::end);
+    let handover = service.as_mut().and_then(OpsService::end);
     let Ending { notice, answer_all, last } = Ending::new(&conductor.settings());
-    let succeeded = bequest.as_ref().is_some_and(Bequest::has_successor);
+    let succeeded = handover.as_ref().is_some_and(ListenerHandover::has_successor);
     info!(log, "SIGTERM: closing"; "within" => ?last, "another process accepts" => succeeded);
     doors.leave();
     if succeeded {
@@ -142,8 +142,8 @@
     }
     let orderly = async {
         sleep(notice).await;
-        if let Some(bequest) = bequest {
-            bequest.close().await;
+        if let Some(handover) = handover {
+            handover.close().await;
         }
         doors.close().await;
         conductor.released().await;
@@ -174,10 +174,10 @@
     config: service::Config,
     conductor: &Conductor<Upstream>,
     log: &Logger,
-) -> Result<(Membership, AbortOnDropHandle<()>), Fault> {
+) -> Result<(Membership, AbortOnDropHandle<()>), ServeError> {
     let listen = config.listen;
     let membership = Membership::start(config, incarnation()?, log.clone()).await;
-    let membership = membership.map_err(|e| Fault::Bind(listen, e))?;
+    let membership = membership.map_err(|e| ServeError::Bind(listen, e))?;
     let (mut view, traffic, conductor) = (membership.view(), membership.traffic(), conductor.clone());
     conductor.share(view.borrow_and_update().part);
     let shares = tokio::spawn(async move {
@@ -204,7 +204,7 @@
     discovery: watch::Receiver<DiscoveryConfig>,
     xds: Option<XdsConfig>,
     connections: usize,
-    Kept { excluded, learned }: Kept,
+    PreviousState { excluded, learned }: PreviousState,
     figures: &Figures,
     log: &Logger,
 ) -> (Conductor<Upstream>, Arc<Upstream>) {
