Write files of the state folder in one place, and count open work field by field once

Read over the whole change: the same temporary file and rename stood three times (now state_dir::replace), the same three sums four times (ServerWork), and include checked an id that Conductor::include checks. Behaviour is as before. Left: open work is written also where no other process lives; the figures are read where nobody calls.

--- a/daemon/src/open_work_files.rs
+++ b/daemon/src/open_work_files.rs
@@ -6,6 +6,8 @@
 
 use frosttrail::OpenWork;
 
+use crate::state_dir;
+
 /// A process that lives writes more often than this.
 const FRESH: Duration = Duration::from_secs(1);
 /// A file this old is that of a process that was killed.
@@ -31,9 +33,7 @@
 
     /// Writes what this process has open, and gives what the others have.
     pub fn exchange(&self, own: &OpenWork) -> std::io::Result<OpenWork> {
-        let temporary = self.own.with_extension("new");
-        fs::write(&temporary, serde_json::to_vec(own)?)?;
-        fs::rename(&temporary, &self.own)?;
+        state_dir::replace(&self.own, serde_json::to_vec(own)?)?;
         let mut others = OpenWork::default();
         for file in fs::read_dir(&self.folder)? {
             let path = file?.path();
--- a/daemon/src/ops/conductor.rs
+++ b/daemon/src/ops/conductor.rs
@@ -50,7 +50,6 @@
     }
 
     fn include(&self, id: &Id) -> Result<(), CallError> {
-        self.conductor.check_known(id)?;
         // In this order: what is in neither place would be no instance that anybody knows.
         self.conductor.include(id)?;
         Ok(self.store.remove(id)?)
--- a/daemon/src/ops/exclusion_store.rs
+++ b/daemon/src/ops/exclusion_store.rs
@@ -10,6 +10,7 @@
 use slog::{warn, Logger};
 
 use super::call::ID_BYTES_MAX;
+use crate::state_dir;
 
 const FOLDER: &str = "excluded";
 
@@ -54,10 +55,7 @@
 
     /// Keeps an exclusion; it is whole once this has returned.
     pub fn insert(&self, id: &Id) -> Result<()> {
-        let path = self.path(id);
-        let temporary = path.with_extension(format!("{}", std::process::id()));
-        fs::write(&temporary, id.as_bytes())?;
-        fs::rename(&temporary, &path)
+        state_dir::replace(&self.path(id), id.as_bytes())
     }
 
     /// Forgets an exclusion, if it is kept.
--- a/daemon/src/snapshot_file.rs
+++ b/daemon/src/snapshot_file.rs
@@ -6,6 +6,8 @@
 
 use frosttrail_core::Learned;
 
+use crate::state_dir;
+
 /// The first word of the file, and the version of what follows.
 const MAGIC: &str = "frosttrail-snapshot-1";
 /// No file is larger.
@@ -55,9 +57,7 @@
         }
         let hash = blake3::hash(body.as_bytes()).to_hex();
         let text = format!("{MAGIC} {hash} {}\n{body}", unix_time().as_millis());
-        let temporary = self.0.with_extension(std::process::id().to_string());
-        fs::write(&temporary, text)?;
-        Ok(fs::rename(&temporary, &self.0)?)
+        Ok(state_dir::replace(&self.0, text)?)
     }
 
     /// What was written last, and how long ago; `None` where nothing was.
--- a/daemon/src/state_dir.rs
+++ b/daemon/src/state_dir.rs
@@ -1,6 +1,6 @@
 //! The folder in which a conductor keeps what must outlive its process.
 
-use std::fs::DirBuilder;
+use std::fs::{self, DirBuilder};
 use std::net::SocketAddr;
 use std::os::unix::fs::DirBuilderExt;
 use std::path::{Path, PathBuf};
@@ -22,3 +22,11 @@
     DirBuilder::new().recursive(true).mode(MODE).create(&folder)?;
     Ok(folder)
 }
+
+/// Replaces a file at once: whoever reads it finds all of it or what was there before. Until then it has the
+/// process's id for an extension.
+pub fn replace(path: &Path, bytes: impl AsRef<[u8]>) -> std::io::Result<()> {
+    let temporary = path.with_extension(std::process::id().to_string());
+    fs::write(&temporary, bytes)?;
+    fs::rename(&temporary, path)
+}
--- a/src/scheduler/handover.rs
+++ b/src/scheduler/handover.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Router;
+use super::{Router, Worker};
 use crate::interface::{Id, Micros};
 
 /// Sessions whose last reader is handed over: the latest ones.
@@ -154,9 +154,33 @@
     pub fn add(&mut self, other: OpenWork) {
         for (id, work) in other.0 {
             let sum = self.0.entry(id).or_default();
-            sum.reads = sum.reads.saturating_add(work.reads);
-            sum.streams = sum.streams.saturating_add(work.streams);
-            sum.tokens = sum.tokens.saturating_add(work.tokens);
+            *sum = sum.plus(work);
+        }
+    }
+}
+
+impl ServerWork {
+    fn of(worker: &Worker) -> Self {
+        ServerWork { reads: worker.reads, streams: worker.streams, tokens: worker.tokens }
+    }
+
+    fn count_at(self, worker: &mut Worker) {
+        (worker.reads, worker.streams, worker.tokens) = (self.reads, self.streams, self.tokens);
+    }
+
+    fn plus(self, other: Self) -> Self {
+        ServerWork {
+            reads: self.reads.saturating_add(other.reads),
+            streams: self.streams.saturating_add(other.streams),
+            tokens: self.tokens.saturating_add(other.tokens),
+        }
+    }
+
+    fn minus(self, other: Self) -> Self {
+        ServerWork {
+            reads: self.reads.saturating_sub(other.reads),
+            streams: self.streams.saturating_sub(other.streams),
+            tokens: self.tokens.saturating_sub(other.tokens),
         }
     }
 }
@@ -166,11 +190,7 @@
     pub fn open_work(&self) -> OpenWork {
         let own = self.workers.iter().filter_map(|worker| {
             let foreign = self.foreign.0.get(&worker.id).copied().unwrap_or_default();
-            let work = ServerWork {
-                reads: worker.reads.saturating_sub(foreign.reads),
-                streams: worker.streams.saturating_sub(foreign.streams),
-                tokens: worker.tokens.saturating_sub(foreign.tokens),
-            };
+            let work = ServerWork::of(worker).minus(foreign);
             (work != ServerWork::default()).then(|| (worker.id.clone(), work))
         });
         OpenWork(own.collect())
@@ -183,17 +203,13 @@
         for (id, work) in &before.0 {
             let Some(&w) = self.index.get(id) else { continue };
             let worker = &mut self.workers[w];
-            worker.reads = worker.reads.saturating_sub(work.reads);
-            worker.streams = worker.streams.saturating_sub(work.streams);
-            worker.tokens = worker.tokens.saturating_sub(work.tokens);
+            ServerWork::of(worker).minus(*work).count_at(worker);
         }
         // What is not listed here is not counted, so that it is not taken off again either.
         self.foreign.0.retain(|id, _| self.index.contains_key(id));
         for (id, work) in &self.foreign.0 {
             let worker = &mut self.workers[self.index[id]];
-            worker.reads = worker.reads.saturating_add(work.reads);
-            worker.streams = worker.streams.saturating_add(work.streams);
-            worker.tokens = worker.tokens.saturating_add(work.tokens);
+            ServerWork::of(worker).plus(*work).count_at(worker);
         }
     }
 }
