--- a/core/tests/held.rs
+++ b/core/tests/held.rs
@@ -19,6 +19,8 @@
 /// What sockets add to the settings' time, and a little for the calls themselves.
 const ADDED: Duration = Duration::from_millis(300);
 const CONNECT: Duration = Duration::from_millis(250);
+/// A connection that fell silent breaks after this time, where it does.
+const SILENT_FOR: Duration = Duration::from_millis(300);
 const NAMES: [&str; 8] = ["r1", "r2", "r3", "r4", "w1", "w2", "w3", "w4"];
 
 /// How a box is.
@@ -33,6 +35,12 @@
     Down,
     /// Takes requests and answers none.
     Mute,
+    /// Its open connections fell silent: what is written to one never arrives, and no error tells so.
+    Silent,
+    /// The same, and the connection breaks after a while.
+    SilentThenReset,
+    /// Reads the prompt; its connection breaks before the answer.
+    Cut,
 }
 
 impl Arbitrary for Is {
@@ -99,7 +107,20 @@
                 self.with(|w| w.held = w.reads.gt(&0).then(Instant::now));
                 return ended(Outcome::NoAnswer);
             }
-            Is::Well | Is::Full => {}
+            Is::Silent => {
+                sleep(wait).await;
+                return ended(Outcome::NoAnswer);
+            }
+            Is::SilentThenReset => {
+                sleep(SILENT_FOR.min(wait)).await;
+                return ended(Outcome::ConnectionLost);
+            }
+            Is::Cut if reads => {
+                sleep(Duration::from_millis(30)).await;
+                self.with(|w| (w.held, w.reads) = (Some(Instant::now()), w.reads + 1));
+                return ended(Outcome::ConnectionLost);
+            }
+            Is::Well | Is::Full | Is::Cut => {}
         }
         if reads {
             sleep(Duration::from_millis(30)).await;
@@ -119,13 +140,13 @@
 
     async fn release(&self, worker: &Id, _: &Id) -> bool {
         match self.is(worker) {
-            Is::Well | Is::Full => {
+            Is::Well | Is::Full | Is::Cut => {
                 sleep(Duration::from_millis(1)).await;
                 self.with(World::taken);
                 true
             }
             Is::Down => false,
-            Is::Gone | Is::Mute => pending().await,
+            Is::Gone | Is::Mute | Is::Silent | Is::SilentThenReset => pending().await,
         }
     }
 
@@ -213,3 +234,20 @@
         }
     }
 }
+
+/// A send that has not arrived is not out: it does not stop the clock of what is held.
+#[test]
+fn a_send_that_never_arrives_does_not_stop_the_clock() {
+    use Is::{Cut, Silent, SilentThenReset, Well};
+    for are in [
+        [Well, Well, Well, Well, Silent, Silent, Silent, Silent],
+        [Well, Well, Well, Well, SilentThenReset, SilentThenReset, SilentThenReset, SilentThenReset],
+        [Well, Well, Well, Well, SilentThenReset, Silent, Silent, SilentThenReset],
+        [Cut, Silent, Silent, Silent, Well, Well, Well, Well],
+        [Cut, SilentThenReset, Cut, Silent, Silent, Well, Silent, Well],
+    ] {
+        for release in [300, 1_000] {
+            in_time(are, release);
+        }
+    }
+}
--- a/core/tests/support/mod.rs
+++ b/core/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! What the tests of the core share: a list that is told once, a request, and paused time.
+#![allow(dead_code)]
 
 use std::future::Future;
 use std::sync::Arc;
--- a/daemon/tests/connection.rs
+++ b/daemon/tests/connection.rs
@@ -167,7 +167,12 @@
 
 /// The attempt's whole way: up to the end of its stream, if it became one.
 async fn attempt(upstream: &Upstream) -> Outcome {
-    let reply = upstream.attempt(&Id::from("box"), &Id::from("id"), &call(), Duration::from_secs(5)).await;
+    attempt_at(upstream, "box").await
+}
+
+/// The same at a server of another name.
+async fn attempt_at(upstream: &Upstream, server: &str) -> Outcome {
+    let reply = upstream.attempt(&Id::from(server), &Id::from("id"), &call(), Duration::from_secs(5)).await;
     match reply {
         Reply::Read { .. } => Outcome::ReadDone,
         Reply::Ended(outcome, _) => outcome,
@@ -324,3 +329,19 @@
     assert_eq!(attempt(&upstream).await, Outcome::ReadDone);
     assert_eq!((first.posts().len(), second.posts().len()), (3, 1));
 }
+
+/// A connection that breaks right after its last answer tells of its server, not of the age of all others.
+#[tokio::test]
+async fn a_reset_soon_after_an_answer_costs_no_other_server_its_connections() {
+    let (hasty, steady) = (StandIn::start(READ).await, StandIn::start(READ).await);
+    let upstream = upstream(&[("hasty", 0, hasty.address), ("steady", 0, steady.address)]);
+    assert_eq!(attempt_at(&upstream, "steady").await, Outcome::ReadDone);
+    assert_eq!(attempt_at(&upstream, "hasty").await, Outcome::ReadDone);
+    hasty.next(Does::Resets);
+    assert_eq!(attempt_at(&upstream, "hasty").await, Outcome::StaleConnection);
+    for _ in 0..5 {
+        sleep(Duration::from_millis(40)).await;
+        assert_eq!(attempt_at(&upstream, "steady").await, Outcome::ReadDone);
+    }
+    assert_eq!(*steady.accepted.lock().unwrap(), 1, "a handshake for each request");
+}
