Release what is held beside an attempt that has not been heard of

Cause: Router::result took every end of an attempt but a failed connection for proof that it had reached its server, and gave what the first stage holds its whole time again; Owner::carry_out called a release off as the next attempt went out. Change: only an answer (turned away) sets the clock anew; a decode attempt that is unheard at three quarters of the release time gets a release beside it, which takes nothing that an attempt waits for; a release is called off by an answer, not by a send.

--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -515,13 +515,13 @@
                 }
                 Verdict::Send { ref worker, .. } => {
                     seat.sent_to.insert(0, worker.clone());
-                    if !matches!(seat.last, Some(Outcome::NoConnection | Outcome::ReadDone)) {
-                        // Held from now on only; the next release sees to it, if the first event does not. A
-                        // box may pass a release on to others, where it would meet the new attempt.
-                        seat.call_off_release();
-                    }
-                    // No box has heard of the request for a while: what is held must not wait for longer.
-                    seat.release.as_mut().and_then(|release| release.1.take())
+                    // A send that never arrives does not stop the clock of what is held, so the release goes
+                    // on beside it until the attempt is known to have arrived.
+                    let no_server_heard =
+                        matches!(seat.last, Some(Outcome::NoConnection | Outcome::ReadDone));
+                    // What is held must not wait for longer.
+                    let release = seat.release.as_mut().filter(|_| no_server_heard);
+                    release.and_then(|release| release.1.take())
                 }
                 _ => None,
             };
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -48,6 +48,10 @@
 /// Held this long is starved, or for this share of the time after which it is given up.
 const STARVED: Micros = 2_000_000;
 const STARVED_SHARE: f64 = 0.7;
+/// Share of the release time after which what is held is let go while an attempt is out that has not been
+/// heard of. It may never have arrived, and then the time of what is held goes on; to one that has arrived
+/// the release does nothing, as it takes only what no attempt waits for.
+const UNHEARD_SHARE: f64 = 0.75;
 /// Share of a client's patience after which a held request beyond its customer's quota is refused.
 const SURPLUS_SHARE: f64 = 0.1;
 /// One starved request leaves ahead in this time, in more where parts are below one request.
@@ -110,7 +114,8 @@
     attempts: u32,
     /// The attempt that is out: worker, send time, tokens charged to it.
     out: Option<(usize, Micros, u64)>,
-    /// The reader whose memory holds the state, and since when no attempt took it that reached a worker.
+    /// The reader whose memory holds the state, and since when no attempt took it that is known to have
+    /// reached a worker.
     state: Option<(usize, Micros)>,
     /// Some reader may hold something for it.
     holds: bool,
@@ -389,7 +394,8 @@
             return;
         }
         request.phase = Phase::Streaming;
-        let stage = if request.state.take().is_some() { Stage::Write } else { Stage::Whole };
+        request.state = None;
+        let stage = request.stage;
         let Some((w, ..)) = request.out else { return };
         let tokens = request.query.prompt_tokens;
         request.silent = false;
@@ -427,7 +433,8 @@
             // answered, though badly, had fetched it: another would only turn the request away.
             request.state = None;
             out.push(Action::DropState { id: id.clone() });
-        } else if outcome != Outcome::NoConnection {
+        } else if outcome == Outcome::TurnedAway {
+            // Only an answer proves that the attempt had arrived and had taken what is held until then.
             request.state.iter_mut().for_each(|state| state.1 = self.now);
         }
         request.since = self.now;
@@ -1052,6 +1059,19 @@
         for id in ids {
             self.advance(&id, out);
         }
+        self.release_unheard(out);
+    }
+
+    /// Lets go of what is held for attempts that may never have arrived, in time for the rule.
+    fn release_unheard(&mut self, out: &mut Vec<Action>) {
+        let limit = (self.settings.release as f64 * UNHEARD_SHARE) as Micros;
+        for (id, request) in &mut self.requests {
+            let unheard = request.phase == Phase::Writing && request.silent;
+            if unheard && request.state.is_some_and(|(_, since)| self.now >= since + limit) {
+                request.state = None;
+                out.push(Action::DropState { id: id.clone() });
+            }
+        }
     }
 }
 
