Look once more, before an attempt is written, whether it may still go out

Cause: between Verdict::Send and the first byte lie the release that the attempt waits for (half of the release time), the connection (limits.connect-timeout) and hold-ups; nothing looked again. Change: core/src/permit.rs: leave for an attempt, with the server's start and the window's end (Action::Send.send_by, with 0.15 s for a hold-up), asked after every wait by core, daemon and rpc; a withheld attempt ends as never sent, blames no server and is counted by reason. An exclusion closes the server there before its yes. Also: the age up to which idle connections are used is learned by server where they break soon after an answer (upstream/idle_age.rs): one reset at an age of nearly nothing made all servers' connections useless, at age zero for good, as zero doubles to zero. Ruled out: a client that has gone; its future is dropped, and with it the attempt, in the turn in which its end is read.

--- a/core/src/figures.rs
+++ b/core/src/figures.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use crate::permit::Withheld;
 use frosttrail::Settings;
 use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 
@@ -9,6 +10,8 @@
 const NAMESPACE: &str = "svc";
 /// The label that holds a request's class.
 const CLASS: &str = "group";
+/// The label that holds why something was done, or was not.
+const REASON: &str = "reason";
 
 /// Counters and gauges. Clones count together.
 #[derive(Clone)]
@@ -20,6 +23,8 @@
     deferred: IntCounterVec,
     errored: IntCounterVec,
     current: IntGauge,
+    /// Attempts that were decided and not begun, by reason.
+    withheld: IntCounterVec,
     /// Attempts written whole to instances.
     pub sends: IntCounter,
     /// Instances in the list.
@@ -36,8 +41,8 @@
     /// All at zero. Fails only where a name stands twice.
     pub fn new() -> prometheus::Result<Self> {
         let registry = Registry::new();
-        let by_class = |name: &str, help: &str| {
-            let counters = IntCounterVec::new(Opts::new(name, help).namespace(NAMESPACE), &[CLASS])?;
+        let by_label = |name: &str, help: &str, label: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help).namespace(NAMESPACE), &[label])?;
             registry.register(Box::new(counters.clone()))?;
             prometheus::Result::Ok(counters)
         };
@@ -52,9 +57,10 @@
             prometheus::Result::Ok(gauge)
         };
         Ok(Figures {
-            answered: by_class("answered", "Requests served to their last chunk.")?,
-            deferred: by_class("deferred", "Requests refused.")?,
-            errored: by_class("errored", "Requests that failed, or whose client left.")?,
+            answered: by_label("answered", "Requests served to their last chunk.", CLASS)?,
+            deferred: by_label("deferred", "Requests refused.", CLASS)?,
+            errored: by_label("errored", "Requests that failed, or whose client left.", CLASS)?,
+            withheld: by_label("sends_withheld", "Attempts decided and not begun.", REASON)?,
             current: gauge("current", "Requests taken and not ended.")?,
             sends: counter("sends", "Attempts written whole to instances.")?,
             cluster_size: gauge("cluster_size", "Instances in the list.")?,
@@ -77,6 +83,11 @@
         Ok(String::from_utf8_lossy(&text).into_owned())
     }
 
+    /// An attempt was not begun.
+    pub(crate) fn withheld(&self, why: Withheld) {
+        self.withheld.with_label_values(&[why.label()]).inc();
+    }
+
     /// Each class has its figures before its first request.
     pub(crate) fn add_classes(&self, settings: &Settings) {
         for class in &settings.classes {
--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -19,6 +19,7 @@
 use crate::clock::Clock;
 use crate::exclusion::{ExclusionError, Exclusions};
 use crate::figures::Figures;
+use crate::permit::{Admissions, SendPermit};
 use crate::release::release;
 use crate::standing::Standing;
 use crate::traits::{Boxes, MemberList, News};
@@ -49,6 +50,8 @@
     pub(crate) verdict: Verdict,
     /// Resolves once the release before it has ended.
     pub(crate) after: Option<oneshot::Receiver<()>>,
+    /// Leave for the attempt, where it is one.
+    pub(crate) permit: SendPermit,
 }
 
 /// What the owner is told.
@@ -121,6 +124,7 @@
     able: watch::Receiver<bool>,
     releases: TaskTracker,
     exclusions: Arc<Mutex<Exclusions>>,
+    admissions: Admissions,
     pub(crate) figures: Figures,
 }
 
@@ -140,6 +144,7 @@
             able: self.able.clone(),
             releases: self.releases.clone(),
             exclusions: self.exclusions.clone(),
+            admissions: self.admissions.clone(),
             figures: self.figures.clone(),
         }
     }
@@ -197,6 +202,8 @@
     /// Takes an instance out of use until [`Conductor::include`], whatever the list says of it meanwhile.
     pub fn exclude(&self, instance: &Id) -> Result<(), ExclusionError> {
         lock(&self.exclusions).exclude(instance)?;
+        // Holds from the answer on, also for attempts that have been decided and not begun.
+        self.admissions.close(instance);
         let _ = self.tell.send(Message::ExclusionChanged(instance.clone()));
         Ok(())
     }
@@ -256,7 +263,7 @@
     figures.add_classes(&settings);
     let (tell, inbox) = mpsc::unbounded_channel();
     let (able_tx, able) = watch::channel(false);
-    let releases = TaskTracker::new();
+    let (releases, admissions) = (TaskTracker::new(), Admissions::default());
     let release = Duration::from_micros(settings.release);
     let in_force = Arc::new(watch::Sender::new(Arc::new(settings.clone())));
     let exclusions = Arc::new(Mutex::new(Exclusions::new(excluded, settings.warm_within)));
@@ -275,6 +282,7 @@
         able: able_tx,
         releases: releases.clone(),
         exclusions: exclusions.clone(),
+        admissions: admissions.clone(),
         figures: figures.clone(),
         read_figures_at: 0,
         pending_snapshot,
@@ -299,6 +307,7 @@
         able,
         releases,
         exclusions,
+        admissions,
         figures,
     }
 }
@@ -335,6 +344,7 @@
     able: watch::Sender<bool>,
     releases: TaskTracker,
     exclusions: Arc<Mutex<Exclusions>>,
+    admissions: Admissions,
     figures: Figures,
     /// When the figures of instances are read next.
     read_figures_at: Micros,
@@ -445,7 +455,9 @@
             Message::ExclusionChanged(instance) => {
                 let entry = lock(&self.exclusions).entry(&instance);
                 info!(self.log, "exclusion changed"; "instance" => %instance, "is" => ?entry);
-                self.facade.members(now, ListForm::Changes, entry.into_iter().collect())
+                let entries: Vec<_> = entry.into_iter().collect();
+                self.admissions.follow(ListForm::Changes, &entries);
+                self.facade.members(now, ListForm::Changes, entries)
             }
             Message::Seen(seen) => {
                 let _ = seen.send(());
@@ -487,6 +499,7 @@
         info!(self.log, "members"; "form" => ?form, "entries" => entries.len(), "up" => up);
         let now = self.clock.now();
         let entries = lock(&self.exclusions).news(now, form, &entries);
+        self.admissions.follow(form, &entries);
         let verdicts = self.facade.members(now, form, entries);
         self.inherit(now);
         self.able.send_replace(up > 0);
@@ -503,6 +516,7 @@
         for (id, verdict) in verdicts.requests {
             debug!(self.log, "verdict"; "id" => %id, "is" => ?verdict);
             let Some(seat) = self.seats.get_mut(&id) else { continue };
+            let mut permit = SendPermit::unconditional();
             let after = match verdict {
                 Verdict::Release => {
                     seat.call_off_release();
@@ -513,8 +527,9 @@
                     }
                     continue;
                 }
-                Verdict::Send { ref worker, .. } => {
+                Verdict::Send { ref worker, send_by, .. } => {
                     seat.sent_to.insert(0, worker.clone());
+                    permit = self.admissions.permit(worker, send_by, self.clock, self.figures.clone());
                     // A send that never arrives does not stop the clock of what is held, so the release goes
                     // on beside it until the attempt is known to have arrived.
                     let no_server_heard =
@@ -526,7 +541,7 @@
                 _ => None,
             };
             // A request that has just gone says so itself, in a message that lies in the inbox.
-            let _ = seat.verdicts.send(Order { verdict, after });
+            let _ = seat.verdicts.send(Order { verdict, after, permit });
         }
     }
 
--- /dev/null
+++ b/core/src/permit.rs
@@ -0,0 +1,136 @@
+//! Leave to begin an attempt, looked at once more in the last moment before its bytes are written.
+//!
+//! Between a decision and its write lie the release that the attempt waits for, a connection that comes up
+//! slowly, and whatever holds the process up. A server may begin to drain or restart meanwhile, or the window
+//! in which a request may be repeated may end.
+
+use std::collections::HashMap;
+use std::sync::{Arc, PoisonError, RwLock};
+
+use frosttrail::{Entry, Health, Id, ListForm, Micros};
+
+use crate::clock::Clock;
+use crate::figures::Figures;
+
+/// Why an attempt that had been decided was not begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Withheld {
+    /// Its server drains, has gone or was taken out of use meanwhile.
+    #[error("its server takes nothing new any more")]
+    ServerClosed,
+    /// Its server has started anew: its slow start has a budget of its own.
+    #[error("its server has started anew")]
+    ServerRestarted,
+    /// The window in which the request may be repeated is over.
+    #[error("the window for a repeat is over")]
+    WindowOver,
+}
+
+impl Withheld {
+    /// The reason as it stands in figures.
+    pub fn label(self) -> &'static str {
+        match self {
+            Withheld::ServerClosed => "server_closed",
+            Withheld::ServerRestarted => "server_restarted",
+            Withheld::WindowOver => "window_over",
+        }
+    }
+}
+
+/// Servers that may get something new, with their start times; clones share them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Admissions(Arc<RwLock<HashMap<Id, Micros>>>);
+
+impl Admissions {
+    /// Follows the list of servers, as the decisions have it.
+    pub(crate) fn follow(&self, form: ListForm, entries: &[Entry]) {
+        let mut open = self.0.write().unwrap_or_else(PoisonError::into_inner);
+        if matches!(form, ListForm::Full | ListForm::WarmCopy) {
+            open.clear();
+        }
+        for entry in entries {
+            match entry.health {
+                Health::Up => open.insert(entry.worker.clone(), entry.started),
+                Health::Draining | Health::Gone => open.remove(&entry.worker),
+            };
+        }
+    }
+
+    /// A server takes nothing new from now on.
+    pub(crate) fn close(&self, server: &Id) {
+        self.0.write().unwrap_or_else(PoisonError::into_inner).remove(server);
+    }
+
+    fn started(&self, server: &Id) -> Option<Micros> {
+        self.0.read().unwrap_or_else(PoisonError::into_inner).get(server).copied()
+    }
+
+    /// Leave for an attempt at a server, as it has been decided now.
+    pub(crate) fn permit(
+        &self,
+        server: &Id,
+        send_by: Option<Micros>,
+        clock: Clock,
+        figures: Figures,
+    ) -> SendPermit {
+        let (admissions, server) = (self.clone(), server.clone());
+        let started = admissions.started(&server);
+        let conditions = Conditions { admissions, server, started, send_by, clock, figures };
+        SendPermit(Some(Arc::new(conditions)))
+    }
+}
+
+/// Leave to begin one attempt.
+#[derive(Clone)]
+pub struct SendPermit(Option<Arc<Conditions>>);
+
+/// Under which an attempt was decided.
+struct Conditions {
+    admissions: Admissions,
+    server: Id,
+    /// When the server had started then; `None` where it was closed already.
+    started: Option<Micros>,
+    /// Nothing is written from then on.
+    send_by: Option<Micros>,
+    clock: Clock,
+    figures: Figures,
+}
+
+impl std::fmt::Debug for SendPermit {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match &self.0 {
+            None => f.write_str("SendPermit(unconditional)"),
+            Some(conditions) => write!(f, "SendPermit({}, by {:?})", conditions.server, conditions.send_by),
+        }
+    }
+}
+
+impl SendPermit {
+    /// For callers that have no list of servers: nothing withholds the attempt.
+    pub fn unconditional() -> Self {
+        SendPermit(None)
+    }
+
+    /// To be asked directly before the first byte is written. An attempt that is withheld has not been sent,
+    /// and its server is not to blame.
+    pub fn check(&self) -> Result<(), Withheld> {
+        let Some(conditions) = &self.0 else { return Ok(()) };
+        conditions.check().inspect_err(|withheld| conditions.figures.withheld(*withheld))
+    }
+}
+
+impl Conditions {
+    fn check(&self) -> Result<(), Withheld> {
+        let started = self.admissions.started(&self.server);
+        if started.is_none() {
+            return Err(Withheld::ServerClosed);
+        }
+        if started != self.started {
+            return Err(Withheld::ServerRestarted);
+        }
+        match self.send_by {
+            Some(by) if self.clock.now() >= by => Err(Withheld::WindowOver),
+            _ => Ok(()),
+        }
+    }
+}
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -12,6 +12,7 @@
 
 use crate::figures::Account;
 use crate::owner::{Conductor, Message, Order, Ticket};
+use crate::permit::SendPermit;
 use crate::traits::{Boxes, Events, Reply, Step};
 
 /// A stream that says nothing for this long has lost its box: a machine that vanished ends no
@@ -90,6 +91,14 @@
     }
 }
 
+/// An attempt as it has been decided.
+struct Prepared {
+    /// Resolves once the release before it has ended.
+    after: Option<oneshot::Receiver<()>>,
+    permit: SendPermit,
+    stop_at: Micros,
+}
+
 /// What an attempt leaves to be done.
 enum Next<E> {
     Stream(E),
@@ -115,10 +124,11 @@
             return Err(CallError::IdInUse);
         }
         let mut last = None;
-        while let Some(Order { verdict, after }) = next {
+        while let Some(Order { verdict, after, permit }) = next {
             next = match verdict {
-                Verdict::Send { worker, stop_at } => {
-                    match self.attempt(&mut seat, &worker, stop_at, after, &call).await {
+                Verdict::Send { worker, stop_at, .. } => {
+                    let prepared = Prepared { after, permit, stop_at };
+                    match self.attempt(&mut seat, &worker, prepared, &call).await {
                         Next::Stream(events) => return Ok(Answer::Served(AnswerStream::new(seat, events))),
                         Next::Order(order) => Some(order),
                         Next::Again(outcome) => {
@@ -145,8 +155,7 @@
         &self,
         seat: &mut Seat,
         worker: &Id,
-        stop_at: Micros,
-        after: Option<oneshot::Receiver<()>>,
+        Prepared { after, permit, stop_at }: Prepared,
         call: &B::Call,
     ) -> Next<B::Events> {
         let reply = {
@@ -156,8 +165,11 @@
                     // An error is an end too: the task that has it has gone.
                     let _ = timeout(self.release_wait(), released).await;
                 }
+                if permit.check().is_err() {
+                    return Reply::Ended(Outcome::NotSent, None);
+                }
                 let wait = Duration::from_micros(stop_at.saturating_sub(self.clock.now()));
-                self.boxes.attempt(worker, &id, call, wait).await
+                self.boxes.attempt(worker, &id, call, wait, &permit).await
             };
             // What has been decided stands, also where a reply lies ready beside it: the decisions have let
             // go of the request, and what would begin to stream now might be cut by the conductor's end.
--- a/core/src/traits.rs
+++ b/core/src/traits.rs
@@ -7,6 +7,8 @@
 use bytes::Bytes;
 use frosttrail::{Entry, Id, ListForm, Load, Outcome};
 
+use crate::permit::SendPermit;
+
 /// What came of an attempt, up to the first event of a stream.
 #[derive(Debug)]
 pub enum Reply<E> {
@@ -51,12 +53,16 @@
     /// One attempt, never repeated: it resolves with the read's end, the first event or the outcome, and
     /// after `wait` at the latest. Only the way to a box knows whether a request that was given up by then
     /// had been written, and so whether it may run, so this clock is kept there.
+    ///
+    /// `permit` is to be asked directly before the first byte is written, after all waits; an attempt that it
+    /// withholds ends with [`Outcome::NotSent`].
     fn attempt(
         &self,
         worker: &Id,
         request: &Id,
         call: &Self::Call,
         wait: Duration,
+        permit: &SendPermit,
     ) -> impl Future<Output = Reply<Self::Events>> + Send;
 
     /// How long the end of an attempt may be on its way to a box. Until it has arrived, the box counts the
--- a/core/tests/held.rs
+++ b/core/tests/held.rs
@@ -11,7 +11,9 @@
 use std::time::Duration;
 
 use frosttrail::{Entry, Health, Id, ListForm, Load, Outcome, Role, Settings};
-use frosttrail_core::{start, Answer, Boxes, Clock, Events, Figures, News, Parts, Reply, Request, Step};
+use frosttrail_core::{
+    start, Answer, Boxes, Clock, Events, Figures, News, Parts, Reply, Request, SendPermit, Step,
+};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use support::{paused, query, Fixed};
 use tokio::time::{sleep, timeout, Instant};
@@ -93,7 +95,7 @@
     type Call = ();
     type Events = Over;
 
-    async fn attempt(&self, worker: &Id, _: &Id, _: &(), wait: Duration) -> Reply<Over> {
+    async fn attempt(&self, worker: &Id, _: &Id, _: &(), wait: Duration, _: &SendPermit) -> Reply<Over> {
         let (is, reads) = (self.is(worker), worker.starts_with('r'));
         let ended = |outcome| Reply::Ended(outcome, None);
         match is {
--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use frosttrail::{Entry, Health, Id, ListForm, Load, Outcome, Role, Settings};
 use frosttrail_core::{start, Answer, Boxes, Clock, Conductor, Events, Figures, News, Parts, Reply};
-use frosttrail_core::{CallError, Request, Step};
+use frosttrail_core::{CallError, Request, SendPermit, Step};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use support::{classes, paused, query, Fixed};
 use tokio::sync::{mpsc, oneshot};
@@ -108,7 +108,7 @@
     type Call = ();
     type Events = Stream;
 
-    async fn attempt(&self, worker: &Id, id: &Id, _: &(), wait: Duration) -> Reply<Stream> {
+    async fn attempt(&self, worker: &Id, id: &Id, _: &(), wait: Duration, _: &SendPermit) -> Reply<Stream> {
         let mut out = Out::new(self, id);
         let (reply, replied) = oneshot::channel();
         self.with(|w| {
--- a/core/tests/permit.rs
+++ b/core/tests/permit.rs
@@ -9,7 +9,8 @@
 
 use frosttrail::{Entry, Health, Id, ListForm, Load, Outcome, Role, Settings};
 use frosttrail_core::{
-    start, Boxes, Clock, Conductor, Events, Figures, MemberList, News, Parts, Reply, Request, Step,
+    start, Boxes, Clock, Conductor, Events, Figures, MemberList, News, Parts, Reply, Request, SendPermit,
+    Step,
 };
 use support::{classes, paused, query};
 use tokio::sync::mpsc;
@@ -17,6 +18,8 @@
 
 /// How long a release takes, which the next attempt after a failed connection waits for.
 const RELEASE_TAKES: Duration = Duration::from_millis(400);
+/// For a connection to come up.
+const CONNECT_TAKES: Duration = Duration::from_millis(10);
 /// After a drain is told, nothing begins later than this.
 const DRAIN_GRACE: Duration = Duration::from_millis(100);
 
@@ -43,14 +46,24 @@
     type Call = ();
     type Events = NoEvents;
 
-    async fn attempt(&self, server: &Id, _: &Id, _: &(), _: Duration) -> Reply<NoEvents> {
+    async fn attempt(
+        &self,
+        server: &Id,
+        _: &Id,
+        _: &(),
+        _: Duration,
+        permit: &SendPermit,
+    ) -> Reply<NoEvents> {
         let nth = {
             let mut world = self.0.lock().unwrap();
-            world.began.push((server.clone(), Instant::now()));
             world.attempts += 1;
             world.attempts
         };
-        sleep(Duration::from_millis(10)).await;
+        sleep(CONNECT_TAKES).await;
+        if permit.check().is_err() {
+            return Reply::Ended(Outcome::NotSent, None);
+        }
+        self.0.lock().unwrap().began.push((server.clone(), Instant::now()));
         match nth {
             1 => Reply::Ended(Outcome::ConnectionLost, None),
             2 => Reply::Ended(Outcome::NoConnection, None),
@@ -104,16 +117,60 @@
     (conductor, news)
 }
 
+/// Lists three servers, and asks once.
+async fn asked(
+    conductor: &Conductor<Servers>,
+    news: &mpsc::UnboundedSender<News>,
+) -> tokio::task::JoinHandle<()> {
+    let entries = vec![entry("r1", 0, Health::Up), entry("r2", 0, Health::Up), entry("w", 1, Health::Up)];
+    news.send(News { form: ListForm::Full, entries }).unwrap();
+    sleep(Duration::from_millis(15)).await;
+    let conductor = conductor.clone();
+    tokio::spawn(async move {
+        let answer = conductor.call(Request { query: query("id-1", 0), call: () }).await;
+        assert!(answer.is_ok());
+    })
+}
+
+#[test]
+fn nothing_begins_after_the_yes_to_an_exclusion() {
+    paused(async {
+        let servers = Servers::default();
+        let (conductor, news) = conductor(&servers);
+        let answer = asked(&conductor, &news).await;
+        // Its connection comes up as the instances are taken out.
+        sleep(CONNECT_TAKES / 2).await;
+        for server in ["r1", "r2"] {
+            conductor.exclude(&server.into()).unwrap();
+        }
+        sleep(Duration::from_secs(6)).await;
+        assert!(answer.is_finished());
+        assert_eq!(servers.0.lock().unwrap().began, [], "begun after the yes");
+    });
+}
+
+#[test]
+fn nothing_begins_at_a_server_that_has_started_anew_since_it_was_decided() {
+    paused(async {
+        let servers = Servers::default();
+        let (conductor, news) = conductor(&servers);
+        let answer = asked(&conductor, &news).await;
+        sleep(CONNECT_TAKES / 2).await;
+        let restarted = |name| Entry { started: 3_600_000_000, ..entry(name, 0, Health::Up) };
+        news.send(News { form: ListForm::Changes, entries: vec![restarted("r1"), restarted("r2")] }).unwrap();
+        sleep(CONNECT_TAKES).await;
+        assert_eq!(servers.0.lock().unwrap().began, [], "outside of the budget of its slow start");
+        sleep(Duration::from_secs(6)).await;
+        assert!(answer.is_finished());
+    });
+}
+
 #[test]
 fn nothing_begins_at_a_server_that_began_to_drain_while_the_attempt_waited() {
     paused(async {
         let servers = Servers::default();
         let (conductor, news) = conductor(&servers);
-        let entries = vec![entry("r1", 0, Health::Up), entry("r2", 0, Health::Up), entry("w", 1, Health::Up)];
-        news.send(News { form: ListForm::Full, entries }).unwrap();
-        sleep(Duration::from_millis(15)).await;
-        let answer =
-            tokio::spawn(async move { conductor.call(Request { query: query("id-1", 0), call: () }).await });
+        let answer = asked(&conductor, &news).await;
         // The third attempt has been decided, and waits for the release.
         sleep(Duration::from_millis(30)).await;
         let drained_at = Instant::now();
--- a/core/tests/unit/request.rs
+++ b/core/tests/unit/request.rs
@@ -29,7 +29,7 @@
 }
 
 fn order(verdict: Verdict) -> Order {
-    Order { verdict, after: None }
+    Order { verdict, after: None, permit: SendPermit::unconditional() }
 }
 
 fn event() -> Step {
--- a/daemon/src/upstream/attempt.rs
+++ b/daemon/src/upstream/attempt.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use frosttrail::{Id, Load, Outcome};
-use frosttrail_core::{Events, Reply, Step};
+use frosttrail_core::{Events, Reply, SendPermit, Step};
 use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -30,10 +30,25 @@
 /// A load report.
 const PRESSURE: HeaderName = HeaderName::from_static("x-pressure");
 
+/// One attempt under way.
+struct Going<'a> {
+    call: &'a Call,
+    stop_at: Instant,
+    written: &'a Written,
+    permit: &'a SendPermit,
+}
+
 /// Makes one attempt. Given up before the last byte was written, it never ran.
-pub(super) async fn attempt(pool: &Arc<Pool>, worker: &Id, call: &Call, wait: Duration) -> Reply<BoxEvents> {
+pub(super) async fn attempt(
+    pool: &Arc<Pool>,
+    worker: &Id,
+    call: &Call,
+    wait: Duration,
+    permit: &SendPermit,
+) -> Reply<BoxEvents> {
     let (written, stop_at) = (Written::counted(pool.sends.clone()), Instant::now() + wait);
-    match timeout_at(stop_at, run(pool, worker, call, stop_at, &written)).await {
+    let going = Going { call, stop_at, written: &written, permit };
+    match timeout_at(stop_at, run(pool, worker, &going)).await {
         Ok(reply) => reply,
         Err(_) if written.is_whole() => Reply::Ended(Outcome::NoAnswer, None),
         Err(_) => Reply::Ended(Outcome::NoConnection, None),
@@ -42,32 +57,28 @@
 
 /// A kept connection that turns out to have closed before the request was written is replaced by a new
 /// one: the box has not seen the request, so this is still the first copy.
-async fn run(
-    pool: &Arc<Pool>,
-    worker: &Id,
-    call: &Call,
-    stop_at: Instant,
-    written: &Written,
-) -> Reply<BoxEvents> {
+async fn run(pool: &Arc<Pool>, worker: &Id, going: &Going<'_>) -> Reply<BoxEvents> {
     if let Some(link) = pool.kept(worker).await {
         let (idle, sent_at) = (link.idle_since.elapsed(), Instant::now());
-        match send(link, call, stop_at, written).await {
+        match send(link, going).await {
             Err(Unanswered::NeverWritten) => {}
             Err(Unanswered::Reset) if pool.was_stale(sent_at.elapsed()) => {
-                pool.distrust(idle);
+                pool.was_dead(worker, idle);
                 return Reply::Ended(Outcome::StaleConnection, None);
             }
             sent => return outcome(pool, worker, sent).await,
         }
     }
     match pool.fresh(worker).await {
-        Some(link) => outcome(pool, worker, send(link, call, stop_at, written).await).await,
+        Some(link) => outcome(pool, worker, send(link, going).await).await,
         None => Reply::Ended(Outcome::NoConnection, None),
     }
 }
 
 /// Why there is no answer.
 enum Unanswered {
+    /// It was not begun, as something forbids it by now.
+    Withheld,
     /// The connection broke before the request's last byte was written.
     NeverWritten,
     /// It broke after that.
@@ -76,12 +87,9 @@
     Spoilt,
 }
 
-async fn send(
-    mut link: Link,
-    call: &Call,
-    stop_at: Instant,
-    written: &Written,
-) -> Result<(Link, Response<Incoming>), Unanswered> {
+async fn send(mut link: Link, going: &Going<'_>) -> Result<(Link, Response<Incoming>), Unanswered> {
+    let Going { call, stop_at, written, permit } = *going;
+    permit.check().map_err(|_| Unanswered::Withheld)?;
     let mut request = Request::new(call.body.clone());
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.target.clone();
@@ -110,6 +118,7 @@
 ) -> Reply<BoxEvents> {
     let (link, answer) = match sent {
         Ok(sent) => sent,
+        Err(Unanswered::Withheld) => return Reply::Ended(Outcome::NotSent, None),
         Err(Unanswered::NeverWritten) => return Reply::Ended(Outcome::NoConnection, None),
         Err(Unanswered::Reset) => return Reply::Ended(Outcome::ConnectionLost, None),
         // The box runs and answers, if badly: no reason to keep other requests from it.
--- a/daemon/src/upstream/mod.rs
+++ b/daemon/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod calls;
+mod idle_age;
 mod link;
 mod pool;
 mod sse;
@@ -13,7 +14,7 @@
 
 use bytes::Bytes;
 use frosttrail::{Health, Id, ListForm, Load, Outcome, Settings};
-use frosttrail_core::{Boxes, News, Reply};
+use frosttrail_core::{Boxes, News, Reply, SendPermit};
 use hyper::{HeaderMap, Method, Uri};
 use prometheus::IntCounter;
 use tokio::time::Instant;
@@ -120,8 +121,15 @@
     type Call = Call;
     type Events = BoxEvents;
 
-    async fn attempt(&self, worker: &Id, _: &Id, call: &Call, wait: Duration) -> Reply<BoxEvents> {
-        attempt::attempt(&self.pool, worker, call, wait).await
+    async fn attempt(
+        &self,
+        worker: &Id,
+        _: &Id,
+        call: &Call,
+        wait: Duration,
+        permit: &SendPermit,
+    ) -> Reply<BoxEvents> {
+        attempt::attempt(&self.pool, worker, call, wait, permit).await
     }
 
     fn end_takes(&self, worker: &Id) -> Duration {
--- a/daemon/src/upstream/pool.rs
+++ b/daemon/src/upstream/pool.rs
@@ -11,13 +11,12 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{timeout, Instant};
 
+use super::idle_age::IdleAges;
 use super::link::Link;
 use super::{lock, Book};
 
 /// Answers' bodies that are read to their end only to keep the connection.
 const TAIL: Duration = Duration::from_millis(500);
-/// The age up to which idle connections are trusted doubles in this time.
-const TRUST_DOUBLES: Duration = Duration::from_secs(10);
 /// No body on this wire is larger.
 pub(super) const BODY_MOST: usize = 256 << 10;
 
@@ -44,23 +43,16 @@
     limits: Mutex<Limits>,
     permits: Arc<Semaphore>,
     idle: Mutex<HashMap<Id, Vec<Link>>>,
-    trust: Mutex<Trust>,
+    idle_ages: Mutex<IdleAges>,
     /// Attempts that were written whole.
     pub(super) sends: IntCounter,
 }
 
-/// Up to which age idle connections were trusted when one was last found to be dead. Boxes, and whatever
-/// lies before them, may forget connections earlier than the settings say, and without a word.
-struct Trust {
-    age: Duration,
-    since: Instant,
-}
-
 impl Pool {
     pub(super) fn new(book: Arc<Book>, limits: Limits, sends: IntCounter) -> Self {
         let permits = Arc::new(Semaphore::new(limits.connections));
-        let trust = Mutex::new(Trust { age: limits.conn_idle / 2, since: Instant::now() });
-        Pool { book, limits: Mutex::new(limits), permits, idle: Mutex::default(), trust, sends }
+        let (limits, idle, idle_ages) = (Mutex::new(limits), Mutex::default(), Mutex::default());
+        Pool { book, limits, permits, idle, idle_ages, sends }
     }
 
     fn limits(&self) -> Limits {
@@ -83,7 +75,7 @@
         let mut idle = lock(&self.idle);
         let links = idle.get_mut(worker)?;
         // A box that is back elsewhere is not where the connection leads.
-        links.retain(|link| !link.is_spent() && self.is_young(link) && Some(link.address) == address);
+        links.retain(|link| !link.is_spent() && self.is_young(worker, link) && Some(link.address) == address);
         let settle = self.limits().settle;
         let settled = |link: &Link| link.is_ready() && link.idle_since.elapsed() >= settle;
         let link = links.iter().rposition(settled).map(|at| links.remove(at));
@@ -145,8 +137,8 @@
         }
         link.idle_since = idle_since;
         let mut idle = lock(&self.idle);
-        idle.retain(|_, links| {
-            links.retain(|link| !link.is_spent() && self.is_young(link));
+        idle.retain(|worker, links| {
+            links.retain(|link| !link.is_spent() && self.is_young(worker, link));
             !links.is_empty()
         });
         idle.entry(worker.clone()).or_default().push(link);
@@ -158,21 +150,15 @@
     }
 
     /// Far from the age at which the box may close it, and younger than those that were found dead.
-    fn is_young(&self, link: &Link) -> bool {
-        link.idle_since.elapsed() < self.trusted()
-    }
-
-    fn trusted(&self) -> Duration {
-        let trust = lock(&self.trust);
-        let doublings = trust.since.elapsed().as_secs() / TRUST_DOUBLES.as_secs();
-        let age = trust.age.saturating_mul(1 << doublings.min(20));
-        age.min(self.limits().conn_idle / 2)
+    fn is_young(&self, worker: &Id, link: &Link) -> bool {
+        let limit = lock(&self.idle_ages).limit(worker, self.limits().conn_idle / 2, Instant::now());
+        link.idle_since.elapsed() < limit
     }
 
     /// A connection that had been idle for so long broke at its next request: others may be as dead.
-    pub(super) fn distrust(&self, idle: Duration) {
-        let age = self.trusted().min(idle / 2);
-        *lock(&self.trust) = Trust { age, since: Instant::now() };
+    pub(super) fn was_dead(&self, worker: &Id, idle: Duration) {
+        let most = self.limits().conn_idle / 2;
+        lock(&self.idle_ages).was_dead(worker, idle, most, Instant::now());
     }
 
     /// Reads an answer that nobody waits for to its end, to keep the connection.
--- a/daemon/tests/connection.rs
+++ b/daemon/tests/connection.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use frosttrail::{Id, Outcome};
-use frosttrail_core::{Boxes, Events, Reply, Step};
+use frosttrail_core::{Boxes, Events, Reply, SendPermit, Step};
 use frosttrail_daemon::upstream::{Call, Upstream};
 use hyper::{HeaderMap, Method, Uri};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -172,7 +172,8 @@
 
 /// The same at a server of another name.
 async fn attempt_at(upstream: &Upstream, server: &str) -> Outcome {
-    let reply = upstream.attempt(&Id::from(server), &Id::from("id"), &call(), Duration::from_secs(5)).await;
+    let (server, id, wait) = (Id::from(server), Id::from("id"), Duration::from_secs(5));
+    let reply = upstream.attempt(&server, &id, &call(), wait, &SendPermit::unconditional()).await;
     match reply {
         Reply::Read { .. } => Outcome::ReadDone,
         Reply::Ended(outcome, _) => outcome,
@@ -283,8 +284,10 @@
     let shut = Shut::start().await;
     let upstream = upstream_that_connects_within(&[("decode", 1, shut.address)], Duration::from_secs(7));
     let begin = Instant::now();
-    let attempt =
-        tokio::spawn(async move { upstream.attempt(&"decode".into(), &"late".into(), &call(), wait).await });
+    let attempt = tokio::spawn(async move {
+        let permit = SendPermit::unconditional();
+        upstream.attempt(&"decode".into(), &"late".into(), &call(), wait, &permit).await
+    });
     // The kernel tries again after a second.
     sleep(Duration::from_millis(300)).await;
     let (head, came) = shut.first_request().await;
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -175,7 +175,7 @@
 /// Puts an action into the wire's words.
 pub fn action(instance: &str, action: Action) -> Value {
     match action {
-        Action::Send { id, worker, stop_at } => json!(["relay", instance, &*id, stop_at, &*worker]),
+        Action::Send { id, worker, stop_at, .. } => json!(["relay", instance, &*id, stop_at, &*worker]),
         Action::Cancel { id, attempt } => json!(["retract", instance, &*id, attempt]),
         Action::Decline { id, retry_after } => json!(["decline", instance, &*id, retry_after]),
         Action::Fail { id } => json!(["drop-request", instance, &*id]),
--- a/rpc/src/upstream/attempt.rs
+++ b/rpc/src/upstream/attempt.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use frosttrail::Outcome;
-use frosttrail_core::{Events, Reply, Step};
+use frosttrail_core::{Events, Reply, SendPermit, Step};
 use h2::client::ResponseFuture;
 use http::{HeaderMap, Method, Request, StatusCode, Version};
 use prost::Message;
@@ -30,6 +30,8 @@
     pub(super) at: SocketAddr,
     pub(super) pool: Arc<Pool>,
     pub(super) connect: Duration,
+    /// Asked before a call is sent.
+    pub(super) permit: SendPermit,
 }
 
 /// What is known of a stream while it is out.
@@ -121,6 +123,9 @@
         let Ok(Some(lent)) = timeout_at(end, lending).await else {
             return Err((Outcome::NoConnection, None));
         };
+        if self.permit.check().is_err() {
+            return Err((Outcome::NotSent, None));
+        }
         let mut sent = match timeout_at(end, self.send(lent, method, framed, wait)).await {
             Ok(Ok(sent)) => sent,
             Ok(Err(failure)) => return Err(failure.into()),
--- a/rpc/src/upstream/mod.rs
+++ b/rpc/src/upstream/mod.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use frosttrail::{Id, Load, Outcome, Role};
-use frosttrail_core::{Boxes, Reply};
+use frosttrail_core::{Boxes, Reply, SendPermit};
 
 use crate::proto;
 pub use attempt::Answer;
@@ -82,9 +82,9 @@
         Upstream { book, connect }
     }
 
-    fn calls(&self, worker: &Id) -> Option<(Calls, Role)> {
+    fn calls(&self, worker: &Id, permit: SendPermit) -> Option<(Calls, Role)> {
         let (at, role, pool) = self.book.get(worker)?;
-        Some((Calls { at, pool, connect: self.connect }, role))
+        Some((Calls { at, pool, connect: self.connect, permit }, role))
     }
 }
 
@@ -92,8 +92,15 @@
     type Call = Call;
     type Events = Answer;
 
-    async fn attempt(&self, worker: &Id, _: &Id, call: &Call, wait: Duration) -> Reply<Answer> {
-        match self.calls(worker) {
+    async fn attempt(
+        &self,
+        worker: &Id,
+        _: &Id,
+        call: &Call,
+        wait: Duration,
+        permit: &SendPermit,
+    ) -> Reply<Answer> {
+        match self.calls(worker, permit.clone()) {
             Some((calls, Role::Read)) => calls.read(call.framed.clone(), wait).await,
             Some((calls, Role::Write | Role::Both)) => calls.write(call.framed.clone(), wait).await,
             None => Reply::Ended(Outcome::NoConnection, None),
@@ -101,13 +108,15 @@
     }
 
     async fn release(&self, worker: &Id, request: &Id) -> bool {
-        let Some((calls, _)) = self.calls(worker) else { return false };
+        let Some((calls, _)) = self.calls(worker, SendPermit::unconditional()) else { return false };
         let request = proto::ReleaseRequest { id: request.to_string() };
         calls.unary::<proto::Released>("Release", messages::framed(&request), RELEASE).await.is_ok()
     }
 
     async fn probe(&self, worker: &Id) -> (Outcome, Option<Load>) {
-        let Some((calls, _)) = self.calls(worker) else { return (Outcome::NoConnection, None) };
+        let Some((calls, _)) = self.calls(worker, SendPermit::unconditional()) else {
+            return (Outcome::NoConnection, None);
+        };
         let request = messages::framed(&proto::ProbeRequest {});
         match calls.unary::<proto::Load>("Probe", request, PROBE).await {
             Ok(load) => (Outcome::Served, Some(load_of(load))),
--- a/rpc/tests/outcomes.rs
+++ b/rpc/tests/outcomes.rs
@@ -6,7 +6,7 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use frosttrail::{Id, Outcome, Role};
-use frosttrail_core::{Boxes, Events, Reply, Step};
+use frosttrail_core::{Boxes, Events, Reply, SendPermit, Step};
 use frosttrail_rpc::proto::{never_ran::Why, Event, NeverRan, ReadDone, Request};
 use frosttrail_rpc::upstream::{never_ran, Answer, Book, Call, Upstream};
 use h2::server::SendResponse;
@@ -188,7 +188,8 @@
     let request = Request { id: "r-1".into(), body: vec![7; body], ..Request::default() };
     let call = Call::new(&request).unwrap();
     let (worker, id) = (Id::from(worker), Id::from("r-1"));
-    let attempt = upstream.attempt(&worker, &id, &call, WAIT);
+    let permit = SendPermit::unconditional();
+    let attempt = upstream.attempt(&worker, &id, &call, WAIT, &permit);
     timeout(LATEST, attempt).await.unwrap()
 }
 
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -19,6 +19,8 @@
         worker: Id,
         /// On the caller's clock.
         stop_at: Micros,
+        /// Nothing is to be written from then on.
+        send_by: Option<Micros>,
     },
     /// Final answer: refused, trying again is harmless.
     Refuse {
@@ -246,11 +248,11 @@
 
     fn carry(&mut self, now: Micros, action: Action, verdicts: &mut Verdicts) {
         let (id, verdict) = match action {
-            Action::Send { id, worker, stop_at } => {
+            Action::Send { id, worker, stop_at, send_by } => {
                 let open = self.open.entry(id.clone()).or_default();
                 open.attempts += 1;
                 open.out = Some((worker.clone(), now));
-                (id, Verdict::Send { worker, stop_at })
+                (id, Verdict::Send { worker, stop_at, send_by })
             }
             Action::Cancel { id, .. } => (id, Verdict::Cancel),
             Action::Decline { id, retry_after } => (id, Verdict::Refuse { retry_after }),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -344,6 +344,8 @@
         worker: Id,
         /// When to stop waiting.
         stop_at: Micros,
+        /// Not to be written from then on, as it would be a repeat outside of its window.
+        send_by: Option<Micros>,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -59,6 +59,8 @@
 /// A request that has used up its attempts is told to come back within this time.
 const SPENT_RETRY: Micros = 200_000;
 const SWEEP: Micros = 10_000;
+/// A process may be held up for so long between reading its clock and writing.
+const HELD_UP: Micros = 150_000;
 const BLEND: f64 = 0.1;
 /// Tokens' worth of fixed cost in a stage's pace.
 const FIXED_TOKENS: f64 = 500.0;
@@ -562,7 +564,8 @@
         request.out = Some((w, now, tokens));
         (request.stage, request.silent, request.cut) = (stage, true, stop_at < now + limit / 2);
         request.phase = if reading { Phase::Reading } else { Phase::Writing };
-        out.push(Action::Send { id: id.clone(), worker: worker_id, stop_at: stop_at.max(now + 1) });
+        let (id, send_by) = (id.clone(), repeat_by(request));
+        out.push(Action::Send { id, worker: worker_id, stop_at: stop_at.max(now + 1), send_by });
         self.await_zone(w);
         true
     }
@@ -1075,6 +1078,15 @@
     }
 }
 
+/// Until when a repeat of a request that may have run can be written: a process may be held up between its
+/// last look at the clock and the write.
+fn repeat_by(request: &Request) -> Option<Micros> {
+    match (request.query.class.effect, request.ran) {
+        (Effect::Keyed { window, .. }, Some((_, sent))) => Some((sent + window).saturating_sub(HELD_UP)),
+        _ => None,
+    }
+}
+
 fn stage_of(role: Role) -> Stage {
     [Stage::Read, Stage::Write, Stage::Whole][role as usize]
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -239,7 +239,10 @@
         let now = self.now;
         match action {
             Action::Timer { delay, token } => self.bells.push((now + delay, *token)),
-            Action::Send { id, worker, stop_at } => self.check_send(id, worker, *stop_at),
+            Action::Send { id, worker, stop_at, send_by } => {
+                self.check_repeat_by(id, *send_by);
+                self.check_send(id, worker, *stop_at);
+            }
             Action::Decline { id, .. } | Action::Fail { id } => {
                 let seen = self.seen.get_mut(&**id).expect("an answer for a request that was asked");
                 assert!(!seen.ended, "a second answer for {id}");
@@ -268,6 +271,13 @@
         }
     }
 
+    /// A repeat within a window says until when it can be written, with what a process may be held up.
+    fn check_repeat_by(&self, id: &Id, send_by: Option<Micros>) {
+        let Effect::Keyed { window, .. } = self.effect else { return assert_eq!(send_by, None) };
+        let first = self.seen[&**id].ran.iter().map(|(_, sent)| *sent).min();
+        assert_eq!(send_by, first.map(|sent| sent + window - 150 * MS), "{id}");
+    }
+
     fn check_send(&mut self, id: &Id, worker: &Id, stop_at: Micros) {
         let now = self.now;
         let w = self.fleet.iter().position(|e| e.worker == *worker).expect("a listed worker");
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -174,7 +174,7 @@
         self.router.handle(self.now, event, &mut out);
         for action in out {
             match action {
-                Action::Send { id, worker, stop_at } => self.send(id, worker, stop_at),
+                Action::Send { id, worker, stop_at, .. } => self.send(id, worker, stop_at),
                 Action::Timer { delay, token } => self.plan(self.now + delay, Due::Bell(token)),
                 Action::Decline { id, .. } => drop(self.ends.insert(id, End::Refused)),
                 Action::Fail { id } => drop(self.ends.insert(id, End::Failed)),
