Show three faults of the state folder by tests that fail

daemon/tests/folder_faults.rs: a start that can't read the folder ends with 1 (a crash in an upgrade); include puts an instance back although its exclusion stays on disk and the caller hears no; a folder that is slow to read holds the whole process up, and what was read before a call replaces what the call took on.

--- /dev/null
+++ b/daemon/tests/folder_faults.rs
@@ -0,0 +1,105 @@
+//! The state folder fails for a while: it can't be made, read or written as a process starts, or as operators
+//! call. What was taken on is still owed, and no start fails.
+
+mod support;
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use frosttrail_daemon::ops::ExclusionStore;
+use frosttrail_daemon::state_dir;
+use serde_json::json;
+use support::operations::*;
+use support::*;
+use tokio::time::{sleep, timeout, Instant};
+
+/// A deployment with a fixed address, and the folder that its processes keep.
+async fn deployment(name: &str) -> (Deployment, PathBuf) {
+    let mut deployment = Deployment::new(name).await;
+    // Free a moment ago; ports are given out in turn, so that nobody else gets it soon.
+    let address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    deployment.config["listen"] = json!(address);
+    let state = state_dir::open_below(&deployment.folder, name, address).unwrap();
+    (deployment, state)
+}
+
+/// Starts a process whose operators' address is in its log, before it is ready.
+fn start(deployment: &Deployment, name: &str) -> (Running, std::net::SocketAddr) {
+    let mut running = Running::spawn(deployment.command(name));
+    let line = running.logs("operators' address, at: ");
+    let at = line.split_once("at: ").unwrap().1.split(',').next().unwrap().trim().parse().unwrap();
+    running.listen = serde_json::from_value(deployment.config["listen"].clone()).unwrap();
+    (running, at)
+}
+
+#[tokio::test]
+async fn a_start_waits_for_a_folder_that_cannot_be_read_and_serves_once_it_can() {
+    let (deployment, state) = deployment("folder-start").await;
+    let store = state.join("excluded");
+    let kept = ExclusionStore::open(&state).unwrap();
+    kept.insert(&"p".into()).unwrap();
+    // What lies in its way makes each access to the folder fail.
+    let aside = state.join("aside");
+    std::fs::rename(&store, &aside).unwrap();
+    std::fs::write(&store, "").unwrap();
+    let (running, ops) = start(&deployment, "folder-start");
+    let begin = Instant::now();
+    while begin.elapsed() < Duration::from_millis(600) {
+        assert_eq!(call(ops, "GET", "/api/ready", "").await.0, 503, "nothing may be known of exclusions");
+        sleep(Duration::from_millis(50)).await;
+    }
+    std::fs::remove_file(&store).unwrap();
+    std::fs::rename(&aside, &store).unwrap();
+    until_ready(ops).await;
+    assert_eq!(exchange(running.listen, &request("excluded")).await.status, 503);
+    assert_eq!(include(ops, "p").await, 200);
+    until_status(running.listen, "included", 200).await;
+    running.signal("-TERM");
+    running.ends_well().await;
+}
+
+#[tokio::test]
+async fn an_instance_stays_out_where_its_exclusion_cannot_be_removed() {
+    let (deployment, state) = deployment("folder-include").await;
+    let (running, ops) = start(&deployment, "folder-include");
+    until_ready(ops).await;
+    assert_eq!(exclude(ops, "p").await, 200);
+    // It can't be removed, nor read.
+    let file = std::fs::read_dir(state.join("excluded")).unwrap().next().unwrap().unwrap().path();
+    std::fs::remove_file(&file).unwrap();
+    std::fs::create_dir(&file).unwrap();
+    assert_eq!(include(ops, "p").await, 507);
+    let begin = Instant::now();
+    for n in 0.. {
+        let status = exchange(running.listen, &request(&format!("out-{n}"))).await.status;
+        assert_eq!(status, 503, "the caller heard no");
+        if begin.elapsed() > Duration::from_millis(500) {
+            break;
+        }
+    }
+    std::fs::remove_dir(&file).unwrap();
+    assert_eq!(include(ops, "p").await, 200);
+    until_status(running.listen, "back", 200).await;
+}
+
+/// A pipe among the files holds the reading up, so that the call comes in the midst of it.
+#[tokio::test]
+async fn an_exclusion_holds_from_its_yes_beside_a_folder_that_is_being_read() {
+    let (deployment, state) = deployment("folder-race").await;
+    let (running, ops) = start(&deployment, "folder-race");
+    until_ready(ops).await;
+    let pipe = state.join("excluded").join("pipe");
+    assert!(std::process::Command::new("mkfifo").arg(&pipe).status().unwrap().success());
+    // Comes up once the other side reads.
+    let opened = tokio::task::spawn_blocking(move || std::fs::OpenOptions::new().write(true).open(pipe));
+    let writer = opened.await.unwrap().unwrap();
+    assert_eq!(exclude(ops, "p").await, 200);
+    // What was read before the call is taken over now, if anything is.
+    drop(writer);
+    for n in 0..3 {
+        let text = chat(&format!("race-{n}"), "ask", 200);
+        let asked = timeout(ANSWER_WITHIN, exchange(running.listen, &text)).await;
+        let asked = asked.expect("reading the folder holds the process up");
+        assert_eq!(asked.status, 503, "served after the yes");
+    }
+}
