Start and serve through a state folder that fails for a while

Causes: Ops::open and start made and read the folder and ended the process on any error (a crash in an upgrade); include told the decisions before it removed the file; follow_exclusions read the folder on the program's one thread and put what it had read in place of what a call had taken on meanwhile; ages were differences of wall clock times. Changes: nothing is served, and readiness is no, until exclusions can be read; all else of the folder is made when needed and tried again (state_dir, open_work_files, listener_handover, which also offers anew once its successor has gone); half-written and abandoned temporary files are removed; include removes first; readings run beside and are dropped where a call has begun since (ops/call_marks.rs); a file that can't be read lifts no exclusion. Changed with reason: tests read the operators' line of the log first, as calls are answered before clients are. Ruled out: a reload with EIO keeps the old configuration and counts it as invalid (reload.rs, as for any bad file); two signals in a row end with the last reading, as the second is kept while the first is worked on.

--- a/daemon/src/command/operations.rs
+++ b/daemon/src/command/operations.rs
@@ -1,19 +1,20 @@
 //! What serving adds where operators call: their address, what outlives the process, and the process that
 //! takes over.
 
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant, SystemTime};
 
-use frosttrail::{Id, OpenWork};
+use frosttrail::OpenWork;
 use frosttrail_core::{Conductor, Figures, Learned};
 use frosttrail_daemon::config::Config;
 use frosttrail_daemon::front::Doors;
 use frosttrail_daemon::listener_handover::{InheritedListeners, ListenerHandover};
 use frosttrail_daemon::open_work_files::OpenWorkFiles;
-use frosttrail_daemon::ops::{ConductorOperations, ExclusionStore, OpsServer};
+use frosttrail_daemon::ops::{CallMarks, ConductorOperations, ExclusionStore, OpsServer};
 use frosttrail_daemon::snapshot_file::SnapshotFile;
 use frosttrail_daemon::state_dir;
 use frosttrail_daemon::upstream::Upstream;
@@ -30,50 +31,43 @@
 /// What another process was told of exclusions is read this often, well within the rule on drains.
 const EXCLUSIONS_EVERY: Duration = Duration::from_millis(100);
 
-/// What the process before has left for the conductor.
-#[derive(Default)]
-pub struct PreviousState {
-    /// Instances that are excluded.
-    pub excluded: Vec<Id>,
-    /// What was learned, and how long ago that was written.
-    pub learned: Option<(Learned, Duration)>,
-}
+/// How often a folder that can't be read is tried again before anything is served.
+const FOLDER_RETRY: Duration = Duration::from_millis(50);
+
+/// What was learned by the process before, and how long ago that was written.
+pub type PreviousState = Option<(Learned, Duration)>;
 
 /// The operators' address, bound, and what the process before has left.
 pub struct Ops {
-    server: OpsServer,
+    server: Option<OpsServer>,
     folder: PathBuf,
     store: ExclusionStore,
     snapshot: SnapshotFile,
-    kept: Option<PreviousState>,
+    kept: PreviousState,
     inherited: Option<InheritedListeners>,
+    calls: CallMarks,
 }
 
 impl Ops {
     /// Binds the address and takes over what there is.
     pub fn open(address: SocketAddr, config: &Config, log: &Logger) -> Result<Self, ServeError> {
         let server = OpsServer::bind(address).map_err(|e| ServeError::Bind(address, e))?;
-        let folder = state_dir::open(&config.name, config.listen)?;
+        let folder = state_dir::path(&config.name, config.listen);
         let inherited = InheritedListeners::request(&folder, log);
-        let (store, snapshot) = (ExclusionStore::open(&folder)?, SnapshotFile::in_folder(&folder));
-        let excluded = store.load(log)?;
-        let learned = snapshot.read().unwrap_or_else(|e| {
+        let (store, snapshot) = (ExclusionStore::in_folder(&folder), SnapshotFile::in_folder(&folder));
+        state_dir::remove_leftovers(&folder);
+        state_dir::remove_leftovers(store.folder());
+        let kept = snapshot.read().unwrap_or_else(|e| {
             warn!(log, "what the process before has learned is passed over"; "why" => %e);
             None
         });
-        Ok(Ops {
-            server,
-            folder,
-            store,
-            snapshot,
-            kept: Some(PreviousState { excluded, learned }),
-            inherited,
-        })
+        let (server, calls) = (Some(server), CallMarks::default());
+        Ok(Ops { server, folder, store, snapshot, kept, inherited, calls })
     }
 
     /// What is for the conductor; once.
     pub fn kept(&mut self) -> PreviousState {
-        self.kept.take().unwrap_or_default()
+        self.kept.take()
     }
 
     /// The listeners that were passed on; once.
@@ -81,37 +75,58 @@
         self.inherited.take()
     }
 
-    /// Answers calls, and keeps what the next process needs.
-    pub fn start(
-        self,
+    /// Answers calls from now on; `serving` is set while the process takes requests.
+    pub fn answer_calls(
+        &mut self,
         conductor: &Conductor<Upstream>,
         figures: Figures,
-        listeners: Listeners,
-        ending: Arc<AtomicBool>,
+        serving: Arc<AtomicBool>,
         log: &Logger,
-    ) -> Result<OpsService, ServeError> {
-        let Ops { server, folder, store, snapshot, .. } = self;
+    ) -> Result<(), ServeError> {
+        let (conductor, store, calls) = (conductor.clone(), self.store.clone(), self.calls.clone());
+        let operations = ConductorOperations::new(conductor, store, figures, calls, serving);
+        match self.server.take() {
+            Some(server) => Ok(server.start(Arc::new(operations), log.clone())?),
+            None => Ok(()),
+        }
+    }
+
+    /// Takes over which instances are excluded. Resolves once that is known: a folder that can't be read says
+    /// nothing, and may not be taken for one that holds nothing.
+    pub async fn restore_exclusions(&self, conductor: &Conductor<Upstream>, log: &Logger) {
+        let mut told = false;
+        loop {
+            let (store, load_log) = (self.store.clone(), log.clone());
+            let loaded = tokio::task::spawn_blocking(move || store.load_at_start(&load_log)).await;
+            let why = match loaded {
+                Ok(Ok(excluded)) => return conductor.replace_excluded(excluded.into_iter().collect()),
+                Ok(Err(e)) => e.to_string(),
+                Err(e) => e.to_string(),
+            };
+            if !std::mem::replace(&mut told, true) {
+                warn!(log, "nothing is served until exclusions can be read; see that $TMPDIR can be";
+                    "folder" => %self.store.folder().display(), "why" => why);
+            }
+            sleep(FOLDER_RETRY).await;
+        }
+    }
+
+    /// Keeps what the next process needs.
+    pub fn start(self, conductor: &Conductor<Upstream>, listeners: Listeners, log: &Logger) -> OpsService {
+        let Ops { folder, store, snapshot, calls, .. } = self;
         let handover = ListenerHandover::offer(&folder, Arc::new(listeners.listeners), log.clone());
-        let handover = handover
-            .inspect_err(|e| {
-                warn!(log, "listeners can't be passed on: an upgrade shares the address only";
-                    "folder" => %folder.display(), "why" => %e);
-            })
-            .ok();
-        let files = OpenWorkFiles::open(&folder)?;
+        let files = OpenWorkFiles::in_folder(&folder);
         let shares = tokio::spawn(share_open_work(conductor.clone(), files.clone(), log.clone()));
         let keeps = tokio::spawn(keep_snapshot(conductor.clone(), snapshot, log.clone()));
-        let follows = tokio::spawn(follow_exclusions(conductor.clone(), store.clone(), log.clone()));
-        let operations = ConductorOperations::new(conductor.clone(), store, figures, ending);
-        server.start(Arc::new(operations), log.clone())?;
-        Ok(OpsService {
-            handover,
+        let follows = tokio::spawn(follow_exclusions(conductor.clone(), store, calls, log.clone()));
+        OpsService {
+            handover: Some(handover),
             keeps: Some(AbortOnDropHandle::new(keeps)),
             _follows: AbortOnDropHandle::new(follows),
             _shares: AbortOnDropHandle::new(shares),
             open_work: files,
             _inherited: listeners.inherited,
-        })
+        }
     }
 }
 
@@ -193,7 +208,10 @@
         sleep(OPEN_WORK_EVERY).await;
         let Some(own) = conductor.open_work().await else { return };
         let files = files.clone();
-        let Ok(others) = tokio::task::spawn_blocking(move || files.exchange(&own)).await else { return };
+        let Ok(others) = tokio::task::spawn_blocking(move || files.exchange(&own, Instant::now())).await
+        else {
+            return;
+        };
         match others {
             Ok(others) => {
                 if others != counted {
@@ -213,22 +231,62 @@
     }
 }
 
+/// Whether a folder has to be read again, by the time at which it changed last.
+#[derive(Clone, Copy, Default)]
+struct ChangeWatch {
+    last: Option<SystemTime>,
+    reads: u32,
+}
+
+impl ChangeWatch {
+    /// What changes twice within the file system's smallest step looks like one change, so that each is read
+    /// a few times.
+    const READS: u32 = 3;
+
+    fn is_due(&mut self, changed: Option<SystemTime>) -> bool {
+        if changed.is_none() || changed != self.last {
+            (self.last, self.reads) = (changed, 0);
+        }
+        self.reads < Self::READS
+    }
+}
+
 /// Takes over what another process of the same conductor was told of exclusions.
-async fn follow_exclusions(conductor: Conductor<Upstream>, store: ExclusionStore, log: Logger) {
-    let mut seen = None;
+async fn follow_exclusions(
+    conductor: Conductor<Upstream>,
+    store: ExclusionStore,
+    calls: CallMarks,
+    log: Logger,
+) {
+    let (mut watch, mut failed) = (ChangeWatch::default(), false);
     loop {
         sleep(EXCLUSIONS_EVERY).await;
-        let changed = store.changed();
-        if changed.is_some() && changed == seen {
-            continue;
-        }
-        match store.load(&log) {
-            Ok(excluded) => {
-                conductor.replace_excluded(excluded.into_iter().collect());
-                // What changes twice within the file system's smallest step looks like one change.
-                seen = changed.filter(|at| at.elapsed().is_ok_and(|age| age > EXCLUSIONS_EVERY));
+        let Some(mark) = calls.mark() else { continue };
+        let (reading, load_log, due) = (store.clone(), log.clone(), watch);
+        let read = tokio::task::spawn_blocking(move || {
+            let mut watch = due;
+            let excluded = watch.is_due(reading.changed()).then(|| reading.load(&load_log));
+            (watch, excluded)
+        });
+        let Ok((read_watch, excluded)) = read.await else { return };
+        watch = read_watch;
+        match excluded {
+            None => {}
+            Some(Ok(excluded)) => {
+                let excluded = excluded.into_iter().collect();
+                let applied = calls.apply_since(mark, || conductor.replace_excluded(excluded));
+                watch.reads += u32::from(applied);
+                failed = false;
+            }
+            // Never made: nothing has been excluded yet, by any process.
+            Some(Err(e)) if e.kind() == ErrorKind::NotFound => {}
+            Some(Err(e)) => {
+                let first = !std::mem::replace(&mut failed, true);
+                // One line for each outage.
+                if first {
+                    warn!(log, "exclusions could not be read again, and stay as they are"; "why" => %e);
+                }
             }
-            Err(e) => warn!(log, "exclusions could not be read again"; "why" => %e),
         }
     }
 }
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -100,7 +100,7 @@
     let listen = config.listen;
     let (discovery, members) = watch::channel(config.discovery_config());
     let figures = Figures::new().map_err(std::io::Error::other)?;
-    let kept = ops.as_mut().map(Ops::kept).unwrap_or_default();
+    let kept = ops.as_mut().and_then(Ops::kept);
     let (conductor, upstream) = conductor(config.clone(), members, xds, each, kept, &figures, &log);
     let reload = Reload {
         config,
@@ -112,6 +112,14 @@
     };
     // It goes on beside an end that is planned: until then, drains are still learned of.
     let _reloads = AbortOnDropHandle::new(tokio::spawn(reload.run(signals.hangup)));
+    let serving = Arc::new(AtomicBool::new(false));
+    if let Some(ops) = &mut ops {
+        ops.answer_calls(&conductor, figures, serving.clone(), &log)?;
+        tokio::select! {
+            () = ops.restore_exclusions(&conductor, &log) => {}
+            _ = signals.terminate.recv() => return Ok(()),
+        }
+    }
     let mut listeners = Listeners::new(&doors, ops.as_mut().and_then(Ops::inherited));
     doors.serve_on(listeners.bind(listen)?, Platform::new(conductor.clone()))?;
     if let Some(chat) = chat {
@@ -121,17 +129,17 @@
         Some(config) => Some(join(config, &conductor, &log).await?),
         None => None,
     };
-    let ending = Arc::new(AtomicBool::new(false));
     let mut service = match ops {
-        Some(ops) => Some(ops.start(&conductor, figures, listeners, ending.clone(), &log)?),
+        Some(ops) => Some(ops.start(&conductor, listeners, &log)),
         None => {
             // A descriptor that stays open would keep the queue of a listener that has closed.
             drop(listeners);
             None
         }
     };
+    serving.store(true, Ordering::Relaxed);
     signals.terminate.recv().await;
-    ending.store(true, Ordering::Relaxed);
+    serving.store(false, Ordering::Relaxed);
     let handover = service.as_mut().and_then(OpsService::end);
     let Ending { notice, answer_all, last } = Ending::new(&conductor.settings());
     let succeeded = handover.as_ref().is_some_and(ListenerHandover::has_successor);
@@ -204,7 +212,7 @@
     discovery: watch::Receiver<DiscoveryConfig>,
     xds: Option<XdsConfig>,
     connections: usize,
-    PreviousState { excluded, learned }: PreviousState,
+    learned: PreviousState,
     figures: &Figures,
     log: &Logger,
 ) -> (Conductor<Upstream>, Arc<Upstream>) {
@@ -220,6 +228,8 @@
     let boxes = Arc::new(Upstream::new(book.clone(), limits, figures.sends.clone()));
     let Config { name, known, names, settings, seed, .. } = config;
     let (log, upstream, figures) = (log.clone(), boxes.clone(), figures.clone());
+    // They are known before anything is served.
+    let excluded = Vec::new();
     let conductor = match xds {
         Some(xds) => {
             let members = Xds::new(xds, name, names, clock, book, log.clone());
--- a/daemon/src/listener_handover.rs
+++ b/daemon/src/listener_handover.rs
@@ -20,12 +20,16 @@
 use tokio::time::sleep;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::state_dir;
+
 /// What goes along with the descriptors; the version of this exchange.
 const GREETING: &[u8; 1] = b"1";
 /// No process has more listeners.
 const LISTENERS_MAX: usize = 4;
 /// A process that has not answered by then is paused or hangs.
 const ANSWER_WITHIN: Duration = Duration::from_millis(500);
+/// After a socket that could not be made.
+const OFFER_AGAIN: Duration = Duration::from_millis(500);
 /// After an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -96,16 +100,11 @@
 }
 
 impl ListenerHandover {
-    /// Takes the place of whatever socket lies in the folder.
-    pub fn offer(folder: &Path, listeners: Arc<Vec<TcpListener>>, log: Logger) -> Result<Self> {
-        let (path, own) = (path(folder), folder.join(format!("listeners.{}", std::process::id())));
-        // Left by a process that had this id before.
-        let _ = std::fs::remove_file(&own);
-        let socket = UnixListener::bind(&own)?;
-        std::fs::rename(&own, &path)?;
+    /// Takes the place of whatever socket lies in the folder, as soon as the folder allows it.
+    pub fn offer(folder: &Path, listeners: Arc<Vec<TcpListener>>, log: Logger) -> Self {
         let (count, successors) = watch::channel(0);
-        let task = tokio::spawn(accept(socket, listeners, Arc::new(count), log));
-        Ok(ListenerHandover { successors, task: AbortOnDropHandle::new(task) })
+        let task = tokio::spawn(pass_on(folder.to_path_buf(), listeners, Arc::new(count), log));
+        ListenerHandover { successors, task: AbortOnDropHandle::new(task) }
     }
 
     /// Resolves once its descriptors of the listeners are closed.
@@ -121,11 +120,60 @@
     }
 }
 
-async fn accept(
-    socket: UnixListener,
+/// Puts a socket in the place of whatever lies in the folder.
+fn bind(folder: &Path) -> Result<UnixListener> {
+    let (path, own) = (path(folder), folder.join(format!("listeners.{}", std::process::id())));
+    // Left by a process that had this id before, or by an earlier try.
+    let _ = std::fs::remove_file(&own);
+    state_dir::create(folder)?;
+    let socket = UnixListener::bind(&own)?;
+    std::fs::rename(&own, &path)?;
+    Ok(socket)
+}
+
+/// Offers the listeners. A successor takes the place of the socket in the folder; where none is left, this
+/// process takes it again, for the next.
+async fn pass_on(
+    folder: PathBuf,
     listeners: Arc<Vec<TcpListener>>,
     successors: Arc<watch::Sender<usize>>,
     log: Logger,
+) {
+    let mut failed = false;
+    loop {
+        match bind(&folder) {
+            Ok(socket) => {
+                failed = false;
+                let mut left = successors.subscribe();
+                tokio::select! {
+                    () = accept(socket, &listeners, &successors, &log) => {}
+                    () = all_left(&mut left) => {}
+                }
+            }
+            Err(e) => {
+                // One line for each outage.
+                if !std::mem::replace(&mut failed, true) {
+                    warn!(log, "listeners can't be passed on: an upgrade shares the address only";
+                        "folder" => %folder.display(), "why" => %e);
+                }
+                sleep(OFFER_AGAIN).await;
+            }
+        }
+    }
+}
+
+/// Resolves once there was a successor and there is none any more.
+async fn all_left(successors: &mut watch::Receiver<usize>) {
+    // The sender lives as long as whoever waits here.
+    let _ = successors.wait_for(|count| *count > 0).await;
+    let _ = successors.wait_for(|count| *count == 0).await;
+}
+
+async fn accept(
+    socket: UnixListener,
+    listeners: &[TcpListener],
+    successors: &Arc<watch::Sender<usize>>,
+    log: &Logger,
 ) {
     loop {
         let successor = match socket.accept().await {
@@ -136,7 +184,7 @@
                 continue;
             }
         };
-        if let Err(e) = send(&successor, &listeners) {
+        if let Err(e) = send(&successor, listeners) {
             warn!(log, "listeners were not passed on"; "why" => %e);
             continue;
         }
--- a/daemon/src/open_work_files.rs
+++ b/daemon/src/open_work_files.rs
@@ -1,8 +1,11 @@
 //! What each process of a conductor has open at servers, in files that the others read.
 
-use std::fs;
+use std::collections::HashMap;
+use std::fs::{self, Metadata};
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
-use std::time::{Duration, SystemTime};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use frosttrail::OpenWork;
 
@@ -20,26 +23,50 @@
 pub struct OpenWorkFiles {
     folder: PathBuf,
     own: PathBuf,
+    /// Which version of each file was seen last, and since when. By this process's clock: the wall clock, and
+    /// with it what a file says of its age, may be stepped.
+    seen: Arc<Mutex<HashMap<PathBuf, (Version, Instant)>>>,
+}
+
+/// Tells one writing of a file from the next: each makes a new file.
+type Version = (u64, i64, i64);
+
+fn version(file: &Metadata) -> Version {
+    (file.ino(), file.mtime(), file.mtime_nsec())
 }
 
 impl OpenWorkFiles {
-    /// Uses a folder below this one, which is made if it is not there.
-    pub fn open(state: &Path) -> std::io::Result<Self> {
+    /// Uses a folder below this one, which is made with the first file.
+    pub fn in_folder(state: &Path) -> Self {
         let folder = state.join("open-work");
-        fs::create_dir_all(&folder)?;
         let own = folder.join(std::process::id().to_string());
-        Ok(OpenWorkFiles { folder, own })
+        OpenWorkFiles { folder, own, seen: Arc::default() }
     }
 
     /// Writes what this process has open, and gives what the others have.
-    pub fn exchange(&self, own: &OpenWork) -> std::io::Result<OpenWork> {
+    pub fn exchange(&self, own: &OpenWork, now: Instant) -> std::io::Result<OpenWork> {
         state_dir::replace(&self.own, serde_json::to_vec(own)?)?;
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = std::mem::take(&mut *seen);
         let mut others = OpenWork::default();
         for file in fs::read_dir(&self.folder)? {
             let path = file?.path();
-            if path != self.own && path.extension().is_none() {
+            if path == self.own || path.extension().is_some() {
+                continue;
+            }
+            let Ok(metadata) = fs::metadata(&path) else { continue };
+            let version = version(&metadata);
+            let known = before.get(&path).filter(|(known, _)| *known == version);
+            let since = known.map_or(now, |(_, since)| *since);
+            let age = now.saturating_duration_since(since);
+            if age > ABANDONED {
+                let _ = fs::remove_file(&path);
+                continue;
+            }
+            if age <= FRESH && metadata.len() <= BYTES_MAX {
                 others.add(read(&path).unwrap_or_default());
             }
+            seen.insert(path, (version, since));
         }
         Ok(others)
     }
@@ -51,15 +78,7 @@
     }
 }
 
-/// `None` for a file that has gone meanwhile, was not written lately or can't be read.
+/// `None` for a file that has gone meanwhile or can't be read.
 fn read(path: &Path) -> Option<OpenWork> {
-    let metadata = fs::metadata(path).ok()?;
-    let age = SystemTime::now().duration_since(metadata.modified().ok()?).unwrap_or_default();
-    if age > ABANDONED {
-        let _ = fs::remove_file(path);
-    }
-    if age > FRESH || metadata.len() > BYTES_MAX {
-        return None;
-    }
     serde_json::from_slice(&fs::read(path).ok()?).ok()
 }
--- a/daemon/src/ops/conductor.rs
+++ b/daemon/src/ops/conductor.rs
@@ -7,6 +7,7 @@
 use frosttrail_core::{Boxes, Conductor, Figures};
 
 use super::call::{CallError, Operations};
+use super::call_marks::CallMarks;
 use super::exclusion_store::ExclusionStore;
 
 /// A conductor, and where its exclusions are kept.
@@ -14,24 +15,26 @@
     conductor: Conductor<B>,
     store: ExclusionStore,
     figures: Figures,
-    ending: Arc<AtomicBool>,
+    calls: CallMarks,
+    serving: Arc<AtomicBool>,
 }
 
 impl<B: Boxes> ConductorOperations<B> {
-    /// Calls on this conductor; `ending` is set once it takes nothing new.
+    /// Calls on this conductor; `serving` is set while it takes requests.
     pub fn new(
         conductor: Conductor<B>,
         store: ExclusionStore,
         figures: Figures,
-        ending: Arc<AtomicBool>,
+        calls: CallMarks,
+        serving: Arc<AtomicBool>,
     ) -> Self {
-        ConductorOperations { conductor, store, figures, ending }
+        ConductorOperations { conductor, store, figures, calls, serving }
     }
 }
 
 impl<B: Boxes> Operations for ConductorOperations<B> {
     fn is_ready(&self) -> bool {
-        self.conductor.able() && !self.ending.load(Ordering::Relaxed)
+        self.conductor.able() && self.serving.load(Ordering::Relaxed)
     }
 
     fn telemetry(&self) -> Result<String, CallError> {
@@ -40,6 +43,7 @@
 
     fn exclude(&self, id: &Id) -> Result<(), CallError> {
         self.conductor.check_known(id)?;
+        let _call = self.calls.begin();
         // Kept before it is said: it must hold over an upgrade that begins right now.
         self.store.insert(id)?;
         self.conductor.exclude(id).map_err(|error| {
@@ -50,8 +54,10 @@
     }
 
     fn include(&self, id: &Id) -> Result<(), CallError> {
-        // In this order: what is in neither place would be no instance that anybody knows.
-        self.conductor.include(id)?;
-        Ok(self.store.remove(id)?)
+        self.conductor.check_known(id)?;
+        let _call = self.calls.begin();
+        // In this order: where it can't be removed, it stays out, and its caller hears a no.
+        self.store.remove(id)?;
+        Ok(self.conductor.include(id)?)
     }
 }
--- a/daemon/src/ops/exclusion_store.rs
+++ b/daemon/src/ops/exclusion_store.rs
@@ -21,14 +21,26 @@
 }
 
 impl ExclusionStore {
-    /// Uses a folder below this one, which is made if it is not there.
-    pub fn open(state: &Path) -> Result<Self> {
-        let folder = state.join(FOLDER);
-        fs::create_dir_all(&folder)?;
-        Ok(ExclusionStore { folder })
+    /// Uses a folder below this one, which is made once there is something to keep.
+    pub fn in_folder(state: &Path) -> Self {
+        ExclusionStore { folder: state.join(FOLDER) }
     }
 
-    /// All that are kept. A file that is damaged is passed over, with a line in the log.
+    /// Where they are kept.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// What a process that starts finds: nothing, where the folder has never been made.
+    pub fn load_at_start(&self, log: &Logger) -> Result<Vec<Id>> {
+        match self.load(log) {
+            Err(e) if e.kind() == ErrorKind::NotFound => Ok(Vec::new()),
+            loaded => loaded,
+        }
+    }
+
+    /// All that are kept. A file that is damaged is passed over, with a line in the log. Fails where one can't
+    /// be read: it may not be taken for one that is not there.
     pub fn load(&self, log: &Logger) -> Result<Vec<Id>> {
         let mut excluded = Vec::new();
         for file in fs::read_dir(&self.folder)? {
@@ -39,6 +51,9 @@
             }
             match self.read(&path) {
                 Ok(id) => excluded.push(id),
+                // Included again meanwhile.
+                Err(e) if e.kind() == ErrorKind::NotFound => {}
+                Err(e) if e.kind() != ErrorKind::InvalidData => return Err(e),
                 Err(e) => {
                     warn!(log, "an exclusion is passed over; exclude the instance again, remove the file";
                         "file" => %path.display(), "why" => %e);
@@ -73,7 +88,11 @@
 
     fn read(&self, path: &Path) -> Result<Id> {
         let invalid = |why| Error::new(ErrorKind::InvalidData, why);
-        if fs::metadata(path)?.len() > ID_BYTES_MAX as u64 {
+        let file = fs::metadata(path)?;
+        if file.is_dir() {
+            return Err(ErrorKind::IsADirectory.into());
+        }
+        if file.len() > ID_BYTES_MAX as u64 {
             return Err(invalid("larger than an id"));
         }
         let id = String::from_utf8(fs::read(path)?).map_err(|_| invalid("not text"))?;
--- a/daemon/src/snapshot_file.rs
+++ b/daemon/src/snapshot_file.rs
@@ -2,14 +2,16 @@
 
 use std::fs;
 use std::path::{Path, PathBuf};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use frosttrail_core::Learned;
 
+use rustix::time::{clock_gettime, ClockId};
+
 use crate::state_dir;
 
 /// The first word of the file, and the version of what follows.
-const MAGIC: &str = "frosttrail-snapshot-1";
+const MAGIC: &str = "frosttrail-snapshot-2";
 /// No file is larger.
 const BYTES_MAX: usize = 4 << 20;
 /// What is older tells of another time.
@@ -28,8 +30,8 @@
     #[error("damaged; it will be replaced")]
     Damaged,
     /// It was written too long ago.
-    #[error("written {0:?} ago, by a process that is no more; it will be replaced")]
-    Old(Duration),
+    #[error("written over {AGE_MAX:?} ago, by a process that is no more; it will be replaced")]
+    Old,
     /// It has more bytes than are kept.
     #[error("larger than {BYTES_MAX} bytes")]
     TooLarge,
@@ -39,8 +41,18 @@
 #[derive(Clone, Debug)]
 pub struct SnapshotFile(PathBuf);
 
-fn unix_time() -> Duration {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+/// Where the kernel says which start of the machine this is.
+const BOOT_ID: &str = "/proc/sys/kernel/random/boot_id";
+
+/// Since the machine has started: all its processes have this clock, and nobody steps it.
+fn uptime() -> Duration {
+    let now = clock_gettime(ClockId::Monotonic);
+    Duration::new(now.tv_sec.unsigned_abs(), now.tv_nsec.unsigned_abs() as u32)
+}
+
+/// Which start of the machine this is; its clock begins anew with each.
+fn boot_id() -> Result<String, SnapshotError> {
+    Ok(fs::read_to_string(BOOT_ID)?.trim().to_string())
 }
 
 impl SnapshotFile {
@@ -56,7 +68,7 @@
             return Err(SnapshotError::TooLarge);
         }
         let hash = blake3::hash(body.as_bytes()).to_hex();
-        let text = format!("{MAGIC} {hash} {}\n{body}", unix_time().as_millis());
+        let text = format!("{MAGIC} {hash} {} {}\n{body}", boot_id()?, uptime().as_millis());
         Ok(state_dir::replace(&self.0, text)?)
     }
 
@@ -77,10 +89,11 @@
         if words.next() != Some(blake3::hash(body.as_bytes()).to_hex().as_str()) {
             return Err(SnapshotError::Damaged);
         }
+        let same_boot = words.next() == Some(boot_id()?.as_str());
         let written = words.next().and_then(|ms| ms.parse().ok()).ok_or(SnapshotError::Damaged)?;
-        let age = unix_time().saturating_sub(Duration::from_millis(written));
-        if age > AGE_MAX {
-            return Err(SnapshotError::Old(age));
+        let age = uptime().saturating_sub(Duration::from_millis(written));
+        if !same_boot || age > AGE_MAX {
+            return Err(SnapshotError::Old);
         }
         let learned = serde_json::from_str(body).map_err(|_| SnapshotError::Foreign)?;
         Ok(Some((learned, age)))
--- a/daemon/tests/folder_faults.rs
+++ b/daemon/tests/folder_faults.rs
@@ -19,7 +19,7 @@
     // Free a moment ago; ports are given out in turn, so that nobody else gets it soon.
     let address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     deployment.config["listen"] = json!(address);
-    let state = state_dir::open_below(&deployment.folder, name, address).unwrap();
+    let state = state_dir::path_below(&deployment.folder, name, address);
     (deployment, state)
 }
 
@@ -36,7 +36,7 @@
 async fn a_start_waits_for_a_folder_that_cannot_be_read_and_serves_once_it_can() {
     let (deployment, state) = deployment("folder-start").await;
     let store = state.join("excluded");
-    let kept = ExclusionStore::open(&state).unwrap();
+    let kept = ExclusionStore::in_folder(&state);
     kept.insert(&"p".into()).unwrap();
     // What lies in its way makes each access to the folder fail.
     let aside = state.join("aside");
@@ -88,6 +88,7 @@
     let (deployment, state) = deployment("folder-race").await;
     let (running, ops) = start(&deployment, "folder-race");
     until_ready(ops).await;
+    assert_eq!((exclude(ops, "d").await, include(ops, "d").await), (200, 200));
     let pipe = state.join("excluded").join("pipe");
     assert!(std::process::Command::new("mkfifo").arg(&pipe).status().unwrap().success());
     // Comes up once the other side reads.
--- a/daemon/tests/ops.rs
+++ b/daemon/tests/ops.rs
@@ -108,6 +108,6 @@
     deployment.config["ops"] = json!("192.0.2.1:1");
     let mut command = program("ops-env", &deployment.config.to_string());
     command.env("TMPDIR", &deployment.folder).env("EDGE_OPS", ops.as_str().unwrap());
-    let mut running = Running::start(command);
+    let mut running = Running::spawn(command);
     assert!(running.logs("operators' address, at: ").contains("127.0.0.1"));
 }
--- a/daemon/tests/support/operations.rs
+++ b/daemon/tests/support/operations.rs
@@ -37,10 +37,11 @@
 
     /// A process that is ready, and its operators' address.
     pub async fn start(&self, name: &str) -> (Running, SocketAddr) {
-        let mut running = Running::start(self.command(name));
+        let mut running = Running::spawn(self.command(name));
         let line = running.logs("operators' address, at: ");
         let at = line.split_once("at: ").unwrap().1.split(',').next().unwrap().trim();
         let at = at.parse().unwrap();
+        running.listens();
         until_ready(at).await;
         (running, at)
     }
--- a/daemon/tests/upgrade.rs
+++ b/daemon/tests/upgrade.rs
@@ -185,7 +185,7 @@
     let whole = std::fs::read_to_string(&file).unwrap();
     let damaged = whole.replace("\"pace\":[", "\"pace\":[1");
     assert_ne!(whole, damaged);
-    let of_another_time = whole.split(' ').take(2).collect::<Vec<_>>().join(" ") + " 1\n";
+    let of_another_time = whole.split(' ').take(3).collect::<Vec<_>>().join(" ") + " 1\n";
     let of_another_time = of_another_time + whole.split_once('\n').unwrap().1;
     let bad = [
         (damaged, "damaged"),
