Guard what goes out, end half heads in time, and blame no server for this machine

Reasons: svc_sends_withheld, svc_retries and svc_refusals by reason, each close of a client's connection in the debug log. Discovery: a configuration that names the same agent no longer drops the call under way and its wait (platform.rs, moved). Connections: ENFILE, EMFILE, ENOBUFS, EADDRNOTAVAIL, ENETUNREACH and no permit are this machine's: tried again within connect-timeout, then never sent, with no breaker opened (pool.rs, link.rs).

--- a/core/src/figures.rs
+++ b/core/src/figures.rs
@@ -3,13 +3,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::permit::Withheld;
-use frosttrail::Settings;
+use frosttrail::{Outcome, Settings, Violation};
 use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 
 /// Names begin with this.
 const NAMESPACE: &str = "svc";
 /// The label that holds a request's class.
 const CLASS: &str = "group";
+/// The label that holds a rule.
+const RULE: &str = "rule";
+/// A request that has had no attempt.
+const UNSENT: &str = "unsent";
 /// The label that holds why something was done, or was not.
 const REASON: &str = "reason";
 
@@ -25,6 +29,12 @@
     current: IntGauge,
     /// Attempts that were decided and not begun, by reason.
     withheld: IntCounterVec,
+    /// Actions that would have broken a rule and were not carried out, by rule.
+    violations: IntCounterVec,
+    /// Further attempts, by how the one before had ended.
+    retries: IntCounterVec,
+    /// Refusals, by how the last attempt had ended.
+    refusals: IntCounterVec,
     /// Attempts written whole to instances.
     pub sends: IntCounter,
     /// Instances in the list.
@@ -61,6 +71,9 @@
             deferred: by_label("deferred", "Requests refused.", CLASS)?,
             errored: by_label("errored", "Requests that failed, or whose client left.", CLASS)?,
             withheld: by_label("sends_withheld", "Attempts decided and not begun.", REASON)?,
+            violations: by_label("violations", "Actions withheld as they would break a rule.", RULE)?,
+            retries: by_label("retries", "Further attempts, by the end of the one before.", REASON)?,
+            refusals: by_label("refusals", "Refusals, by the end of the last attempt.", REASON)?,
             current: gauge("current", "Requests taken and not ended.")?,
             sends: counter("sends", "Attempts written whole to instances.")?,
             cluster_size: gauge("cluster_size", "Instances in the list.")?,
@@ -88,6 +101,21 @@
         self.withheld.with_label_values(&[why.label()]).inc();
     }
 
+    /// An action would have broken a rule.
+    pub(crate) fn violated(&self, violation: Violation) {
+        self.violations.with_label_values(&[violation.label()]).inc();
+    }
+
+    /// A further attempt goes out after one that ended so.
+    pub(crate) fn retried(&self, last: Outcome) {
+        self.retries.with_label_values(&[label(last)]).inc();
+    }
+
+    /// A request is refused whose last attempt, if there was one, ended so.
+    pub(crate) fn refused(&self, last: Option<Outcome>) {
+        self.refusals.with_label_values(&[last.map_or(UNSENT, label)]).inc();
+    }
+
     /// Each class has its figures before its first request.
     pub(crate) fn add_classes(&self, settings: &Settings) {
         for class in &settings.classes {
@@ -111,6 +139,23 @@
     }
 }
 
+/// An outcome as it stands in figures.
+fn label(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Served => "served",
+        Outcome::ReadDone => "read_done",
+        Outcome::Failed => "failed",
+        Outcome::TurnedAway => "turned_away",
+        Outcome::StateLost => "state_lost",
+        Outcome::NoAnswer => "no_answer",
+        Outcome::NoConnection => "no_connection",
+        Outcome::ConnectionLost => "connection_lost",
+        Outcome::StaleConnection => "stale_connection",
+        Outcome::CalledOff => "called_off",
+        Outcome::NotSent => "not_sent",
+    }
+}
+
 /// It guards no data, so that a panic elsewhere does no harm.
 fn lock(moving: &Mutex<()>) -> MutexGuard<'_, ()> {
     moving.lock().unwrap_or_else(PoisonError::into_inner)
--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -10,7 +10,7 @@
     Verdicts,
 };
 use serde::{Deserialize, Serialize};
-use slog::{debug, info, Logger};
+use slog::{debug, info, warn, Logger};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{yield_now, AbortHandle};
 use tokio::time::Instant;
@@ -510,6 +510,10 @@
         for line in verdicts.log {
             info!(self.log, "{}", line);
         }
+        for (id, violation) in verdicts.violations {
+            warn!(self.log, "withheld, as it would break a rule"; "id" => %id, "rule" => %violation);
+            self.figures.violated(violation);
+        }
         for worker in verdicts.probes {
             self.probe(worker);
         }
@@ -529,6 +533,9 @@
                 }
                 Verdict::Send { ref worker, send_by, .. } => {
                     seat.sent_to.insert(0, worker.clone());
+                    if let Some(last) = seat.last.filter(|last| *last != Outcome::ReadDone) {
+                        self.figures.retried(last);
+                    }
                     permit = self.admissions.permit(worker, send_by, self.clock, self.figures.clone());
                     // A send that never arrives does not stop the clock of what is held, so the release goes
                     // on beside it until the attempt is known to have arrived.
@@ -538,6 +545,10 @@
                     let release = seat.release.as_mut().filter(|_| no_server_heard);
                     release.and_then(|release| release.1.take())
                 }
+                Verdict::Refuse { .. } => {
+                    self.figures.refused(seat.last);
+                    None
+                }
                 _ => None,
             };
             // A request that has just gone says so itself, in a message that lies in the inbox.
--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -144,22 +144,18 @@
         if let Some(known) = self.known.take() {
             return Some(self.news(known, ListForm::WarmCopy));
         }
+        let sizes = self.config.clone();
         loop {
             let listing = tokio::select! {
                 biased;
-                () = changed(&mut self.config) => {
-                    let DiscoveryConfig { agent: to, conductors } = *self.config.borrow_and_update();
-                    self.backoff.resize(conductors);
-                    if to == self.agent.address {
-                        continue;
-                    }
+                to = moved(&mut self.config, self.agent.address) => {
                     info!(self.log, "discovery has moved"; "to" => %to);
                     self.agent = Agent::new(to, None);
                     // What went wrong at the old one says nothing of the new one.
                     self.backoff.succeeded();
                     continue;
                 }
-                listing = self.agent.next(&mut self.backoff, &self.log) => listing,
+                listing = self.agent.next(&mut self.backoff, &sizes, &self.log) => listing,
             };
             let form = if listing.all { ListForm::Full } else { ListForm::Changes };
             return Some(self.news(listing, form));
@@ -167,11 +163,14 @@
     }
 }
 
-/// Resolves once the configuration says something else.
-async fn changed(config: &mut watch::Receiver<DiscoveryConfig>) {
-    if config.changed().await.is_err() {
+/// Resolves once the configuration names another agent. One that names the same does not disturb the call that
+/// is under way, nor the wait before the next.
+async fn moved(config: &mut watch::Receiver<DiscoveryConfig>, from: SocketAddr) -> SocketAddr {
+    let agent = config.wait_for(|config| config.agent != from).await.map(|config| config.agent);
+    match agent {
+        Ok(agent) => agent,
         // Whoever could say so has gone.
-        std::future::pending().await
+        Err(_) => std::future::pending().await,
     }
 }
 
@@ -189,8 +188,14 @@
     }
 
     /// The next list or change. Asks on for as long as there is none.
-    async fn next(&mut self, backoff: &mut Backoff, log: &Logger) -> Listing {
+    async fn next(
+        &mut self,
+        backoff: &mut Backoff,
+        config: &watch::Receiver<DiscoveryConfig>,
+        log: &Logger,
+    ) -> Listing {
         loop {
+            backoff.resize(config.borrow().conductors);
             match self.listing().await {
                 Ok(listing) => {
                     backoff.succeeded();
--- a/daemon/src/front/framing.rs
+++ b/daemon/src/front/framing.rs
@@ -5,11 +5,12 @@
 use std::io::{IoSlice, Result};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{ready, Context, Poll};
 
 use httparse::{Header, Status, EMPTY_HEADER};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::Instant;
 
 use super::clients::Place;
 
@@ -21,6 +22,8 @@
 pub(super) struct Found {
     ambiguous: AtomicBool,
     last: AtomicBool,
+    /// When the head began that has not ended yet.
+    head_since: Mutex<Option<Instant>>,
 }
 
 impl Found {
@@ -29,6 +32,16 @@
         self.ambiguous.load(Ordering::Relaxed)
     }
 
+    /// When the head began that has come in part.
+    pub(super) fn head_since(&self) -> Option<Instant> {
+        *self.head_since.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn note_head(&self, is_part: bool) {
+        let mut since = self.head_since.lock().unwrap_or_else(PoisonError::into_inner);
+        *since = is_part.then(|| since.unwrap_or_else(Instant::now));
+    }
+
     /// The request's end is not known here, so that it must be the connection's last.
     pub(super) fn is_last(&self) -> bool {
         self.last.load(Ordering::Relaxed)
@@ -86,7 +99,7 @@
     fn follow(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() {
             let (next, taken) = match std::mem::replace(&mut self.next, Next::Unread) {
-                Next::Unread => return,
+                Next::Unread => return self.found.note_head(false),
                 Next::Body(length) => {
                     let taken = length.min(bytes.len() as u64);
                     (self.body(length - taken), taken as usize)
@@ -100,6 +113,7 @@
             self.next = next;
             bytes = &bytes[taken..];
         }
+        self.found.note_head(matches!(&self.next, Next::Head(held) if !held.is_empty()));
     }
 
     /// What follows on a head that has come so far, and how many of its last `new` bytes belong to it.
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -36,6 +36,29 @@
 /// Beyond the time in which a first request must come, so that it can be told that it was too slow.
 const LINGER: Duration = Duration::from_millis(300);
 
+/// Why a client's connection is closed.
+#[derive(Debug, thiserror::Error)]
+enum CloseReason {
+    /// One side said so, between requests, or the idle time is over.
+    #[error("it is over")]
+    Over,
+    /// It broke, or what came is no request.
+    #[error("{0}")]
+    Broken(hyper::Error),
+    /// The client has gone before its answer.
+    #[error("its client has gone")]
+    ClientGone,
+    /// No whole request has come in time.
+    #[error("no request in time")]
+    NoRequest,
+    /// A head has come in part, and not in time.
+    #[error("half a head in time")]
+    SlowHead,
+    /// Its place is wanted.
+    #[error("room for others")]
+    RoomForOthers,
+}
+
 /// What answers requests.
 pub trait Service: Send + Sync + 'static {
     /// Answers' events.
@@ -183,9 +206,10 @@
             // Without it events would wait for the client's acknowledgement; it can only fail on a
             // connection that is no more.
             let _ = stream.set_nodelay(true);
+            let peer = stream.peer_addr().ok();
             let socket = Socket::new(stream, stall);
             let stream = Framed::new(socket.clone(), found.clone(), place.clone());
-            let (asked, ahead) = (place.clone(), socket.clone());
+            let (asked, ahead, heads) = (place.clone(), socket.clone(), found.clone());
             let answer = service_fn(move |mut request: Request<Incoming>| {
                 let under_way = UnderWay(asked.clone());
                 let from = if asked.has_answered() { Instant::now() } else { accepted };
@@ -216,7 +240,7 @@
                 .serve_connection(TokioIo::new(stream), answer);
             // Whichever way it ends, the library lets go of the connection first: with it go the request
             // that is open, and its attempt.
-            let ended = {
+            let reason = {
                 let mut connection = pin!(connection);
                 let mut none_came = pin!(async {
                     sleep_until(accepted + arrive + LINGER).await;
@@ -224,6 +248,7 @@
                         std::future::pending().await
                     }
                 });
+                let mut slow_head = pin!(slow_head(&heads, arrive));
                 // Up to a request's end and between requests the library looks for itself.
                 let mut gone = pin!(poll_fn(|cx| match place.is_waited_for() {
                     true => socket.poll_gone(cx),
@@ -233,13 +258,17 @@
                 loop {
                     tokio::select! {
                         biased;
-                        ended = connection.as_mut() => break ended,
-                        () = gone.as_mut() => break Ok(()),
-                        () = none_came.as_mut() => break Ok(()),
+                        ended = connection.as_mut() => break match ended {
+                            Ok(()) => CloseReason::Over,
+                            Err(e) => CloseReason::Broken(e),
+                        },
+                        () = gone.as_mut() => break CloseReason::ClientGone,
+                        () = none_came.as_mut() => break CloseReason::NoRequest,
+                        () = slow_head.as_mut() => break CloseReason::SlowHead,
                         () = either(&closing, &leave), if !told => {
                             // What came too slowly to be a request yet has no claim to its place.
                             if leave.is_cancelled() && !place.is_busy() {
-                                break Ok(());
+                                break CloseReason::RoomForOthers;
                             }
                             // Ends it at once, or after the answer under way.
                             connection.as_mut().graceful_shutdown();
@@ -248,9 +277,7 @@
                     }
                 }
             };
-            if let Err(e) = ended {
-                debug!(log, "connection"; "why" => %e);
-            }
+            debug!(log, "connection closed"; "peer" => ?peer, "why" => %reason);
             tokio::select! {
                 () = socket.close() => {}
                 // Its place is wanted more.
@@ -260,6 +287,21 @@
     }
 }
 
+/// Resolves once a head has come in part for so long. The library counts its time from the last answer on, and
+/// a client may rest for longer than a bad one is given.
+async fn slow_head(heads: &Found, within: Duration) {
+    let mut timer = pin!(sleep(within));
+    let mut timed = None;
+    poll_fn(|cx| {
+        let Some(since) = heads.head_since() else { return Poll::Pending };
+        if timed.replace(since) != Some(since) {
+            timer.as_mut().reset(since + within);
+        }
+        timer.as_mut().poll(cx)
+    })
+    .await
+}
+
 async fn either(one: &CancellationToken, other: &CancellationToken) {
     tokio::select! {
         () = one.cancelled() => {}
--- a/daemon/src/upstream/attempt.rs
+++ b/daemon/src/upstream/attempt.rs
@@ -19,7 +19,7 @@
 use tokio::time::{timeout_at, Instant};
 
 use super::link::{Link, Written};
-use super::pool::{Pool, BODY_MOST};
+use super::pool::{NoLink, Pool, BODY_MOST};
 use super::sse::{report, Splitter, Unreadable};
 use super::Call;
 
@@ -70,8 +70,9 @@
         }
     }
     match pool.fresh(worker).await {
-        Some(link) => outcome(pool, worker, send(link, going).await).await,
-        None => Reply::Ended(Outcome::NoConnection, None),
+        Ok(link) => outcome(pool, worker, send(link, going).await).await,
+        Err(NoLink::Server) => Reply::Ended(Outcome::NoConnection, None),
+        Err(NoLink::Local) => Reply::Ended(Outcome::NotSent, None),
     }
 }
 
--- a/daemon/src/upstream/calls.rs
+++ b/daemon/src/upstream/calls.rs
@@ -28,7 +28,7 @@
             return Some((link, answer));
         }
     }
-    let mut link = pool.fresh(worker).await?;
+    let mut link = pool.fresh(worker).await.ok()?;
     let answer = link.send(request(method.clone(), target.into())?, &Written::default()).await.ok()?;
     Some((link, answer))
 }
--- a/daemon/src/upstream/link.rs
+++ b/daemon/src/upstream/link.rs
@@ -240,6 +240,26 @@
     pub(super) idle_since: Instant,
 }
 
+/// Errors of Linux for which Rust has no kinds of its own: too many open files, of the system and of the
+/// process, and no room for buffers.
+const ENFILE: i32 = 23;
+const EMFILE: i32 = 24;
+const ENOBUFS: i32 = 105;
+
+impl LinkError {
+    /// This machine lacks what it takes, or can't reach any network: nothing was asked of the server.
+    pub(super) fn is_local(&self) -> bool {
+        let LinkError::Socket(e) = self else { return false };
+        let kinds = [
+            ErrorKind::AddrNotAvailable,
+            ErrorKind::NetworkUnreachable,
+            ErrorKind::OutOfMemory,
+            ErrorKind::Interrupted,
+        ];
+        kinds.contains(&e.kind()) || matches!(e.raw_os_error(), Some(ENFILE | EMFILE | ENOBUFS))
+    }
+}
+
 impl Link {
     /// Opens a connection.
     pub(super) async fn open(address: SocketAddr, permit: OwnedSemaphorePermit) -> Result<Self, LinkError> {
--- a/daemon/src/upstream/pool.rs
+++ b/daemon/src/upstream/pool.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use prometheus::IntCounter;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use super::idle_age::IdleAges;
 use super::link::Link;
@@ -17,9 +17,20 @@
 
 /// Answers' bodies that are read to their end only to keep the connection.
 const TAIL: Duration = Duration::from_millis(500);
+/// After a connection that this machine could not even try, for want of descriptors, ports or memory.
+const LOCAL_PAUSE: Duration = Duration::from_millis(20);
 /// No body on this wire is larger.
 pub(super) const BODY_MOST: usize = 256 << 10;
 
+/// Why there is no new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum NoLink {
+    /// The server refuses it, can't be reached or takes too long.
+    Server,
+    /// This machine lacks what it takes; the server is not to blame.
+    Local,
+}
+
 /// Bounds on connections to boxes.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -85,14 +96,29 @@
         link
     }
 
-    /// A new connection; `None` if it does not come up in time.
-    pub(super) async fn fresh(&self, worker: &Id) -> Option<Link> {
-        let address = self.book.get(worker)?;
-        let permit = self.permit()?;
-        let begin = Instant::now();
-        let link = timeout(self.limits().connect_timeout, Link::open(address, permit)).await.ok()?.ok()?;
-        self.book.came_up(worker, begin.elapsed());
-        Some(link)
+    /// A new connection. What fails for want of something on this machine is tried again, for as long as a
+    /// connection may take.
+    pub(super) async fn fresh(&self, worker: &Id) -> Result<Link, NoLink> {
+        let address = self.book.get(worker).ok_or(NoLink::Server)?;
+        let by = Instant::now() + self.limits().connect_timeout;
+        loop {
+            let begin = Instant::now();
+            let opened = match self.permit() {
+                Some(permit) => {
+                    timeout_at(by, Link::open(address, permit)).await.map_err(|_| NoLink::Server)?
+                }
+                None => return Err(NoLink::Local),
+            };
+            match opened {
+                Ok(link) => {
+                    self.book.came_up(worker, begin.elapsed());
+                    return Ok(link);
+                }
+                Err(e) if !e.is_local() => return Err(NoLink::Server),
+                Err(_) if begin + LOCAL_PAUSE >= by => return Err(NoLink::Local),
+                Err(_) => sleep(LOCAL_PAUSE).await,
+            }
+        }
     }
 
     /// How long a connection's end may be on its way.
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 
+use crate::guard::{Guard, Violation};
 use crate::interface::*;
 use crate::scheduler::handover::{OpenWork, Snapshot};
 use crate::scheduler::Router;
@@ -48,6 +49,8 @@
     pub watch: bool,
     /// Lines for the operators.
     pub log: Vec<String>,
+    /// Actions that would have broken a rule, and were not carried out, by request.
+    pub violations: Vec<(Id, Violation)>,
 }
 
 /// What became of a request.
@@ -84,12 +87,14 @@
     open: HashMap<Id, Open>,
     bells: BTreeSet<(Micros, u64)>,
     actions: Vec<Action>,
+    guard: Guard,
 }
 
 impl Facade {
     /// A facade whose module knows no worker yet.
     pub fn new(settings: Settings, seed: u64) -> Self {
         Facade {
+            guard: Guard::new(&settings),
             router: Router::new(settings, seed),
             open: HashMap::new(),
             bells: BTreeSet::new(),
@@ -103,6 +108,7 @@
             return None;
         }
         self.open.insert(query.id.clone(), Open::default());
+        self.guard.asked(&query);
         Some(self.handle(now, Event::Query(query)))
     }
 
@@ -120,11 +126,13 @@
 
     /// News of the list of workers.
     pub fn members(&mut self, now: Micros, form: ListForm, entries: Vec<Entry>) -> Verdicts {
+        self.guard.members(form, &entries);
         self.handle(now, Event::Members { form, entries })
     }
 
     /// The caller is about to stop: answers every request that has not begun to stream.
     pub fn close(&mut self, now: Micros) -> Verdicts {
+        self.guard.closing();
         self.handle(now, Event::Closing)
     }
 
@@ -195,6 +203,7 @@
         let Some(open) = self.open.get_mut(id) else { return Verdicts::default() };
         let Some((_, sent)) = &open.out else { return Verdicts::default() };
         open.started = true;
+        self.guard.answer_began(id);
         let (attempt, elapsed) = (open.attempts - 1, now.saturating_sub(*sent));
         self.handle(now, Event::Headers { id: id.clone(), attempt, elapsed })
     }
@@ -210,6 +219,7 @@
     ) -> Option<Event> {
         let open = self.open.get_mut(id)?;
         let (worker, sent) = open.out.take()?;
+        self.guard.attempt_ended(id, outcome);
         Some(Event::Result {
             id: id.clone(),
             attempt: open.attempts - 1,
@@ -228,6 +238,7 @@
             self.feed(now, called_off, &mut verdicts);
         }
         self.open.remove(id);
+        self.guard.left(id);
         verdicts
     }
 
@@ -249,14 +260,30 @@
     fn carry(&mut self, now: Micros, action: Action, verdicts: &mut Verdicts) {
         let (id, verdict) = match action {
             Action::Send { id, worker, stop_at, send_by } => {
+                if let Err(violation) = self.guard.send(now, &id, &worker) {
+                    return self.withhold(now, id, worker, violation, verdicts);
+                }
                 let open = self.open.entry(id.clone()).or_default();
                 open.attempts += 1;
                 open.out = Some((worker.clone(), now));
                 (id, Verdict::Send { worker, stop_at, send_by })
             }
             Action::Cancel { id, .. } => (id, Verdict::Cancel),
-            Action::Decline { id, retry_after } => (id, Verdict::Refuse { retry_after }),
-            Action::Fail { id } => (id, Verdict::Fail),
+            Action::Decline { id, retry_after } => match self.guard.answer(&id, true) {
+                Ok(()) => (id, Verdict::Refuse { retry_after }),
+                Err(violation) => {
+                    verdicts.violations.push((id.clone(), violation));
+                    if violation == Violation::SecondAnswer {
+                        return;
+                    }
+                    // It promises nothing.
+                    (id, Verdict::Fail)
+                }
+            },
+            Action::Fail { id } => match self.guard.answer(&id, false) {
+                Ok(()) => (id, Verdict::Fail),
+                Err(violation) => return verdicts.violations.push((id, violation)),
+            },
             Action::DropState { id } => (id, Verdict::Release),
             Action::Move { id } => (id, Verdict::Move),
             Action::Probe { worker } => return verdicts.probes.push(worker),
@@ -269,4 +296,16 @@
         };
         verdicts.requests.push((id, verdict));
     }
+
+    /// An attempt that would break a rule does not go out; to the decisions it has ended as never sent.
+    fn withhold(&mut self, now: Micros, id: Id, worker: Id, violation: Violation, verdicts: &mut Verdicts) {
+        verdicts.violations.push((id.clone(), violation));
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.attempts += 1;
+        let (attempt, outcome) = (open.attempts - 1, Outcome::NotSent);
+        let finished = open.started;
+        let event =
+            Event::Result { id, attempt, worker, outcome, elapsed: 0, kept_tokens: 0, finished, load: None };
+        self.feed(now, event, verdicts);
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 #![warn(missing_docs)]
 
 mod facade;
+mod guard;
 mod hash;
 mod interface;
 mod rate;
@@ -52,6 +53,7 @@
 pub mod setup;
 
 pub use facade::{Facade, Report, Verdict, Verdicts};
+pub use guard::{Guard, Violation};
 pub use interface::*;
 pub use scheduler::handover::{OpenWork, Snapshot};
 pub use scheduler::Router;
