--- /dev/null
+++ b/tests/guard.rs
@@ -0,0 +1,96 @@
+//! The guard of what goes out, by itself: each rule at its edge.
+
+mod support;
+
+use frosttrail::*;
+use support::*;
+
+fn class(effect: Effect) -> std::sync::Arc<Class> {
+    std::sync::Arc::new(Class { effect, max_attempts: 3, ..Class::example() })
+}
+
+/// A prefill server and two decode servers in different zones, and one request.
+fn guard(effect: Effect) -> (Guard, Id) {
+    let mut guard = Guard::new(&Settings::example());
+    let entries = [entry("r", 0), entry("w1", 1), Entry { zone: 1, ..entry("w2", 1) }];
+    guard.members(ListForm::Full, &entries);
+    guard.asked(&Query { class: class(effect), ..query("a", 900) });
+    (guard, "a".into())
+}
+
+fn sent(guard: &mut Guard, id: &Id, server: &str) -> Result<(), Violation> {
+    guard.send(SEC, id, &server.into())
+}
+
+#[test]
+fn one_attempt_is_out_at_a_time_and_no_more_than_the_class_allows() {
+    let (mut guard, id) = guard(Effect::Safe);
+    for _ in 0..3 {
+        assert_eq!(sent(&mut guard, &id, "r"), Ok(()));
+        assert_eq!(sent(&mut guard, &id, "w1"), Err(Violation::TwoOut));
+        guard.attempt_ended(&id, Outcome::NoConnection);
+    }
+    assert_eq!(sent(&mut guard, &id, "r"), Err(Violation::TooMany));
+}
+
+#[test]
+fn nothing_goes_to_a_server_that_drains_or_is_not_listed() {
+    let (mut guard, id) = guard(Effect::Safe);
+    guard.members(ListForm::Changes, &[Entry { health: Health::Draining, ..entry("w1", 1) }]);
+    assert_eq!(sent(&mut guard, &id, "w1"), Err(Violation::ClosedServer));
+    assert_eq!(sent(&mut guard, &id, "nobody"), Err(Violation::ClosedServer));
+    guard.members(ListForm::Full, &[entry("w1", 1)]);
+    assert_eq!(sent(&mut guard, &id, "r"), Err(Violation::ClosedServer));
+    assert_eq!(sent(&mut guard, &id, "w1"), Ok(()));
+}
+
+#[test]
+fn nothing_goes_out_after_the_end_of_a_request_or_of_the_conductor() {
+    let (mut guard, id) = guard(Effect::Safe);
+    guard.answer_began(&id);
+    assert_eq!(sent(&mut guard, &id, "w1"), Err(Violation::AfterEnd));
+    guard.left(&id);
+    assert_eq!(sent(&mut guard, &id, "w1"), Err(Violation::AfterEnd));
+    guard.asked(&Query { class: class(Effect::Safe), ..query("b", 900) });
+    guard.closing();
+    assert_eq!(sent(&mut guard, &"b".into(), "w1"), Err(Violation::Closing));
+    assert_eq!(guard.answer(&"b".into(), true), Ok(()));
+    assert_eq!(guard.answer(&"b".into(), false), Err(Violation::SecondAnswer));
+}
+
+#[test]
+fn what_may_have_run_is_repeated_and_refused_only_as_its_class_allows() {
+    let window = 10 * SEC;
+    let keyed = |scope| Effect::Keyed { scope, window };
+    for (effect, near, far, late, refused) in [
+        (Effect::Safe, true, true, true, true),
+        (Effect::Unsafe, false, false, false, false),
+        (keyed(Scope::All), true, true, false, true),
+        (keyed(Scope::Zone), true, false, false, false),
+        (keyed(Scope::Cell), true, true, false, false),
+    ] {
+        for (server, now, allowed) in
+            [("w1", 2 * SEC, near), ("w2", 2 * SEC, far), ("w1", SEC + window, late)]
+        {
+            let (mut guard, id) = guard(effect);
+            // A read has no effect, however it ends.
+            assert_eq!(sent(&mut guard, &id, "r"), Ok(()));
+            guard.attempt_ended(&id, Outcome::ConnectionLost);
+            assert_eq!(sent(&mut guard, &id, "w1"), Ok(()));
+            guard.attempt_ended(&id, Outcome::ConnectionLost);
+            let repeat = guard.send(now, &id, &server.into());
+            assert_eq!(repeat, if allowed { Ok(()) } else { Err(Violation::Repeat) }, "{effect:?} {server}");
+            let refusal = guard.answer(&id, true);
+            assert_eq!(refusal, if refused { Ok(()) } else { Err(Violation::Refused) }, "{effect:?}");
+        }
+    }
+}
+
+#[test]
+fn what_is_out_at_a_server_that_decodes_is_not_refused() {
+    for (server, expected) in [("r", Ok(())), ("w1", Err(Violation::Refused))] {
+        let (mut guard, id) = guard(Effect::Unsafe);
+        assert_eq!(sent(&mut guard, &id, server), Ok(()));
+        assert_eq!(guard.answer(&id, true), expected, "{server}");
+    }
+}
