--- a/daemon/tests/discovery.rs
+++ b/daemon/tests/discovery.rs
@@ -326,3 +326,44 @@
         (&json!("e1"), &json!(["pool", "unrelated"]))
     );
 }
+
+fn unix_ms() -> u64 {
+    micros() / 1_000
+}
+
+/// The wall clock of this machine is an hour behind the fleet's, or the fleet's an hour ahead of it.
+#[tokio::test]
+async fn no_start_lies_in_the_future_and_a_list_told_again_moves_none() {
+    let boot_ms = unix_ms() + 3_600_000;
+    let agent = StandIn::start(Does::Silent).await;
+    let again = json!({"rev": 8, "all": true, "targets": [{"uid": "a", "endpoint": "127.0.0.1:9", "az": "z",
+        "model": "decode", "pod_group": 3, "state": "active", "capacity_hint": 1.0, "boot_ms": boot_ms}]});
+    let again: &'static str = Box::leak(format!("{again}\n").into_boxed_str());
+    agent.next(Does::StallsAfter(Box::leak(Box::new([again]))));
+    let (_address, at) = watch::channel(told_agent(agent.address));
+    let (book, backoff, clock) = (Arc::new(Book::default()), Backoff::new(2, 7), Clock::new());
+    let known = known("decode", boot_ms);
+    let mut list = Discovery::new(at, known, backoff, names(), clock, book, log());
+    let first = list.next().await.unwrap().entries[0].started;
+    assert!(first > 0 && first <= clock.now(), "in slow start for an hour");
+    assert_eq!(list.next().await.unwrap().entries[0].started, first, "it looks like a restart");
+}
+
+/// The wall clock of this machine is an hour ahead: what starts now seems to have started an hour ago.
+#[tokio::test]
+async fn a_start_that_is_news_in_a_watch_is_not_long_ago() {
+    let boot_ms = unix_ms() - 3_600_000;
+    let agent = StandIn::start(Does::Silent).await;
+    let restarted = json!({"rev": 8, "all": false, "targets": [{"uid": "a", "endpoint": "127.0.0.1:9", "az": "z",
+        "model": "decode", "pod_group": 3, "state": "active", "capacity_hint": 1.0, "boot_ms": boot_ms}]});
+    let restarted: &'static str = Box::leak(format!("{restarted}\n").into_boxed_str());
+    agent.next(Does::StallsAfter(Box::leak(Box::new([WHOLE_LIST, restarted]))));
+    let (_address, at) = watch::channel(told_agent(agent.address));
+    let (book, backoff, clock) = (Arc::new(Book::default()), Backoff::new(2, 7), Clock::new());
+    let mut list = Discovery::new(at, known("decode", 0), backoff, names(), clock, book, log());
+    list.next().await.unwrap();
+    list.next().await.unwrap();
+    let started = list.next().await.unwrap().entries[0].started;
+    let ago = Duration::from_micros(clock.now() - started);
+    assert!(ago < Duration::from_secs(10), "started {ago:?} ago: it would get the load of a warm server");
+}
