Keep slow starts right where the wall clock of a machine is stepped

Cause: starts are told by the fleet's wall clock and converted by this machine's, read once as the process starts. An hour ahead, a server that starts looks warm (failback); an hour behind, all starts lie in the future and slow start lasts for an hour. Change (discovery/starts.rs): a start that was told before stays where it is; none lies in the future; one that is news in a watch is no older than what was heard before it, less 5 s in which starts are listed.

--- a/daemon/src/discovery/mod.rs
+++ b/daemon/src/discovery/mod.rs
@@ -3,6 +3,7 @@
 pub mod backoff;
 mod http;
 mod platform;
+mod starts;
 mod xds;
 
 pub use backoff::Backoff;
--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use frosttrail::setup::{index, Names, SetupError};
@@ -19,6 +20,7 @@
 
 use super::backoff::{Backoff, CALL, SILENCE};
 use super::http::{call, whole, Called, ListError};
+use super::starts::Starts;
 use crate::upstream::Book;
 
 /// No list is longer.
@@ -94,6 +96,7 @@
     backoff: Backoff,
     names: Names,
     clock: Clock,
+    starts: Starts,
     book: Arc<Book>,
     log: Logger,
     known: Option<Listing>,
@@ -111,10 +114,15 @@
         log: Logger,
     ) -> Self {
         let agent = Agent::new(config.borrow_and_update().agent, Some(known.rev));
-        Discovery { config, agent, backoff, names, clock, book, log, known: Some(known) }
+        let starts = Starts::default();
+        Discovery { config, agent, backoff, names, clock, starts, book, log, known: Some(known) }
     }
 
-    fn news(&self, listing: Listing, form: ListForm) -> News {
+    fn news(&mut self, listing: Listing, form: ListForm) -> News {
+        let now = self.clock.now();
+        if let Some(ago) = self.agent.heard_before() {
+            self.starts.heard(now.saturating_sub(ago.as_micros() as u64));
+        }
         let mut entries = Vec::with_capacity(listing.targets.len());
         for line in listing.targets {
             let target = match line {
@@ -125,8 +133,10 @@
                     continue;
                 }
             };
-            match entry(&target, &self.names, &self.clock) {
-                Ok(entry) => {
+            match entry(&target, &self.names) {
+                Ok(mut entry) => {
+                    let converted = self.clock.from_unix_ms(target.boot_ms);
+                    entry.started = self.starts.started(&entry.worker, target.boot_ms, converted, now);
                     self.book.set(entry.worker.clone(), target.endpoint);
                     entries.push(entry);
                 }
@@ -134,6 +144,13 @@
             }
         }
         let news = News { form, entries };
+        if form == ListForm::Full {
+            self.starts.forget_but(|server| news.entries.iter().any(|entry| entry.worker == *server));
+        }
+        // The list that is known from before may be old: it says nothing of when others were listed.
+        if form != ListForm::WarmCopy {
+            self.starts.heard(now);
+        }
         self.book.follow(&news);
         news
     }
@@ -151,6 +168,7 @@
                 to = moved(&mut self.config, self.agent.address) => {
                     info!(self.log, "discovery has moved"; "to" => %to);
                     self.agent = Agent::new(to, None);
+                    self.starts.moved();
                     // What went wrong at the old one says nothing of the new one.
                     self.backoff.succeeded();
                     continue;
@@ -187,6 +205,11 @@
         Agent { address, rev, watch: None }
     }
 
+    /// How long ago the watch was heard before what it has told last.
+    fn heard_before(&self) -> Option<Duration> {
+        self.watch.as_ref()?.heard_before.map(|at| at.elapsed())
+    }
+
     /// The next list or change. Asks on for as long as there is none.
     async fn next(
         &mut self,
@@ -250,16 +273,14 @@
     timeout(CALL, list).await.unwrap_or(Err(ListError::Silent))
 }
 
-fn entry(target: &Target, names: &Names, clock: &Clock) -> Result<Entry, SetupError> {
+/// A line of the list as the decisions have it, but for its start.
+fn entry(target: &Target, names: &Names) -> Result<Entry, SetupError> {
     Ok(Entry {
         worker: Id::from(target.uid.as_str()),
         cell: target.pod_group,
         kind: index(names.kinds(), &target.model, "model")?,
         zone: index(names.zones(), &target.az, "az")?,
-        started: match target.boot_ms {
-            0 => 0,
-            ms => clock.from_unix_ms(ms),
-        },
+        started: 0,
         health: match target.state {
             State::Active => Health::Up,
             State::Leaving => Health::Draining,
@@ -274,6 +295,9 @@
     objects: Objects,
     /// When the object began that has not ended yet.
     began: Option<Instant>,
+    /// When something came on it last, an empty line included, and when before that.
+    heard: Option<Instant>,
+    heard_before: Option<Instant>,
     _driver: AbortOnDropHandle<()>,
 }
 
@@ -285,7 +309,8 @@
         match response.status() {
             StatusCode::OK => {
                 let (body, objects) = (response.into_body(), Objects::default());
-                Ok(Watch { body, objects, began: None, _driver: driver })
+                let (began, heard, heard_before) = (None, None, None);
+                Ok(Watch { body, objects, began, heard, heard_before, _driver: driver })
             }
             status => Err(ListError::Status(status)),
         }
@@ -303,6 +328,7 @@
             let by = self.began.unwrap_or(now) + SILENCE;
             let frame = timeout_at(by, self.body.frame()).await.map_err(|_| ListError::Silent)?;
             let Some(frame) = frame else { return Err(ListError::Ended) };
+            self.heard_before = self.heard.replace(Instant::now());
             if let Ok(data) = frame?.into_data() {
                 self.objects.push(&data)?;
             }
