--- a/core/tests/permit.rs
+++ b/core/tests/permit.rs
@@ -1,5 +1,5 @@
-//! An attempt that has been decided may wait, for a release or for its connection. What forbids it meanwhile is
-//! obeyed: it never begins. Time is paused; the servers' side is a table in memory.
+//! An attempt that has been decided may wait, for a release or for its connection. What forbids it
+//! meanwhile is obeyed: it never begins. Time is paused; the servers' side is a table in memory.
 
 mod support;
 
--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -181,8 +181,8 @@
     }
 }
 
-/// Resolves once the configuration names another agent. One that names the same does not disturb the call that
-/// is under way, nor the wait before the next.
+/// Resolves once the configuration names another agent. One that names the same does not disturb the call
+/// that is under way, nor the wait before the next.
 async fn moved(config: &mut watch::Receiver<DiscoveryConfig>, from: SocketAddr) -> SocketAddr {
     let agent = config.wait_for(|config| config.agent != from).await.map(|config| config.agent);
     match agent {
--- a/daemon/src/discovery/starts.rs
+++ b/daemon/src/discovery/starts.rs
@@ -1,5 +1,5 @@
-//! When servers have started, by the process's own clock. Lists say it by the fleet's wall clock, and the wall
-//! clock of this machine may be off by seconds or by an hour.
+//! When servers have started, by the process's own clock. Lists say it by the fleet's wall clock, and the
+//! wall clock of this machine may be off by seconds or by an hour.
 
 use std::collections::HashMap;
 
--- a/daemon/src/ending.rs
+++ b/daemon/src/ending.rs
@@ -14,8 +14,8 @@
 const KILL_SPARE: Duration = Duration::from_millis(300);
 /// For the last answers and releases.
 const LAST_ANSWERS: Duration = Duration::from_millis(500);
-/// Clients and the front notice a planned end within this time, in which new ones are still taken. A stream that
-/// was taken more than 0.7 s after SIGTERM and still runs at SIGKILL is lost, so it is less than that.
+/// Clients and the front notice a planned end within this time, in which new ones are still taken. A stream
+/// that was taken more than 0.7 s after SIGTERM and still runs at SIGKILL is lost, so it is less than that.
 const NOTICE: Duration = Duration::from_millis(650);
 /// New connections keep arriving for so long at least; who finds the listeners closed comes by another way.
 const ARRIVE: Duration = Duration::from_millis(400);
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -287,8 +287,8 @@
     }
 }
 
-/// Resolves once a head has come in part for so long. The library counts its time from the last answer on, and
-/// a client may rest for longer than a bad one is given.
+/// Resolves once a head has come in part for so long. The library counts its time from the last answer on,
+/// and a client may rest for longer than a bad one is given.
 async fn slow_head(heads: &Found, within: Duration) {
     let mut timer = pin!(sleep(within));
     let mut timed = None;
--- a/daemon/src/ops/call.rs
+++ b/daemon/src/ops/call.rs
@@ -38,8 +38,10 @@
     #[error("{0}")]
     Exclusion(#[from] ExclusionError),
     /// The decision could not be kept, so that it would not outlive this process.
-    #[error("the exclusion could not be stored or removed ({0}), and nothing has changed; see that $TMPDIR can be \
-             written and has room, then call again")]
+    #[error(
+        "the exclusion could not be stored or removed ({0}), and nothing has changed; see that $TMPDIR can \
+         be written and has room, then call again"
+    )]
     Storage(#[from] std::io::Error),
     /// The figures could not be written out.
     #[error("the figures could not be written ({0}); ask again")]
--- a/daemon/src/ops/exclusion_store.rs
+++ b/daemon/src/ops/exclusion_store.rs
@@ -39,8 +39,8 @@
         }
     }
 
-    /// All that are kept. A file that is damaged is passed over, with a line in the log. Fails where one can't
-    /// be read: it may not be taken for one that is not there.
+    /// All that are kept. A file that is damaged is passed over, with a line in the log. Fails where one
+    /// can't be read: it may not be taken for one that is not there.
     pub fn load(&self, log: &Logger) -> Result<Vec<Id>> {
         let mut excluded = Vec::new();
         for file in fs::read_dir(&self.folder)? {
--- a/daemon/src/upstream/idle_age.rs
+++ b/daemon/src/upstream/idle_age.rs
@@ -2,8 +2,8 @@
 //! clock of its own.
 //!
 //! Servers, and whatever lies before them, may forget connections earlier than the settings say, and without
-//! a word. Where one had been idle for a while, others are likely to be as dead, at whichever server. One that
-//! breaks soon after its last answer tells of its server only.
+//! a word. Where one had been idle for a while, others are likely to be as dead, at whichever server. One
+//! that breaks soon after its last answer tells of its server only.
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/soak/src/agent.rs
+++ b/soak/src/agent.rs
@@ -1,5 +1,5 @@
-//! Discovery's agent on each conductor's machine: the list, and a watch that tells changes. While it is silent
-//! it answers nothing; what hangs there is answered as it comes back.
+//! Discovery's agent on each conductor's machine: the list, and a watch that tells changes. While it is
+//! silent it answers nothing; what hangs there is answered as it comes back.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
--- a/soak/src/conductor.rs
+++ b/soak/src/conductor.rs
@@ -5,6 +5,8 @@
 use std::process::Stdio;
 use std::time::{Duration, Instant};
 
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -57,9 +59,23 @@
     }
 }
 
-/// A free address on this machine; ports are given out in turn, so that nobody else gets it soon.
+/// Below the ports that the kernel gives out by itself, to whoever connects or binds without naming one.
+const PORTS: std::ops::Range<u16> = 12_000..30_000;
+/// So many are tried.
+const PORT_TRIES: u32 = 100;
+
+/// An address on this machine that is free, and that nobody is given by chance.
 pub fn free_address() -> std::io::Result<SocketAddr> {
-    std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()
+    let mut draws = SmallRng::from_os_rng();
+    let mut last = std::io::ErrorKind::AddrInUse.into();
+    for _ in 0..PORT_TRIES {
+        let address = SocketAddr::from(([127, 0, 0, 1], draws.random_range(PORTS)));
+        match std::net::TcpListener::bind(address) {
+            Ok(_) => return Ok(address),
+            Err(e) => last = e,
+        }
+    }
+    Err(last)
 }
 
 /// One process. Dropping it kills it.
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -1,5 +1,6 @@
 //! A randomized fault soak: real conductor processes on loopback, stand-in servers, discovery agents and
-//! clients around them, troubles that overlap, and the rules as the oracle. All clocks are this process's own.
+//! clients around them, troubles that overlap, and the rules as the oracle. All clocks are this process's
+//! own.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -4,7 +4,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-/// What sockets and this machine add to each time limit: 50 ms by the rules, 100 ms for this process's delays.
+/// What sockets and this machine add to each time limit: 50 ms by the rules, 100 ms for this process's
+/// delays.
 const ADDED: Duration = Duration::from_millis(150);
 /// What is held has this much more than the settings say.
 const HELD_ADDED: Duration = Duration::from_millis(300);
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -1,4 +1,5 @@
-//! A soak of seconds: all that is played is there, the oracle sees what is broken, and the program breaks nothing.
+//! A soak of seconds: all that is played is there, the oracle sees what is broken, and the program breaks
+//! nothing.
 
 use std::path::PathBuf;
 use std::process::Command;
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -1,10 +1,11 @@
-//! The guard of what goes out: each action of the decisions is held against the rules once more, by an account
-//! of its own that shares nothing with theirs. What breaks a rule is not carried out, and is counted.
+//! The guard of what goes out: each action of the decisions is held against the rules once more, by an
+//! account of its own that shares nothing with theirs. What breaks a rule is not carried out, and is
+//! counted.
 //!
 //! It watches four things: sending (one attempt out, none after the first event, after the end or after the
-//! client has gone, to listed servers that take something new), repeating (by the effect of the class, and the
-//! number of attempts), closing (one final answer, no refusal of what may have run) and starting (nothing is
-//! begun once the conductor closes).
+//! client has gone, to listed servers that take something new), repeating (by the effect of the class, and
+//! the number of attempts), closing (one final answer, no refusal of what may have run) and starting
+//! (nothing is begun once the conductor closes).
 
 use std::collections::{HashMap, HashSet};
 
