Give what is held to a further attempt up to three quarters of the release time

Cause: an attempt that is given up after 0.7 s no longer sets the clock of what is held anew, so that half of the release time had passed and the prompt was read again. Change: one limit for both, three quarters; the further attempt goes out, and the release beside it takes only what nobody has taken. held.rs (silent, gone, mute servers, 1,500 histories) and the root's tests pass.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -48,8 +48,8 @@
 /// Held this long is starved, or for this share of the time after which it is given up.
 const STARVED: Micros = 2_000_000;
 const STARVED_SHARE: f64 = 0.7;
-/// Share of the release time after which what is held is let go while an attempt is out that has not been
-/// heard of. It may never have arrived, and then the time of what is held goes on; to one that has arrived
+/// Share of the release time after which what is held is let go, also while an attempt is out that has not
+/// been heard of. It may never have arrived, and then the time of what is held goes on; to one that has arrived
 /// the release does nothing, as it takes only what no attempt waits for.
 const UNHEARD_SHARE: f64 = 0.75;
 /// Share of a client's patience after which a held request beyond its customer's quota is refused.
@@ -515,7 +515,7 @@
             self.end(id, true, out);
         } else if request.phase == Phase::Read {
             // Its state must not stay pinned, whether no writer can be named or none can be reached.
-            let pinned = request.state.is_none_or(|s| self.now >= s.1 + self.settings.release / 2);
+            let pinned = request.state.is_none_or(|s| self.now >= s.1 + self.release_by());
             if let Some(w) = self.pick_writer(request).filter(|_| !pinned) {
                 self.send(id, w, out);
             } else if pinned {
@@ -1065,9 +1065,14 @@
         self.release_unheard(out);
     }
 
+    /// What is held for so long is let go, so that the release has time of its own.
+    fn release_by(&self) -> Micros {
+        (self.settings.release as f64 * UNHEARD_SHARE) as Micros
+    }
+
     /// Lets go of what is held for attempts that may never have arrived, in time for the rule.
     fn release_unheard(&mut self, out: &mut Vec<Action>) {
-        let limit = (self.settings.release as f64 * UNHEARD_SHARE) as Micros;
+        let limit = self.release_by();
         for (id, request) in &mut self.requests {
             let unheard = request.phase == Phase::Writing && request.silent;
             if unheard && request.state.is_some_and(|(_, since)| self.now >= since + limit) {
