--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -49,8 +49,8 @@
 const STARVED: Micros = 2_000_000;
 const STARVED_SHARE: f64 = 0.7;
 /// Share of the release time after which what is held is let go, also while an attempt is out that has not
-/// been heard of. It may never have arrived, and then the time of what is held goes on; to one that has arrived
-/// the release does nothing, as it takes only what no attempt waits for.
+/// been heard of. It may never have arrived, and then the time of what is held goes on; to one that has
+/// arrived the release does nothing, as it takes only what no attempt waits for.
 const UNHEARD_SHARE: f64 = 0.75;
 /// Share of a client's patience after which a held request beyond its customer's quota is refused.
 const SURPLUS_SHARE: f64 = 0.1;
