Read over the change: start-up readings beside calls, one pass over lists, leftovers

Starts::forget_but looked through the whole list for each server that is remembered; it takes the entries and makes a set once. In the soak: a wait of nothing and a wrong comment.

--- a/daemon/src/command/operations.rs
+++ b/daemon/src/command/operations.rs
@@ -96,10 +96,20 @@
     pub async fn restore_exclusions(&self, conductor: &Conductor<Upstream>, log: &Logger) {
         let mut told = false;
         loop {
+            let Some(mark) = self.calls.mark() else {
+                sleep(FOLDER_RETRY).await;
+                continue;
+            };
             let (store, load_log) = (self.store.clone(), log.clone());
             let loaded = tokio::task::spawn_blocking(move || store.load_at_start(&load_log)).await;
             let why = match loaded {
-                Ok(Ok(excluded)) => return conductor.replace_excluded(excluded.into_iter().collect()),
+                Ok(Ok(excluded)) => {
+                    let excluded = excluded.into_iter().collect();
+                    if self.calls.apply_since(mark, || conductor.replace_excluded(excluded)) {
+                        return;
+                    }
+                    continue;
+                }
                 Ok(Err(e)) => e.to_string(),
                 Err(e) => e.to_string(),
             };
--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -145,7 +145,7 @@
         }
         let news = News { form, entries };
         if form == ListForm::Full {
-            self.starts.forget_but(|server| news.entries.iter().any(|entry| entry.worker == *server));
+            self.starts.forget_but(&news.entries);
         }
         // The list that is known from before may be old: it says nothing of when others were listed.
         if form != ListForm::WarmCopy {
--- a/daemon/src/discovery/starts.rs
+++ b/daemon/src/discovery/starts.rs
@@ -1,9 +1,9 @@
 //! When servers have started, by the process's own clock. Lists say it by the fleet's wall clock, and the
 //! wall clock of this machine may be off by seconds or by an hour.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
-use frosttrail::{Id, Micros};
+use frosttrail::{Entry, Id, Micros};
 
 /// A start is listed within so long: news of one, in a watch that was heard of a moment before, is no older.
 const LISTED_WITHIN: Micros = 5_000_000;
@@ -49,9 +49,10 @@
     }
 
     /// Forgets servers that a whole list does not name, once there are many.
-    pub(super) fn forget_but(&mut self, listed: impl Fn(&Id) -> bool) {
+    pub(super) fn forget_but(&mut self, listed: &[Entry]) {
         if self.known.len() > REMEMBERED_MAX / 2 {
-            self.known.retain(|server, _| listed(server));
+            let listed: HashSet<&Id> = listed.iter().map(|entry| &entry.worker).collect();
+            self.known.retain(|server, _| listed.contains(server));
         }
     }
 }
--- a/daemon/tests/unit/starts.rs
+++ b/daemon/tests/unit/starts.rs
@@ -1,3 +1,5 @@
+use frosttrail::Health;
+
 use super::*;
 
 const SECOND: Micros = 1_000_000;
@@ -37,6 +39,7 @@
         starts.started(&server(&n.to_string()), 7, NOW, NOW);
     }
     assert_eq!(starts.known.len(), REMEMBERED_MAX);
-    starts.forget_but(|server| &**server == "3");
+    let (worker, health) = (server("3"), Health::Up);
+    starts.forget_but(&[Entry { worker, cell: 0, kind: 0, zone: 0, started: 0, health }]);
     assert_eq!(starts.known.len(), 1);
 }
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -5,7 +5,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::oracle::{Oracle, Told};
 
@@ -106,7 +106,6 @@
             let (id, manner) = (&self.id, self.manner);
             oracle.violation(format!("bad client: {id}: {manner:?}: nothing after {:?}", begin.elapsed()));
         }
-        sleep(Duration::ZERO).await;
     }
 }
 
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -29,7 +29,7 @@
 const TOLD_AFTER_RELOAD: Duration = Duration::from_secs(4);
 /// After a silence of its agent, news may be told so late.
 const TOLD_AFTER_SILENCE: Duration = Duration::from_secs(6);
-/// Operators' calls hold from their yes on.
+/// A process is held up for so long at a time.
 const HOLD_UP: Duration = Duration::from_millis(140);
 
 /// What is run.
