Let a transfer node's release by DELETE leave reads and moves that an attempt waits for

Change: Sender::release_unclaimed: a read goes on; a state that a taker is at goes once that gives it up; a taker that asks on its own connection gives it up with that. Node::release_unclaimed is what boxes call on DELETE; what is passed on means the same; Node::release is as it was, for a request that has ended.

--- a/standins/src/split.rs
+++ b/standins/src/split.rs
@@ -149,5 +149,5 @@
 /// What the call that lets go of a state does at a box with this node.
 fn releases(node: &Arc<Node>) -> impl Fn(&Id) + Clone + Send + Sync + 'static {
     let node = node.clone();
-    move |id| node.release(id)
+    move |id| node.release_unclaimed(id)
 }
--- a/transfer/src/lease.rs
+++ b/transfer/src/lease.rs
@@ -101,6 +101,11 @@
         !matches!(self.owner, Owner::Given { .. })
     }
 
+    /// Whether a taker is at it, or may come back to it after a cut.
+    pub fn is_claimed(&self) -> bool {
+        matches!(self.owner, Owner::Claimed { .. })
+    }
+
     /// When it ends by itself, if nothing more is heard.
     pub fn ends(&self, times: &Times) -> Micros {
         let limit = self.first_claim.map_or(Micros::MAX, |at| at + times.limit);
--- a/transfer/src/sender.rs
+++ b/transfer/src/sender.rs
@@ -68,6 +68,8 @@
     proof: Arc<Proof>,
     lease: Lease,
     moving: Option<Flow>,
+    /// Released while a taker was at it: it goes once that gives it up.
+    released: bool,
 }
 
 #[derive(Debug)]
@@ -167,7 +169,7 @@
             return Err(Cause::Full);
         }
         self.bytes += bytes;
-        self.states.insert(id, Held { chunks, proof, lease: Lease::new(now), moving: None });
+        self.states.insert(id, Held { chunks, proof, lease: Lease::new(now), moving: None, released: false });
         Ok(())
     }
 
@@ -322,8 +324,11 @@
             held.moving = None;
             held.lease.let_go(now, moving.taker);
         }
+        let released = self.states.get(&moving.id).is_some_and(|held| held.released);
         if cause == Cause::Corrupt {
             self.free(&moving.id, cause);
+        } else if released {
+            self.free(&moving.id, Cause::Released);
         }
     }
 
@@ -338,6 +343,19 @@
         self.free(id, Cause::Released);
     }
 
+    /// Lets go of what is held for the request and no attempt waits for: a read that is under way goes on, and
+    /// a state that a taker is at goes once that gives it up. A taker that asks for it on its own connection,
+    /// `by`, gives it up with that.
+    pub fn release_unclaimed(&mut self, id: &Id, by: Option<Conn>) {
+        let Some(held) = self.states.get_mut(id) else { return };
+        let taken_by = held.moving.and_then(|flow| self.moves.get(&flow)).map(|moving| moving.conn);
+        if held.lease.is_claimed() && (by.is_none() || taken_by != by) {
+            held.released = true;
+        } else {
+            self.free(id, Cause::Released);
+        }
+    }
+
     fn free(&mut self, id: &Id, cause: Cause) {
         let Some(held) = self.states.remove(id) else { return };
         if let Some(moving) = held.moving.and_then(|flow| self.end_move(flow)) {
--- a/transfer/src/service/hub.rs
+++ b/transfer/src/service/hub.rs
@@ -308,10 +308,8 @@
             Frame::Grant(token) => inner.receiver.grant(conn, token),
             Frame::GiveUp(token, cause) => inner.sender.abort(now, conn, token, cause),
             Frame::Abort(token, cause) => inner.receiver.abort(conn, token, cause),
-            Frame::Release(id) => {
-                inner.sender.release(&id);
-                inner.receiver.release(&id);
-            }
+            // What is fetched here is waited for.
+            Frame::Release(id) => inner.sender.release_unclaimed(&id, Some(conn)),
             Frame::Announce(id) => self.announce(inner, now, conn, id),
             Frame::Refuse(id, cause) => inner.push_ends(&id, Err(cause)),
             Frame::StatusAsk => {
@@ -410,9 +408,19 @@
             inner.sender.release(id);
             inner.receiver.release(id);
             if !known {
-                for conn in inner.lines.keys().copied().collect::<Vec<_>>() {
-                    inner.say(conn, Frame::Release(id.clone()));
-                }
+                inner.pass_release_on(id);
+            }
+        });
+    }
+
+    /// Lets go of what is held for the request and no attempt waits for, here or at whom we are connected
+    /// with.
+    pub(crate) fn release_unclaimed(self: &Arc<Self>, id: &Id) {
+        self.feed(|inner, _| {
+            let known = inner.sender.holds(id) || inner.receiver.seeks(id);
+            inner.sender.release_unclaimed(id, None);
+            if !known {
+                inner.pass_release_on(id);
             }
         });
     }
@@ -541,6 +549,12 @@
         self.lines.values().filter(|l| l.route == route).for_each(|l| l.changed.notify_one());
     }
 
+    fn pass_release_on(&mut self, id: &Id) {
+        for conn in self.lines.keys().copied().collect::<Vec<_>>() {
+            self.say(conn, Frame::Release(id.clone()));
+        }
+    }
+
     fn push_ends(&mut self, id: &Id, end: Result<(), Cause>) {
         if let Some((_, tell)) = self.pushes.remove(id) {
             let _ = tell.send(end);
--- a/transfer/src/service/node.rs
+++ b/transfer/src/service/node.rs
@@ -225,11 +225,19 @@
         self.hub.push(id.clone(), to)?.await.unwrap_or(Err(Cause::Lost))
     }
 
-    /// Lets go of all that is held for the request, at both ends of its moves.
+    /// Lets go of all that is held for the request, at both ends of its moves, and of what a read brings.
+    /// For a request that has ended.
     pub fn release(&self, id: &Id) {
         self.hub.release(id);
     }
 
+    /// Lets go of what is held for the request and no attempt waits for: a read that is under way goes on, and
+    /// so does a move until its taker gives it up. What `DELETE /state/{id}` of the platform's protocol means,
+    /// as the request's next attempt may be under way beside it.
+    pub fn release_unclaimed(&self, id: &Id) {
+        self.hub.release_unclaimed(id);
+    }
+
     /// Reads nothing more here. What is held may be taken for so long, and is freed then.
     pub fn drain(&self, within: Duration) {
         info!(self.hub.log, "draining"; "within_ms" => within.as_millis() as u64);
--- a/transfer/tests/hard_cases.rs
+++ b/transfer/tests/hard_cases.rs
@@ -242,6 +242,34 @@
     assert_eq!(world.holder.held().0, 1);
 }
 
+#[test]
+fn a_release_of_what_nobody_waits_for_leaves_a_read_and_a_move_alone() {
+    let mut world = world(1);
+    let ticket = world.holder.begin(id(1)).unwrap();
+    world.holder.release_unclaimed(&id(1), None);
+    let state = content(1, 100);
+    let proof = std::sync::Arc::new(frosttrail_transfer::proof::Proof::of(&state, CHUNK).unwrap());
+    world.holder.put(0, ticket, state, proof).unwrap();
+    // Held, and nobody has come for it.
+    world.holder.release_unclaimed(&id(1), None);
+    assert_eq!(world.holder.held().0, 0);
+    for frames in 1..40 {
+        for given_up in [false, true] {
+            let (mut world, token) = under_way(frames);
+            world.holder.release_unclaimed(&id(1), None);
+            if given_up {
+                world.drop_fetches(0, 1);
+                world.settle();
+                world.advance(SLICE);
+                assert_eq!(world.holder.held().0, 0, "gone with its taker at {frames}");
+            } else {
+                world.advance(RULE);
+                assert!(end(&world, 0, token).unwrap().is_ok(), "taken at {frames}");
+            }
+        }
+    }
+}
+
 #[test]
 fn a_client_that_goes_in_the_midst_leaves_nothing_at_either_end() {
     for frames in 0..40 {
--- a/transfer/tests/support/mod.rs
+++ b/transfer/tests/support/mod.rs
@@ -285,7 +285,7 @@
             Frame::Credit(bytes) => self.holder.credit(conn, bytes),
             Frame::Complete(token) => self.holder.complete(self.now, conn, token),
             Frame::GiveUp(token, cause) => self.holder.abort(self.now, conn, token, cause),
-            Frame::Release(id) => self.holder.release(&id),
+            Frame::Release(id) => self.holder.release_unclaimed(&id, Some(conn)),
             other => panic!("{other:?} to a holder"),
         }
     }
