--- a/soak/shim/fault_shim.c
+++ b/soak/shim/fault_shim.c
@@ -2,16 +2,20 @@
  *
  * The file that FAULT_SHIM_CONTROL names is mapped and says which faults are on; what fired is counted there.
  * It reaches what goes through the C library. It does not reach system calls that a program makes past it, such
- * as the descriptor passing of the rustix crate, nor clocks that are read through the vDSO without the library.
+ * as the descriptor passing of the rustix crate, clocks that are read through the vDSO without the library, and
+ * threads that the C library makes for itself.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -19,13 +23,15 @@
 #include <time.h>
 #include <unistd.h>
 
-enum counter { CLOCK, DISK, ACCEPT, CONNECT, SOCKET, SHORT_IO, COUNTERS };
+enum counter { CLOCK, DISK, ACCEPT, CONNECT, SOCKET, SHORT_IO, CONFIG, THREAD, COUNTERS };
 
 struct control {
     int64_t wall_offset_ms;
     uint32_t disk_per_mille;
     uint32_t network_per_mille;
     uint32_t short_per_mille;
+    uint32_t config_per_mille;
+    uint32_t thread_per_mille;
     uint32_t reserved;
     uint64_t fired[COUNTERS];
 };
@@ -67,6 +73,9 @@
 static const int connect_errors[] = {ENETUNREACH, EADDRNOTAVAIL, ENOBUFS};
 static const int socket_errors[] = {ENFILE, EMFILE, ENOBUFS};
 static const int disk_errors[] = {ENOSPC, EIO};
+static const int config_errors[] = {EIO, ENFILE, EMFILE};
+static const int bind_errors[] = {EADDRNOTAVAIL, ENOBUFS};
+static const int descriptor_errors[] = {ENFILE, EMFILE};
 
 int clock_gettime(clockid_t clock, struct timespec *time) {
     static int (*real)(clockid_t, struct timespec *);
@@ -79,6 +88,11 @@
     return result;
 }
 
+/* The file that says how the conductor is configured: opening it fails as where no descriptor is left. */
+static int config_fails(const char *path) {
+    return control != NULL && strstr(path, "/config.json") != NULL && fires(CONFIG, control->config_per_mille);
+}
+
 static int disk_fails(const char *path) {
     return control != NULL && strstr(path, "/frosttrail-") != NULL && fires(DISK, control->disk_per_mille);
 }
@@ -92,6 +106,7 @@
         mode_t mode = va_arg(arguments, mode_t);                                    \
         va_end(arguments);                                                          \
         if (disk_fails(path)) return fail_with(disk_errors, 2);                     \
+        if (config_fails(path)) return fail_with(config_errors, 3);                 \
         return real(path, flags, mode);                                             \
     }
 OPEN(open)
@@ -141,6 +156,35 @@
     return real(domain, type, protocol);
 }
 
+int bind(int fd, const struct sockaddr *address, socklen_t length) {
+    static int (*real)(int, const struct sockaddr *, socklen_t);
+    if (real == NULL) real = dlsym(RTLD_NEXT, "bind");
+    int internet = address->sa_family == AF_INET;
+    if (internet && control != NULL && fires(SOCKET, control->network_per_mille)) return fail_with(bind_errors, 2);
+    return real(fd, address, length);
+}
+
+int epoll_create1(int flags) {
+    static int (*real)(int);
+    if (real == NULL) real = dlsym(RTLD_NEXT, "epoll_create1");
+    if (control != NULL && fires(SOCKET, control->network_per_mille)) return fail_with(descriptor_errors, 2);
+    return real(flags);
+}
+
+int eventfd(unsigned int count, int flags) {
+    static int (*real)(unsigned int, int);
+    if (real == NULL) real = dlsym(RTLD_NEXT, "eventfd");
+    if (control != NULL && fires(SOCKET, control->network_per_mille)) return fail_with(descriptor_errors, 2);
+    return real(count, flags);
+}
+
+int pthread_create(pthread_t *thread, const pthread_attr_t *attributes, void *(*run)(void *), void *argument) {
+    static int (*real)(pthread_t *, const pthread_attr_t *, void *(*)(void *), void *);
+    if (real == NULL) real = dlsym(RTLD_NEXT, "pthread_create");
+    if (control != NULL && fires(THREAD, control->thread_per_mille)) return EAGAIN;
+    return real(thread, attributes, run, argument);
+}
+
 static size_t shortened(size_t length) {
     if (length < 2 || control == NULL || !fires(SHORT_IO, control->short_per_mille)) return length;
     return 1 + draw((uint32_t)(length > 64 ? 64 : length - 1));
--- a/soak/src/conductor.rs
+++ b/soak/src/conductor.rs
@@ -13,7 +13,7 @@
 use tokio::process::{Child, Command};
 use tokio::time::{sleep, timeout};
 
-use crate::shim::{Control, LIBRARY};
+use crate::shim::{Control, Faults, LIBRARY};
 
 /// A process that starts is ready within this time.
 const READY_WITHIN: Duration = Duration::from_secs(10);
@@ -39,10 +39,10 @@
         std::fs::write(self.folder.join("config.json"), self.config.to_string())
     }
 
-    /// Starts a process with an operators' address of its own.
-    pub fn start(&self, nth: usize, ops: SocketAddr) -> std::io::Result<Process> {
+    /// Starts a process with an operators' address of its own, under these faults.
+    pub fn start(&self, nth: usize, ops: SocketAddr, faults: Faults) -> std::io::Result<Process> {
         self.write_config()?;
-        let control = Control::create(&self.folder.join(format!("control-{nth}")))?;
+        let control = Control::create(&self.folder.join(format!("control-{nth}")), faults)?;
         let log = std::fs::File::create(self.folder.join(format!("log-{nth}.txt")))?;
         let child = Command::new(&self.program)
             .env("EDGE_CONFIG", self.folder.join("config.json"))
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -22,7 +22,8 @@
 use crate::shim::{Faults, COUNTERS};
 
 /// What the settings say.
-const LIMITS: Limits = Limits { release: Duration::from_secs(1), drain_grace: Duration::from_millis(250) };
+pub const LIMITS: Limits =
+    Limits { release: Duration::from_secs(1), drain_grace: Duration::from_millis(250) };
 /// The longest deadline of a class, and what follows it before SIGKILL.
 const KILL_AFTER: Duration = Duration::from_millis(3_000 + 700);
 /// After SIGHUP, what the new agent has counts as told.
@@ -90,7 +91,8 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn settings(conductors: usize) -> Value {
+/// Settings for so many conductors.
+pub fn settings(conductors: usize) -> Value {
     let class = |name: &str, effect: &str| {
         json!({"name": name, "slo": 1_500_000, "deadline": 3_000_000, "effect": effect, "late-share": 0.2,
             "points": 1.0, "dedup-scope": "all", "dedup-window": 0})
@@ -406,7 +408,7 @@
         let mut site = lock(&self.site);
         let List { rev, targets } = self.agents[*lock(&self.agent)].list();
         site.config["known"] = json!({"rev": rev, "all": true, "targets": targets});
-        site.start(nth, free_address()?)
+        site.start(nth, free_address()?, Faults::default())
     }
 }
 
--- a/soak/src/shim.rs
+++ b/soak/src/shim.rs
@@ -9,9 +9,11 @@
 pub const LIBRARY: &str = env!("FAULT_SHIM");
 
 /// What the shim counts, in the order of its counters.
-pub const COUNTERS: [&str; 6] = ["clock", "disk", "accept", "connect", "socket", "short io"];
+pub const COUNTERS: [&str; 8] =
+    ["clock", "disk", "accept", "connect", "socket", "short io", "configuration", "thread"];
 
-const FIRED_AT: u64 = 24;
+/// Where the counters begin, behind the faults.
+const FIRED_AT: u64 = 32;
 const BYTES: u64 = FIRED_AT + 8 * COUNTERS.len() as u64;
 
 /// Which faults are on.
@@ -21,10 +23,14 @@
     pub wall_offset_ms: i64,
     /// Calls on the state folder that fail, of 1,000.
     pub disk_per_mille: u32,
-    /// Calls to accept, connect and socket that fail, of 1,000.
+    /// Calls that accept, connect or make a socket, or what waits for sockets, and fail, of 1,000.
     pub network_per_mille: u32,
     /// Reads and writes of sockets that are short, of 1,000.
     pub short_per_mille: u32,
+    /// Openings of the configuration that fail, of 1,000.
+    pub config_per_mille: u32,
+    /// Threads that can't be made, of 1,000.
+    pub thread_per_mille: u32,
 }
 
 /// One process's control file.
@@ -35,11 +41,13 @@
 }
 
 impl Control {
-    /// Makes the file, with no fault on.
-    pub fn create(path: &Path) -> Result<Self> {
+    /// Makes the file, with these faults on.
+    pub fn create(path: &Path, faults: Faults) -> Result<Self> {
         let file = File::options().create(true).truncate(true).read(true).write(true).open(path)?;
         file.set_len(BYTES)?;
-        Ok(Control { file, path: path.to_path_buf() })
+        let control = Control { file, path: path.to_path_buf() };
+        control.set(faults)?;
+        Ok(control)
     }
 
     /// Where it lies.
@@ -51,9 +59,14 @@
     pub fn set(&self, faults: Faults) -> Result<()> {
         let mut bytes = Vec::with_capacity(FIRED_AT as usize);
         bytes.extend(faults.wall_offset_ms.to_ne_bytes());
-        for share in [faults.disk_per_mille, faults.network_per_mille, faults.short_per_mille] {
-            bytes.extend(share.to_ne_bytes());
-        }
+        let shares = [
+            faults.disk_per_mille,
+            faults.network_per_mille,
+            faults.short_per_mille,
+            faults.config_per_mille,
+            faults.thread_per_mille,
+        ];
+        shares.iter().for_each(|share| bytes.extend(share.to_ne_bytes()));
         self.file.write_all_at(&bytes, 0)
     }
 
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -1,12 +1,14 @@
 //! A soak of seconds: all that is played is there, the oracle sees what is broken, and the program breaks
 //! nothing.
 
-use std::path::PathBuf;
+mod support;
+
 use std::process::Command;
 use std::time::Duration;
 
 use frosttrail_soak::oracle::{Closed, Limits, Oracle, Told};
 use frosttrail_soak::plan::draw;
+use support::program;
 
 const LIMITS: Limits = Limits { release: Duration::from_millis(10), drain_grace: Duration::ZERO };
 const BUDGET: Duration = Duration::from_secs(1);
@@ -84,17 +86,7 @@
 
 #[test]
 fn the_program_breaks_no_rule_in_a_short_soak() {
-    // Beside the test's own binary, where the workspace's tests have put the program.
-    let mut folder = std::env::current_exe().unwrap();
-    folder.pop();
-    folder.pop();
-    let program: PathBuf = folder.join("frosttrail");
-    if !program.is_file() {
-        let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".into());
-        let built =
-            Command::new(cargo).args(["build", "--locked", "-p", "frosttrail-daemon"]).status().unwrap();
-        assert!(built.success());
-    }
+    let program = program();
     let state = std::env::temp_dir().join(format!("frosttrail-soak-{}", std::process::id()));
     let played = Command::new(env!("CARGO_BIN_EXE_frosttrail-soak"))
         .args(["--conductors", "4", "--seconds", "6", "--seed", "1", "--program"])
