Bear short reads and writes, and starts and reloads whose system calls fail for a moment

Short reads and writes: tokio clears a socket's readiness after a read or write that was not full (poll_evented.rs), as epoll(7) allows, and waits for an event that never comes; 6 of 6 requests were lost. Starts: any error of socket, bind, listen, epoll, eventfd or of a thread went up to main. Reloads: one try at the file, and the signal was forgotten. Changes: tcp.rs, a connection that takes a socket for empty or full only at EAGAIN and repeats EINTR, at clients, servers, discovery and operators; transient.rs says which errors are this machine's (also for breakers, in place of link.rs's own list) and tries a start again for up to 5 s; reload.rs tries a file that can't be read for 2.5 s, as what it names counts as told after 4 s. A missing or broken file is turned down at once. Ruled out: errors of accept, which go on after a pause; EINTR of epoll_wait, which the runtime repeats.

--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use frosttrail_core::{start, Clock, Conductor, Figures, Parts};
-use frosttrail_daemon::config::{self, ChatConfig, Config, XdsConfig};
+use frosttrail_daemon::config::{self, ChatConfig, Config, ConfigError, XdsConfig};
 use frosttrail_daemon::discovery::{Backoff, Discovery, DiscoveryConfig, Xds};
 use frosttrail_daemon::ending::Ending;
 use frosttrail_daemon::front::chat::Chat;
@@ -15,6 +15,7 @@
 use frosttrail_daemon::front::{Doors, Patience};
 use frosttrail_daemon::listener_handover::ListenerHandover;
 use frosttrail_daemon::reload::Reload;
+use frosttrail_daemon::transient::{await_resources, is_shortage, retry_at_start};
 use frosttrail_daemon::upstream::{Book, Limits, Upstream};
 use frosttrail_membership::service::{self, Membership};
 use slog::{info, Logger};
@@ -61,13 +62,14 @@
 
 /// Runs the conductor until SIGTERM.
 pub fn serve(options: Options) -> Result<(), ServeError> {
-    let runtime = runtime()?;
+    await_resources()?;
+    let runtime = retry_at_start(is_shortage, runtime)?;
     // Before all else: a signal that comes early must find its handler.
     let signals = {
         let _entered = runtime.enter();
         Signals { terminate: signal(SignalKind::terminate())?, hangup: signal(SignalKind::hangup())? }
     };
-    let config = Config::from_env()?;
+    let config = retry_at_start(ConfigError::is_transient, Config::from_env)?;
     let chat = options.chat.map(|file| ChatConfig::read(&file, &config.settings)).transpose()?;
     let xds = options.xds.map(|file| XdsConfig::read(&file)).transpose()?;
     let membership = options.membership.map(|file| config::membership(&file)).transpose()?;
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -15,6 +15,7 @@
 use serde_json::Value;
 
 use crate::discovery::{DiscoveryConfig, Listing};
+use crate::transient::is_read_failure;
 
 /// Why the daemon can't start.
 #[derive(Debug, thiserror::Error)]
@@ -48,6 +49,13 @@
     Sockets(PathBuf, usize),
 }
 
+impl ConfigError {
+    /// Whether the file may be readable a moment later.
+    pub fn is_transient(&self) -> bool {
+        matches!(self, ConfigError::Unreadable(_, e) if is_read_failure(e))
+    }
+}
+
 /// Fewer descriptors than this leave nothing for clients.
 const MIN_SOCKETS: usize = 64;
 
--- a/daemon/src/discovery/http.rs
+++ b/daemon/src/discovery/http.rs
@@ -14,6 +14,8 @@
 use tokio::time::{timeout, timeout_at, Instant};
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::tcp::TcpConnection;
+
 /// The server is near: a connection comes up at once or not at all.
 const CONNECT: Duration = Duration::from_secs(1);
 
@@ -52,7 +54,7 @@
 ) -> Result<Called, ListError> {
     let by = Instant::now() + within;
     let connect = timeout(CONNECT, TcpStream::connect(server)).await.map_err(|_| ListError::Silent)?;
-    let io = TokioIo::new(connect.map_err(ListError::Connect)?);
+    let io = TokioIo::new(TcpConnection::new(connect.map_err(ListError::Connect)?));
     let (mut sender, connection) = http1::handshake(io).await?;
     let driver = AbortOnDropHandle::new(tokio::spawn(async move {
         // How it ended shows in the body.
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -26,6 +26,7 @@
 use super::framing::{Found, Framed, HEADERS_MOST};
 use super::input::{ArriveBy, InputError};
 use super::socket::Socket;
+use crate::transient::{is_shortage, retry_at_start};
 
 /// Connections that the kernel holds until they are accepted.
 const BACKLOG: u32 = 1_024;
@@ -129,6 +130,10 @@
 
     /// Listens at an address and accepts nothing yet.
     pub fn bind(&self, address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
+        retry_at_start(is_shortage, || self.try_bind(address))
+    }
+
+    fn try_bind(&self, address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
         let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         // A conductor that is started anew takes its address over from connections that linger.
         socket.set_reuseaddr(true)?;
--- a/daemon/src/front/socket.rs
+++ b/daemon/src/front/socket.rs
@@ -14,6 +14,8 @@
 use tokio::time::{sleep, timeout, Sleep};
 use tokio_io_timeout::TimeoutStream;
 
+use crate::tcp::TcpConnection;
+
 /// So much is kept of what a client sends while its request is open. Clients send one request at a time, so
 /// whoever sends more is no such client: the rest is read, as its end may lie behind it, and dropped.
 const AHEAD_MOST: usize = 64 << 10;
@@ -34,7 +36,7 @@
 pub(super) struct Socket(Arc<Mutex<Inner>>);
 
 struct Inner {
-    stream: Pin<Box<TimeoutStream<TcpStream>>>,
+    stream: Pin<Box<TimeoutStream<TcpConnection>>>,
     /// Read, and not yet handed to the library.
     ahead: BytesMut,
     /// How the client ended its sending.
@@ -50,7 +52,7 @@
 impl Socket {
     /// A connection whose client may take nothing for so long.
     pub(super) fn new(stream: TcpStream, stall: Duration) -> Self {
-        let mut stream = TimeoutStream::new(stream);
+        let mut stream = TimeoutStream::new(TcpConnection::new(stream));
         stream.set_write_timeout(Some(stall));
         let (stream, ahead) = (Box::pin(stream), BytesMut::new());
         let inner = Inner { stream, ahead, ended: None, unasked: 0, pause: None, overrun: false };
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -14,4 +14,6 @@
 pub mod reload;
 pub mod snapshot_file;
 pub mod state_dir;
+mod tcp;
+pub mod transient;
 pub mod upstream;
--- a/daemon/src/ops/server.rs
+++ b/daemon/src/ops/server.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,6 +19,9 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::tcp::TcpConnection;
+use crate::transient::{is_shortage, retry_at_start};
+
 use super::call::{answer, error_response, takes_body, CallError, Operations, ID_BYTES_MAX};
 
 /// Connections at a time. One more ends the oldest, which has had its chance: a call takes milliseconds.
@@ -38,22 +41,32 @@
 impl OpsServer {
     /// Binds the address; nothing is answered before [`OpsServer::start`].
     pub fn bind(address: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
+        let listener = retry_at_start(is_shortage, || TcpListener::bind(address))?;
         listener.set_nonblocking(true)?;
         Ok(OpsServer { listener })
     }
 
     /// Answers calls until the process ends.
     pub fn start<O: Operations>(self, operations: Arc<O>, log: Logger) -> std::io::Result<()> {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let mut builder = tokio::runtime::Builder::new_current_thread();
+        let runtime = retry_at_start(is_shortage, || builder.enable_all().build())?;
         let address = self.listener.local_addr()?;
         let listener = {
             let _entered = runtime.enter();
             tokio::net::TcpListener::from_std(self.listener)?
         };
         info!(log, "operators' address"; "at" => %address);
-        let thread = std::thread::Builder::new().name("ops".into());
-        thread.spawn(move || runtime.block_on(accept(listener, operations, log)))?;
+        // Taken by the thread that comes up: one that can't be made leaves it for the next try.
+        let work = Arc::new(Mutex::new(Some((runtime, accept(listener, operations, log)))));
+        retry_at_start(is_shortage, || {
+            let (work, thread) = (work.clone(), std::thread::Builder::new().name("ops".into()));
+            thread.spawn(move || {
+                let taken = work.lock().unwrap_or_else(PoisonError::into_inner).take();
+                if let Some((runtime, accepting)) = taken {
+                    runtime.block_on(accepting);
+                }
+            })
+        })?;
         Ok(())
     }
 }
@@ -87,7 +100,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .keep_alive(false)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(TcpConnection::new(stream)), service);
     match timeout(CONNECTION_TIME, connection).await {
         Ok(Ok(())) => {}
         Ok(Err(e)) => debug!(log, "operators' address: connection"; "why" => %e),
--- a/daemon/src/reload.rs
+++ b/daemon/src/reload.rs
@@ -1,16 +1,23 @@
 //! A new configuration for a program that serves: taken whole or not at all.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use frosttrail_core::{Conductor, Figures};
 use slog::{info, warn, Logger};
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
+use tokio::time::{sleep, Instant};
 
 use crate::config::{Config, ConfigError, SuccessionError};
 use crate::discovery::DiscoveryConfig;
+use crate::transient::RETRY_EVERY;
 use crate::upstream::Upstream;
 
+/// A file that can't be read is tried again for so long. What a new configuration names counts as told 4 s after
+/// its signal, and the list of a new agent takes time of its own.
+const READ_WITHIN: Duration = Duration::from_millis(2_500);
+
 /// Why a file is turned down.
 #[derive(Debug, thiserror::Error)]
 enum ReloadError {
@@ -40,7 +47,7 @@
     /// Reads the file again at each signal. A file that is no good changes nothing.
     pub async fn run(mut self, mut hangup: Signal) {
         while hangup.recv().await.is_some() {
-            match self.read() {
+            match self.read_in_time().await {
                 Ok(config) => self.apply(config),
                 Err(e) => {
                     self.figures.conf_invalid.inc();
@@ -50,6 +57,19 @@
         }
     }
 
+    /// Reads the file; one that can't be read for a moment is tried again, as nobody sends the signal twice.
+    async fn read_in_time(&self) -> Result<Config, ReloadError> {
+        let until = Instant::now() + READ_WITHIN;
+        loop {
+            match self.read() {
+                Err(ReloadError::Config(e)) if e.is_transient() && Instant::now() < until => {
+                    sleep(RETRY_EVERY).await;
+                }
+                read => return read,
+            }
+        }
+    }
+
     fn read(&self) -> Result<Config, ReloadError> {
         let config = Config::from_env()?;
         self.config.check_successor(&config)?;
--- a/daemon/src/upstream/link.rs
+++ b/daemon/src/upstream/link.rs
@@ -23,6 +23,8 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::lock;
+use crate::tcp::TcpConnection;
+use crate::transient::is_shortage;
 
 /// A head comes in one piece or nearly so; one that has begun and has not ended by then never will.
 const HEAD_WAIT: Duration = Duration::from_millis(400);
@@ -150,7 +152,7 @@
 }
 
 /// A connection's socket, for as long as the connection is not dropped.
-type Socket = Arc<Mutex<Option<TokioIo<TcpStream>>>>;
+type Socket = Arc<Mutex<Option<TokioIo<TcpConnection>>>>;
 
 /// The socket as the library has it, which notes what is written. The library's task may outlive the
 /// connection by a moment; the socket does not.
@@ -162,7 +164,7 @@
 impl Wire {
     fn with<T>(
         &self,
-        io: impl FnOnce(Pin<&mut TokioIo<TcpStream>>) -> Poll<std::io::Result<T>>,
+        io: impl FnOnce(Pin<&mut TokioIo<TcpConnection>>) -> Poll<std::io::Result<T>>,
     ) -> Poll<std::io::Result<T>> {
         match lock(&self.socket).as_mut() {
             Some(socket) => io(Pin::new(socket)),
@@ -240,23 +242,10 @@
     pub(super) idle_since: Instant,
 }
 
-/// Errors of Linux for which Rust has no kinds of its own: too many open files, of the system and of the
-/// process, and no room for buffers.
-const ENFILE: i32 = 23;
-const EMFILE: i32 = 24;
-const ENOBUFS: i32 = 105;
-
 impl LinkError {
     /// This machine lacks what it takes, or can't reach any network: nothing was asked of the server.
     pub(super) fn is_local(&self) -> bool {
-        let LinkError::Socket(e) = self else { return false };
-        let kinds = [
-            ErrorKind::AddrNotAvailable,
-            ErrorKind::NetworkUnreachable,
-            ErrorKind::OutOfMemory,
-            ErrorKind::Interrupted,
-        ];
-        kinds.contains(&e.kind()) || matches!(e.raw_os_error(), Some(ENFILE | EMFILE | ENOBUFS))
+        matches!(self, LinkError::Socket(e) if is_shortage(e))
     }
 }
 
@@ -266,7 +255,7 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let carried = Carried::default();
-        let socket = Socket::new(Mutex::new(Some(TokioIo::new(stream))));
+        let socket = Socket::new(Mutex::new(Some(TokioIo::new(TcpConnection::new(stream)))));
         let wire = Wire { socket: socket.clone(), carried: carried.clone() };
         // A header that can't be read, as a load report may be, spoils nothing else.
         let mut builder = Builder::new();
