--- a/daemon/src/reload.rs
+++ b/daemon/src/reload.rs
@@ -14,8 +14,8 @@
 use crate::transient::RETRY_EVERY;
 use crate::upstream::Upstream;
 
-/// A file that can't be read is tried again for so long. What a new configuration names counts as told 4 s after
-/// its signal, and the list of a new agent takes time of its own.
+/// A file that can't be read is tried again for so long. What a new configuration names counts as told 4 s
+/// after its signal, and the list of a new agent takes time of its own.
 const READ_WITHIN: Duration = Duration::from_millis(2_500);
 
 /// Why a file is turned down.
--- a/daemon/src/tcp.rs
+++ b/daemon/src/tcp.rs
@@ -1,9 +1,9 @@
 //! A TCP connection whose reads and writes may be short.
 //!
-//! The runtime takes a read that fills only a part of its buffer for the last of what has come, and a write that
-//! takes only a part for a full socket, as epoll(7) allows, and then waits for the next event. A call that was
-//! short for another reason would leave a request unread, or half written, for good. Here a socket counts as
-//! empty or full only where it says so itself (`EAGAIN`).
+//! The runtime takes a read that fills only a part of its buffer for the last of what has come, and a write
+//! that takes only a part for a full socket, as epoll(7) allows, and then waits for the next event. A call
+//! that was short for another reason would leave a request unread, or half written, for good. Here a socket
+//! counts as empty or full only where it says so itself (`EAGAIN`).
 
 use std::io::{ErrorKind, IoSlice, Result};
 use std::pin::Pin;
--- a/daemon/src/transient.rs
+++ b/daemon/src/transient.rs
@@ -11,15 +11,15 @@
 /// Between two tries.
 pub const RETRY_EVERY: Duration = Duration::from_millis(20);
 
-/// Errors of Linux for which Rust has no kinds of its own: a failed device, too many open files, of the system
-/// and of the process, and no room for buffers.
+/// Errors of Linux for which Rust has no kinds of its own: a failed device, too many open files, of the
+/// system and of the process, and no room for buffers.
 const EIO: i32 = 5;
 const ENFILE: i32 = 23;
 const EMFILE: i32 = 24;
 const ENOBUFS: i32 = 105;
 
-/// Whether this machine lacks descriptors, memory, threads, ports or a network: nobody else is to blame, and the
-/// next try may succeed.
+/// Whether this machine lacks descriptors, memory, threads, ports or a network: nobody else is to blame,
+/// and the next try may succeed.
 pub fn is_shortage(e: &Error) -> bool {
     let kinds = [
         ErrorKind::AddrNotAvailable,
@@ -36,8 +36,8 @@
     is_shortage(e) || e.raw_os_error() == Some(EIO)
 }
 
-/// Tries again for [`START_WITHIN`] while errors are transient. It holds up its thread, and is for the start of
-/// a process only, before anything is served.
+/// Tries again for [`START_WITHIN`] while errors are transient. It holds up its thread, and is for the
+/// start of a process only, before anything is served.
 ///
 /// # Errors
 ///
--- a/transfer/src/sender.rs
+++ b/transfer/src/sender.rs
@@ -343,9 +343,9 @@
         self.free(id, Cause::Released);
     }
 
-    /// Lets go of what is held for the request and no attempt waits for: a read that is under way goes on, and
-    /// a state that a taker is at goes once that gives it up. A taker that asks for it on its own connection,
-    /// `by`, gives it up with that.
+    /// Lets go of what is held for the request and no attempt waits for: a read that is under way goes on,
+    /// and a state that a taker is at goes once that gives it up. A taker that asks for it on its own
+    /// connection, `by`, gives it up with that.
     pub fn release_unclaimed(&mut self, id: &Id, by: Option<Conn>) {
         let Some(held) = self.states.get_mut(id) else { return };
         let taken_by = held.moving.and_then(|flow| self.moves.get(&flow)).map(|moving| moving.conn);
--- a/transfer/src/service/node.rs
+++ b/transfer/src/service/node.rs
@@ -231,9 +231,9 @@
         self.hub.release(id);
     }
 
-    /// Lets go of what is held for the request and no attempt waits for: a read that is under way goes on, and
-    /// so does a move until its taker gives it up. What `DELETE /state/{id}` of the platform's protocol means,
-    /// as the request's next attempt may be under way beside it.
+    /// Lets go of what is held for the request and no attempt waits for: a read that is under way goes on,
+    /// and so does a move until its taker gives it up. What `DELETE /state/{id}` of the platform's protocol
+    /// means, as the request's next attempt may be under way beside it.
     pub fn release_unclaimed(&self, id: &Id) {
         self.hub.release_unclaimed(id);
     }
