--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -313,3 +313,7 @@
         () = other.cancelled() => {}
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/listener.rs"]
+mod tests;
--- a/daemon/tests/crowds.rs
+++ b/daemon/tests/crowds.rs
@@ -149,3 +149,28 @@
     running.signal("-TERM");
     running.ends_well().await;
 }
+
+/// Every place for clients is taken by an answer that runs: whoever comes then is told so in his time. What is
+/// written to a connection that this machine has accepted is owed an answer.
+#[tokio::test]
+async fn a_request_beside_answers_that_take_every_place_gets_its_own() {
+    let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(Does::StreamsOn).await);
+    let boxes = [("p", "prefill", &prefill), ("d", "decode", &decode)];
+    let running = Running::start(program_with(DESCRIPTORS, "places", &config("n1", "127.0.0.1:9", &boxes)));
+    let mut streams = Vec::new();
+    for n in 0..(DESCRIPTORS - 48) / 2 {
+        let mut client = send(running.listen, &request(&format!("stream-{n}"))).await;
+        assert!(client.read(&mut [0; 64]).await.unwrap() > 0, "stream {n} runs");
+        streams.push(client);
+    }
+    for n in 0..3 {
+        let text = chat(&format!("beside-{n}"), "ask", 1_000);
+        let asked = timeout(Duration::from_millis(1_500), exchange(running.listen, &text));
+        let answer = asked.await.expect("an answer in its time");
+        assert_eq!(answer.status, 503);
+    }
+    assert!(prefill.posts().iter().all(|got| !got.head.contains("x-txn: beside")), "sent on");
+    drop(streams);
+    running.signal("-TERM");
+    running.ends_well().await;
+}
--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -148,3 +148,26 @@
     assert!(told.elapsed() < killed_after(2_500), "{:?}", told.elapsed());
     running.ends_well().await;
 }
+
+/// Its last byte comes more than 0.7 s after SIGTERM, and its stream would run into SIGKILL: it is refused, as
+/// its client loses nothing by asking elsewhere, and is never sent on.
+#[tokio::test]
+async fn a_request_that_is_whole_after_the_doors_have_closed_begins_no_stream() {
+    let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(Does::Ticks(100, 60)).await);
+    let running = Running::start(program("whole-late", &config(&prefill, &decode, 3_000)));
+    let text = request("late", "ask", 3_000);
+    let (first, last) = text.split_at(text.len() - 1);
+    let mut client = send(running.listen, &kept(READY)).await;
+    let mut seen = Vec::new();
+    while !seen.ends_with(b"ready\n") {
+        assert!(client.read_buf(&mut seen).await.unwrap() > 0);
+    }
+    running.signal("-TERM");
+    sleep(Duration::from_millis(400)).await;
+    client.write_all(first.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(500)).await;
+    client.write_all(last.as_bytes()).await.unwrap();
+    assert_eq!(rest(&mut client).await, Some((503, true)));
+    assert!(prefill.posts().is_empty(), "it was sent on");
+    running.ends_well().await;
+}
--- /dev/null
+++ b/daemon/tests/unit/listener.rs
@@ -0,0 +1,46 @@
+use std::io::{Read, Write};
+
+use super::*;
+use crate::front::body::whole;
+use crate::upstream::BoxEvents;
+
+/// Answers everything at once.
+struct Answers;
+
+impl Service for Answers {
+    type Events = BoxEvents;
+
+    async fn answer(&self, _: Request<Incoming>) -> FrontResponse<BoxEvents> {
+        Ok(whole(StatusCode::OK, "text/plain", "here"))
+    }
+
+    fn turn_down(&self, error: InputError) -> Response<FrontBody<BoxEvents>> {
+        whole(error.status(), "text/plain", "")
+    }
+}
+
+/// A connection is told to make room before the runtime has heard of what lies in its socket, as where the
+/// process was held up right after it was accepted.
+#[tokio::test]
+async fn a_connection_that_makes_room_is_looked_at_once_more() {
+    let patience = Patience {
+        arrive: Duration::from_secs(2),
+        idle: Duration::from_secs(5),
+        stall: Duration::from_secs(20),
+    };
+    let doors = Doors::new(1, patience, Logger::root(slog::Discard, slog::o!()));
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    client.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+    let (accepted, _) = listener.accept().unwrap();
+    accepted.set_nonblocking(true).unwrap();
+    let place = doors.clients.place().await;
+    place.leave().cancel();
+    doors.serve(TcpStream::from_std(accepted).unwrap(), Instant::now(), place, Arc::new(Answers));
+    let read = tokio::task::spawn_blocking(move || {
+        let mut answer = String::new();
+        client.read_to_string(&mut answer).map(|_| answer)
+    });
+    let answer = read.await.unwrap().expect("no reset");
+    assert!(answer.starts_with("HTTP/1.1 200 OK") && answer.ends_with("here"), "{answer:?}");
+}
