Look before an eviction, refuse bodies that end too late, answer where no place is free

Eviction (listener.rs): a cancelled place was acted on in the turn in which it was seen, before the runtime had polled its sockets; a request in the kernel was closed over. Late bodies: only the listeners close at 0.65 s after SIGTERM; a head that came before kept its connection, and its body began a stream whenever it ended. Places: the accept loop waited for one without end while open requests had them all. Tried: refusing from the close on; closes.rs then found 503 for requests that crossed it by a millisecond.

--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -160,6 +160,11 @@
         self.tickets.load(Ordering::Relaxed)
     }
 
+    /// A front has refused a request of this class by itself.
+    pub fn note_refused(&self, class: &str) {
+        self.figures.open(class).deferred();
+    }
+
     /// Whether there is a member to send to.
     pub fn able(&self) -> bool {
         *self.able.borrow()
--- a/daemon/src/front/chat/error.rs
+++ b/daemon/src/front/chat/error.rs
@@ -42,6 +42,9 @@
             ApiError::Input(e @ InputError::Model(_)) => {
                 (e.status(), INVALID, Some("model"), Some("model_not_found"))
             }
+            ApiError::Input(e) if e.is_refusal() => {
+                (e.status(), "server_error", None, Some("service_unavailable"))
+            }
             ApiError::Input(e) => (e.status(), INVALID, None, None),
             ApiError::Field { param, .. } => (StatusCode::BAD_REQUEST, INVALID, Some(param), None),
             ApiError::Busy => {
--- a/daemon/src/front/clients.rs
+++ b/daemon/src/front/clients.rs
@@ -12,11 +12,15 @@
 const NEXT: Duration = Duration::from_millis(50);
 /// Who has just come may be about to ask: a connection makes no room before this age.
 const FRESH: Duration = Duration::from_millis(20);
+/// Connections on which requests are only refused, while open requests have all places. Their descriptors come
+/// from those that are spared for neither clients nor servers.
+const REFUSING: usize = 8;
 
 /// All clients' connections, of whichever front.
 #[derive(Clone)]
 pub(super) struct Clients {
     permits: Arc<Semaphore>,
+    refusing: Arc<Semaphore>,
     idle: Arc<Mutex<Idle>>,
 }
 
@@ -34,9 +38,15 @@
 struct Connection {
     leave: CancellationToken,
     since: Instant,
+    refuses: bool,
 }
 
 impl Idle {
+    /// Whether nothing makes room for another request: those that are here have no place of their own.
+    fn is_without_places(&self) -> bool {
+        self.connections.values().all(|connection| connection.refuses)
+    }
+
     /// The one whose turn it is to make room.
     fn turn_out(&mut self) -> Option<CancellationToken> {
         let (&(asked, nth), first) = self.connections.first_key_value()?;
@@ -52,32 +62,40 @@
 impl Clients {
     /// Room for so many.
     pub(super) fn new(most: usize) -> Self {
-        Clients { permits: Arc::new(Semaphore::new(most)), idle: Arc::default() }
+        let (permits, refusing) = (Semaphore::new(most), Semaphore::new(REFUSING));
+        Clients { permits: Arc::new(permits), refusing: Arc::new(refusing), idle: Arc::default() }
     }
 
     /// A place for one more. Where there is none, connections without an open request are told to close in
-    /// turn; clients keep theirs open, so that without this a crowd of idle ones would shut new ones out.
+    /// turn; clients keep theirs open, so that without this a crowd of idle ones would shut new ones out. Where
+    /// open requests have them all, what comes is refused: unread, it would get no answer in its time.
     pub(super) async fn place(&self) -> Place {
         loop {
             let permit = self.permits.clone().try_acquire_owned();
             if let Ok(permit) = permit {
-                return self.enter(permit);
+                return self.enter(permit, false);
+            }
+            if self.with(|idle| idle.is_without_places()) {
+                if let Ok(permit) = self.refusing.clone().try_acquire_owned() {
+                    return self.enter(permit, true);
+                }
             }
             if let Some(leave) = self.with(Idle::turn_out) {
                 leave.cancel();
             }
             // The semaphore is never closed.
             if let Ok(Ok(permit)) = timeout(NEXT, self.permits.clone().acquire_owned()).await {
-                return self.enter(permit);
+                return self.enter(permit, false);
             }
         }
     }
 
-    fn enter(&self, permit: OwnedSemaphorePermit) -> Place {
+    fn enter(&self, permit: OwnedSemaphorePermit, refuses: bool) -> Place {
         let place = Place {
             clients: self.clone(),
             leave: CancellationToken::new(),
             state: Mutex::default(),
+            refuses,
             _permit: permit,
         };
         place.note(|_| {});
@@ -106,6 +124,7 @@
     clients: Clients,
     leave: CancellationToken,
     state: Mutex<State>,
+    refuses: bool,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -140,6 +159,11 @@
         self.lock().answered > 0
     }
 
+    /// Whether what comes on it is refused, as there is no place for another request.
+    pub(super) fn refuses(&self) -> bool {
+        self.refuses
+    }
+
     /// Cancelled when it should make room.
     pub(super) fn leave(&self) -> CancellationToken {
         self.leave.clone()
@@ -158,7 +182,8 @@
                 let asked = state.arrived > 0;
                 state.turn = Some(self.clients.with(|idle| {
                     idle.turns += 1;
-                    let connection = Connection { leave: self.leave.clone(), since: Instant::now() };
+                    let (leave, since, refuses) = (self.leave.clone(), Instant::now(), self.refuses);
+                    let connection = Connection { leave, since, refuses };
                     idle.connections.insert((asked, idle.turns), connection);
                     (asked, idle.turns)
                 }));
--- a/daemon/src/front/input.rs
+++ b/daemon/src/front/input.rs
@@ -1,6 +1,8 @@
 //! What every front checks of what comes in.
 
 use std::collections::HashMap;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 use bytes::Bytes;
 use frosttrail::{Id, Micros, Settings};
@@ -32,6 +34,9 @@
     ("x-resent", "X-Resent"),
     ("x-org", "X-Org"),
 ];
+/// What is whole so long after the listeners have closed, 0.65 s after SIGTERM at the latest, begins no more: a
+/// stream that was taken over 0.7 s after SIGTERM and still runs at SIGKILL is lost.
+const LATE: Duration = Duration::from_millis(30);
 /// Four characters make a token.
 pub(super) const TOKEN_BYTES: u64 = 4;
 /// The longest id.
@@ -70,9 +75,20 @@
     /// The body did not come in time.
     #[error("the body did not come in time")]
     TooSlow,
+    /// It came whole only after the listeners had closed; trying again elsewhere is harmless.
+    #[error("refused: this conductor is about to end, ask another")]
+    Closing,
+    /// Open requests have all places; trying again is harmless.
+    #[error("refused: too many requests are open, try again")]
+    NoPlace,
 }
 
 impl InputError {
+    /// Whether the request was whole, and is refused for want of time or room here.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, InputError::Closing | InputError::NoPlace)
+    }
+
     /// The status that says so.
     pub fn status(&self) -> StatusCode {
         match self {
@@ -84,6 +100,7 @@
             InputError::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
             InputError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             InputError::TooSlow => StatusCode::REQUEST_TIMEOUT,
+            InputError::Closing | InputError::NoPlace => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -92,6 +109,28 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ArriveBy(pub(super) Instant);
 
+/// Whether a request may begin once it has come whole.
+#[derive(Clone, Debug)]
+pub(super) struct Admission {
+    /// When the listeners were closed for good, once they are.
+    pub(super) closed_at: Arc<OnceLock<Instant>>,
+    /// Its connection has a place for a request.
+    pub(super) has_place: bool,
+}
+
+impl Admission {
+    fn check(&self) -> Result<(), InputError> {
+        // What it would begin to stream now might run into the program's end.
+        if self.closed_at.get().is_some_and(|at| at.elapsed() > LATE) {
+            return Err(InputError::Closing);
+        }
+        match self.has_place {
+            true => Ok(()),
+            false => Err(InputError::NoPlace),
+        }
+    }
+}
+
 /// Checks the headers that say what a request is, then reads its body, within its bounds of size and time.
 pub(super) async fn body(head: &Parts, body: Incoming) -> Result<Bytes, InputError> {
     unequivocal(&head.headers)?;
@@ -113,6 +152,7 @@
         Err(e) if e.is::<LengthLimitError>() => return Err(InputError::TooLarge),
         Err(_) => return Err(InputError::Body("the body broke off".into())),
     };
+    head.extensions.get::<Admission>().map_or(Ok(()), Admission::check)?;
     // A box could only turn it away.
     match bytes.is_empty() {
         true => Err(InputError::Body("the body is missing".into())),
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -4,7 +4,7 @@
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::task::Poll;
 use std::time::Duration;
 
@@ -24,7 +24,7 @@
 use super::body::{FrontBody, FrontResponse, Held};
 use super::clients::{Arrival, Clients, Place, UnderWay};
 use super::framing::{Found, Framed, HEADERS_MOST};
-use super::input::{ArriveBy, InputError};
+use super::input::{Admission, ArriveBy, InputError};
 use super::socket::Socket;
 use crate::transient::{is_shortage, retry_at_start};
 
@@ -97,6 +97,8 @@
     passed_on: CancellationToken,
     /// Nothing more is accepted, and each connection ends once it has no request.
     closing: CancellationToken,
+    /// When that began.
+    closed_at: Arc<OnceLock<Instant>>,
     accepting: TaskTracker,
     connections: TaskTracker,
     log: Logger,
@@ -112,6 +114,7 @@
             leaving: CancellationToken::new(),
             passed_on: CancellationToken::new(),
             closing: CancellationToken::new(),
+            closed_at: Arc::default(),
             accepting: TaskTracker::new(),
             connections: TaskTracker::new(),
             log,
@@ -169,6 +172,7 @@
 
     /// Accepts nothing more; resolves once every request that has been taken is answered.
     pub async fn close(&self) {
+        self.closed_at.get_or_init(Instant::now);
         self.closing.cancel();
         for tasks in [&self.accepting, &self.connections] {
             tasks.close();
@@ -206,6 +210,7 @@
     fn serve<S: Service>(&self, stream: TcpStream, accepted: Instant, place: Place, service: Arc<S>) {
         let Patience { arrive, idle, stall } = self.patience;
         let (closing, leaving, log) = (self.closing.clone(), self.leaving.clone(), self.log.clone());
+        let admission = Admission { closed_at: self.closed_at.clone(), has_place: !place.refuses() };
         self.connections.spawn(async move {
             let (leave, place, found) = (place.leave(), Arc::new(place), Arc::new(Found::default()));
             // Without it events would wait for the client's acknowledgement; it can only fail on a
@@ -220,6 +225,8 @@
                 let from = if asked.has_answered() { Instant::now() } else { accepted };
                 request.extensions_mut().insert(ArriveBy(from + arrive));
                 request.extensions_mut().insert(Arrival(asked.clone()));
+                request.extensions_mut().insert(admission.clone());
+                let has_place = admission.has_place;
                 let (service, leaving, found) = (service.clone(), leaving.clone(), found.clone());
                 let ahead = ahead.clone();
                 async move {
@@ -230,7 +237,7 @@
                     // What is left of a body that was turned down must not be read as another request.
                     let bad = answer.status().is_client_error();
                     let refused = answer.status() == StatusCode::TOO_MANY_REQUESTS;
-                    let last = leaving.is_cancelled() || found.is_last() || ahead.is_overrun();
+                    let last = !has_place || leaving.is_cancelled() || found.is_last() || ahead.is_overrun();
                     if last || (bad && !refused) {
                         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                     }
@@ -270,7 +277,7 @@
                         () = gone.as_mut() => break CloseReason::ClientGone,
                         () = none_came.as_mut() => break CloseReason::NoRequest,
                         () = slow_head.as_mut() => break CloseReason::SlowHead,
-                        () = either(&closing, &leave), if !told => {
+                        () = told_to_end(&closing, &leave), if !told => {
                             // What came too slowly to be a request yet has no claim to its place.
                             if leave.is_cancelled() && !place.is_busy() {
                                 break CloseReason::RoomForOthers;
@@ -307,11 +314,14 @@
     .await
 }
 
-async fn either(one: &CancellationToken, other: &CancellationToken) {
+/// Resolves once either is cancelled and the runtime has heard what lies in the sockets by then: a request that
+/// has come must be read, not closed over.
+async fn told_to_end(closing: &CancellationToken, leave: &CancellationToken) {
     tokio::select! {
-        () = one.cancelled() => {}
-        () = other.cancelled() => {}
+        () = closing.cancelled() => {}
+        () = leave.cancelled() => {}
     }
+    tokio::task::yield_now().await;
 }
 
 #[cfg(test)]
--- a/daemon/src/front/platform.rs
+++ b/daemon/src/front/platform.rs
@@ -46,7 +46,11 @@
     async fn chat(&self, request: Request<Incoming>) -> Result<Response<FrontBody<B::Events>>, InputError> {
         let (mut head, incoming) = request.into_parts();
         let mut query = query(&head.headers, &self.conductor.settings())?;
-        let body = body(&head, incoming).await?;
+        let body = body(&head, incoming).await.inspect_err(|e| {
+            if e.is_refusal() {
+                self.conductor.note_refused(&query.class.name);
+            }
+        })?;
         if query.prompt_tokens == 0 {
             query.prompt_tokens = body.len() as u64 / TOKEN_BYTES;
         }
