--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -13,3 +13,5 @@
 pub mod run;
 pub mod server;
 pub mod shim;
+mod strike;
+pub mod world;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -32,7 +32,7 @@
     #[arg(long, default_value_t = 6.0)]
     rate: f64,
     /// Reads and writes cut short while the network fails, of 1,000.
-    #[arg(long, default_value_t = 0)]
+    #[arg(long, default_value_t = 300)]
     short_io: u32,
     /// The program.
     #[arg(long, default_value = "target/release/frosttrail")]
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -25,6 +25,35 @@
     pub release: Duration,
     /// Nothing new goes to a server so long after a conductor was told that it drains.
     pub drain_grace: Duration,
+    /// What a server that has just started may be sent.
+    pub slow_start: SlowStart,
+}
+
+/// The budget of a server in slow start.
+#[derive(Clone, Copy, Debug)]
+pub struct SlowStart {
+    /// Requests a second that a warm server can do.
+    pub capacity: f64,
+    /// Share of it that one can do which starts.
+    pub from: f64,
+    /// It falls when it gets so many times what it can do,
+    pub multiple: f64,
+    /// within this time.
+    pub window: Duration,
+    /// It is warm by then.
+    pub warm_within: Duration,
+}
+
+impl SlowStart {
+    /// The most that a server may get within the window, so long after its start.
+    fn most(&self, age: Duration) -> f64 {
+        let warmed = (age.as_secs_f64() / self.warm_within.as_secs_f64()).min(1.0);
+        let share = self.from + (1.0 - self.from) * warmed;
+        let calls = self.multiple * self.capacity * share * self.window.as_secs_f64();
+        // Room for chance, as the rule has it.
+        let (times, more) = if calls < 30.0 { (3.0, 3.0) } else { (2.0, 2.0) };
+        calls + times * calls.sqrt() + more
+    }
 }
 
 /// An attempt as its server saw it.
@@ -80,6 +109,8 @@
     requests: HashMap<String, Record>,
     /// When conductors may count as told that a server takes nothing new, and until when that holds.
     closed: Vec<Closed>,
+    /// When servers have started.
+    starts: Vec<(usize, Instant)>,
     outages: Outages,
     violations: Vec<String>,
 }
@@ -200,6 +231,11 @@
         }
     }
 
+    /// A server starts, and is cold.
+    pub fn started(&self, server: usize) {
+        self.seen().starts.push((server, Instant::now()));
+    }
+
     /// A conductor's process did not run in this span: what it had taken ends with it.
     pub fn outage(&self, conductor: usize, from: Instant, until: Instant) {
         self.seen().outages.push((conductor, from, until));
@@ -225,9 +261,27 @@
             }
             report.violations.extend(found.into_iter().map(|rule| format!("{rule}: {id}: {record:?}")));
         }
+        report.violations.extend(seen.starts.iter().filter_map(|start| self.check_start(&seen, *start)));
         report
     }
 
+    /// Whether a server in slow start was sent more than it can bear, by all conductors together.
+    fn check_start(&self, seen: &Seen, (server, start): (usize, Instant)) -> Option<String> {
+        let limits = self.limits.slow_start;
+        let attempts = seen.requests.values().flat_map(|record| &record.attempts);
+        let sent_to = attempts.filter(|attempt| attempt.server == server).map(|attempt| attempt.arrived);
+        let mut arrivals: Vec<Instant> =
+            sent_to.filter(|at| *at >= start && *at < start + limits.warm_within).collect();
+        arrivals.sort();
+        arrivals.iter().enumerate().find_map(|(nth, at)| {
+            let within = arrivals[..=nth].iter().filter(|before| **before + limits.window > *at).count();
+            let most = limits.most(*at - start);
+            (within as f64 > most).then(|| {
+                format!("failback: server {server}: {within} of {most:.0}, {:?} after its start", *at - start)
+            })
+        })
+    }
+
     /// The rules that a request's account breaks.
     fn check(&self, seen: &Seen, record: &Record) -> Vec<String> {
         let mut broken = Vec::new();
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -24,11 +24,15 @@
     Disk,
     /// Its calls to accept, connect and socket fail, and reads and writes are short.
     Network,
+    /// Its configuration can't be opened, beside two new ones.
+    Configuration,
     /// Its agent is silent.
     SilentAgent,
     /// A server's connections fall silent, from all conductors.
     SilentServer,
-    /// They are reset.
+    /// Those of half of the servers do.
+    SilentHalf,
+    /// A server's are reset.
     ResetServer,
     /// A server's new connections are refused.
     DarkServer,
@@ -62,7 +66,7 @@
 /// The troubles of a run, in the order in which they begin.
 pub fn draw(seed: u64, length: Duration) -> Vec<Event> {
     use Trouble::*;
-    const ALL: [Trouble; 19] = [
+    const ALL: [Trouble; 21] = [
         Kill,
         Restart,
         Upgrade,
@@ -72,8 +76,10 @@
         Clock(-3_600_000),
         Disk,
         Network,
+        Configuration,
         SilentAgent,
         SilentServer,
+        SilentHalf,
         ResetServer,
         DarkServer,
         HangingServer,
--- /dev/null
+++ b/soak/src/strike.rs
@@ -0,0 +1,247 @@
+//! What each trouble does.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use frosttrail_standins::link::Link;
+use rand::rngs::SmallRng;
+use rand::Rng;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::conductor::{call, Process};
+use crate::oracle::Closed;
+use crate::plan::{Event, Trouble};
+use crate::server::Mode;
+use crate::shim::Faults;
+use crate::world::{lock, World, KILL_AFTER};
+
+/// After SIGHUP, what the new agent has counts as told.
+const TOLD_AFTER_RELOAD: Duration = Duration::from_secs(4);
+/// After a silence of its agent, news may be told so late.
+const TOLD_AFTER_SILENCE: Duration = Duration::from_secs(6);
+/// A process is held up for so long at a time.
+const HOLD_UP: Duration = Duration::from_millis(140);
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+impl World {
+    /// Lets a trouble strike. Resolves once it is over.
+    pub(crate) async fn strike(&self, event: Event, draws: &mut SmallRng) {
+        let nth = event.whom % self.conductors.len();
+        let server = event.whom / 7 % self.servers.len();
+        match event.trouble {
+            Trouble::Kill => self.kill(nth, event.lasts).await,
+            Trouble::Restart => self.restart(nth).await,
+            Trouble::Upgrade => self.upgrade(nth).await,
+            Trouble::Reload => self.reload(nth).await,
+            Trouble::HoldUps => self.hold_up(nth, event.lasts).await,
+            Trouble::Clock(wall_offset_ms) => {
+                self.shim(nth, Faults { wall_offset_ms, ..Faults::default() }, event.lasts).await
+            }
+            Trouble::Disk => {
+                self.shim(nth, Faults { disk_per_mille: 700, ..Faults::default() }, event.lasts).await
+            }
+            Trouble::Network => {
+                let short_per_mille = self.short_per_mille;
+                let faults = Faults { network_per_mille: 150, short_per_mille, ..Faults::default() };
+                self.shim(nth, faults, event.lasts).await
+            }
+            Trouble::SilentAgent => self.silence(nth, event.lasts).await,
+            Trouble::Configuration => {
+                let faults = Faults { config_per_mille: 900, ..Faults::default() };
+                tokio::join!(self.shim(nth, faults, event.lasts / 3), self.reload(nth));
+            }
+            Trouble::SilentServer => self.silence_servers(&[server], event.lasts).await,
+            Trouble::SilentHalf => {
+                let half: Vec<usize> =
+                    (0..self.servers.len()).filter(|index| index % 2 == server % 2).collect();
+                self.silence_servers(&half, event.lasts).await
+            }
+            Trouble::ResetServer => self.links(server, Link::cut, Duration::ZERO, |_| {}).await,
+            Trouble::DarkServer => {
+                self.links(server, |link| link.dark(true), event.lasts, |link| link.dark(false)).await
+            }
+            Trouble::HangingServer => self.mode(server, Mode::Hangs, event.lasts).await,
+            Trouble::FullServer => self.mode(server, Mode::Full, event.lasts).await,
+            Trouble::ErringServer => self.mode(server, Mode::Errs, event.lasts).await,
+            Trouble::BreakingServer => self.mode(server, Mode::Breaks, event.lasts).await,
+            Trouble::Drain => self.drain(server, event.lasts).await,
+            Trouble::Exclusion => self.exclude(nth, server, event.lasts, draws).await,
+        }
+    }
+
+    async fn kill(&self, nth: usize, lasts: Duration) {
+        let from = Instant::now();
+        let mut held = self.conductors[nth].process.lock().await;
+        let Some(mut process) = held.take() else { return };
+        self.note_fired(&process);
+        process.kill().await;
+        self.oracle.outage(nth, from, Instant::now());
+        sleep(lasts / 4).await;
+        *held = self.start_process(nth).await;
+        self.oracle.outage(nth, from, Instant::now());
+    }
+
+    /// Ends a process as the platform does, and checks its end.
+    pub(crate) async fn end(&self, nth: usize, mut process: Process) {
+        let from = Instant::now();
+        process.signal("-TERM").await;
+        match process.wait(KILL_AFTER).await {
+            Some(0) => {}
+            Some(code) => {
+                self.oracle.violation(format!("crash: conductor {nth} ended with {code} at its end"))
+            }
+            None => {
+                process.kill().await;
+                // What came before it is free; later requests have to be answered by then.
+                self.oracle.outage(nth, from, from + Duration::from_millis(700));
+            }
+        }
+        self.note_fired(&process);
+    }
+
+    async fn restart(&self, nth: usize) {
+        let mut held = self.conductors[nth].process.lock().await;
+        let Some(process) = held.take() else { return };
+        self.end(nth, process).await;
+        let from = Instant::now();
+        *held = self.start_process(nth).await;
+        // Nobody listens meanwhile.
+        self.oracle.outage(nth, from, Instant::now());
+    }
+
+    async fn upgrade(&self, nth: usize) {
+        let mut held = self.conductors[nth].process.lock().await;
+        let Some(old) = held.take() else { return };
+        match self.start_process(nth).await {
+            Some(new) => {
+                self.end(nth, old).await;
+                *held = Some(new);
+            }
+            None => *held = Some(old),
+        }
+    }
+
+    async fn reload(&self, nth: usize) {
+        let conductor = &self.conductors[nth];
+        lock(&self.late_until)[nth] = Instant::now() + TOLD_AFTER_RELOAD;
+        for _ in 0..2 {
+            let written = {
+                let mut agent = lock(&conductor.agent);
+                *agent = 1 - *agent;
+                let mut site = lock(&conductor.site);
+                site.config["discovery"] = json!(conductor.agents[*agent].address);
+                site.write_config()
+            };
+            if written.is_err() {
+                return;
+            }
+            if let Some(process) = conductor.process.lock().await.as_ref() {
+                process.signal("-HUP").await;
+            }
+            sleep(Duration::from_millis(60)).await;
+        }
+    }
+
+    async fn hold_up(&self, nth: usize, lasts: Duration) {
+        let begin = Instant::now();
+        while begin.elapsed() < lasts {
+            if let Some(process) = self.conductors[nth].process.lock().await.as_ref() {
+                process.signal("-STOP").await;
+                sleep(HOLD_UP).await;
+                process.signal("-CONT").await;
+            }
+            sleep(HOLD_UP).await;
+        }
+    }
+
+    async fn shim(&self, nth: usize, faults: Faults, lasts: Duration) {
+        for faults in [faults, Faults::default()] {
+            // A process that starts meanwhile has them too.
+            *lock(&self.conductors[nth].faults) = faults;
+            if let Some(process) = self.conductors[nth].process.lock().await.as_ref() {
+                if let Err(e) = process.control.set(faults) {
+                    self.oracle.violation(format!("soak: the shim can't be told: {e}"));
+                }
+            }
+            sleep(lasts).await;
+        }
+    }
+
+    async fn silence(&self, nth: usize, lasts: Duration) {
+        lock(&self.late_until)[nth] = Instant::now() + lasts + TOLD_AFTER_SILENCE;
+        let agents = &self.conductors[nth].agents;
+        agents.iter().for_each(|agent| agent.silence(true));
+        sleep(lasts).await;
+        agents.iter().for_each(|agent| agent.silence(false));
+    }
+
+    /// What is sent on their connections, open or new, does not arrive, and nothing says so.
+    async fn silence_servers(&self, servers: &[usize], lasts: Duration) {
+        let all = || self.conductors.iter().flat_map(|c| servers.iter().map(|server| &c.links[*server]));
+        all().for_each(|link| link.stall(true));
+        sleep(lasts).await;
+        all().for_each(|link| {
+            link.cut();
+            link.stall(false);
+        });
+    }
+
+    async fn links(&self, server: usize, on: impl Fn(&Link), lasts: Duration, off: impl Fn(&Link)) {
+        self.conductors.iter().for_each(|conductor| on(&conductor.links[server]));
+        sleep(lasts).await;
+        self.conductors.iter().for_each(|conductor| off(&conductor.links[server]));
+    }
+
+    async fn mode(&self, server: usize, mode: Mode, lasts: Duration) {
+        self.servers[server].set(mode);
+        sleep(lasts).await;
+        self.servers[server].set(Mode::Well);
+    }
+
+    /// Tells all agents of a server's state.
+    fn tell(&self, server: usize, state: &str, boot_ms: Option<u64>) {
+        for agent in self.conductors.iter().flat_map(|conductor| &conductor.agents) {
+            agent.change(|list| {
+                list.targets[server]["state"] = json!(state);
+                if let Some(boot_ms) = boot_ms {
+                    list.targets[server]["boot_ms"] = json!(boot_ms);
+                }
+            });
+        }
+    }
+
+    async fn drain(&self, server: usize, lasts: Duration) {
+        let now = Instant::now();
+        self.tell(server, "leaving", None);
+        for (nth, late) in lock(&self.late_until).iter().enumerate() {
+            let from = now.max(*late);
+            let (conductor, until) = (Some(nth), None);
+            self.oracle.closed(Closed { server, conductor, from, until });
+        }
+        sleep(lasts).await;
+        (0..self.conductors.len()).for_each(|nth| self.oracle.opened(server, Some(nth)));
+        self.oracle.started(server);
+        self.tell(server, "active", Some(unix_ms()));
+    }
+
+    async fn exclude(&self, nth: usize, server: usize, lasts: Duration, draws: &mut SmallRng) {
+        let ops = self.conductors[nth].process.lock().await.as_ref().map(|process| process.ops);
+        let Some(ops) = ops else { return };
+        let id = format!("s{server}");
+        if call(ops, "POST", "/api/exclude", &id).await.is_ok_and(|(status, _)| status == 200) {
+            let (conductor, from, until) = (Some(nth), Instant::now(), None);
+            self.oracle.closed(Closed { server, conductor, from, until });
+        }
+        sleep(lasts.mul_f64(draws.random_range(0.5..1.0))).await;
+        // Before the call: it is in use as soon as the call has been heard.
+        self.oracle.opened(server, Some(nth));
+        let ops = self.conductors[nth].process.lock().await.as_ref().map(|process| process.ops);
+        if let Some(ops) = ops {
+            // A no leaves it out, which breaks no rule here.
+            let _ = call(ops, "POST", "/api/include", &id).await;
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/world.rs
@@ -0,0 +1,172 @@
+//! The conductors of a run, and what surrounds them.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use frosttrail_standins::link::Link;
+use serde_json::{json, Value};
+
+use crate::agent::{Agent, List};
+use crate::conductor::{free_address, Process, Site};
+use crate::oracle::{Limits, Oracle, SlowStart};
+use crate::run::Options;
+use crate::server::Server;
+use crate::shim::{Faults, COUNTERS};
+
+/// What the settings say.
+pub const LIMITS: Limits = Limits {
+    release: Duration::from_secs(1),
+    drain_grace: Duration::from_millis(250),
+    slow_start: SlowStart {
+        capacity: 20.0,
+        from: 0.25,
+        multiple: 3.0,
+        window: Duration::from_secs(2),
+        warm_within: Duration::from_secs(3),
+    },
+};
+/// The longest deadline of a class, and what follows it before SIGKILL.
+pub(crate) const KILL_AFTER: Duration = Duration::from_millis(3_000 + 700);
+
+/// A conductor, whichever process runs it.
+pub(crate) struct Conductor {
+    pub(crate) site: Mutex<Site>,
+    pub(crate) listen: SocketAddr,
+    pub(crate) process: tokio::sync::Mutex<Option<Process>>,
+    starts: Mutex<usize>,
+    /// What is wrong with its machine now, also for a process that starts.
+    pub(crate) faults: Mutex<Faults>,
+    pub(crate) agents: [Agent; 2],
+    /// Which agent the configuration names.
+    pub(crate) agent: Mutex<usize>,
+    pub(crate) links: Vec<Link>,
+}
+
+/// All that a run consists of.
+pub(crate) struct World {
+    pub(crate) conductors: Vec<Conductor>,
+    pub(crate) servers: Vec<Server>,
+    pub(crate) oracle: Oracle,
+    pub(crate) fired: Mutex<[u64; COUNTERS.len()]>,
+    pub(crate) short_per_mille: u32,
+    /// Until when news may be late at each conductor.
+    pub(crate) late_until: Mutex<Vec<Instant>>,
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Settings for so many conductors.
+pub fn settings(conductors: usize) -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "slo": 1_500_000, "deadline": 3_000_000, "effect": effect, "late-share": 0.2,
+            "points": 1.0, "dedup-scope": "all", "dedup-window": 0})
+    };
+    json!({"balancers": conductors, "grades": [class("ask", "retryable"), class("book", "fragile")],
+        "kinds": ["prefill", "decode"], "zones": ["z"], "zone": "z", "tenants": [], "tick": 2_000,
+        "limits": {"cancel": true, "max-attempts": 4, "parallel-tries": false, "may-probe": false,
+            "retry-after": true, "max-retry-after": 2_000_000, "connect-timeout": 250_000,
+            "conn-idle": 10_000_000},
+        "membership-mode": "push", "over-share-worth": 0.1,
+        "rules": {"cold-from": LIMITS.slow_start.from, "drain-grace": LIMITS.drain_grace.as_micros() as u64, "fall": LIMITS.slow_start.window.as_micros() as u64,
+            "fall-multiple": LIMITS.slow_start.multiple, "grace-to-answer": 8_000, "warm-within": LIMITS.slow_start.warm_within.as_micros() as u64},
+        "specifics": {"aim-us-per-1000-prompt-tokens": [40_000.0, 40_000.0], "holds-allowed": false,
+            "kind-role": ["read", "write"], "kv-tokens": [200_000, 150_000],
+            "release": LIMITS.release.as_micros() as u64, "resume": true, "self-prefill": false,
+            "token-aim": [60_000.0, 80_000.0]}})
+}
+
+impl World {
+    pub(crate) async fn start(options: &Options) -> std::io::Result<Self> {
+        let oracle = Oracle::new(LIMITS);
+        let mut servers = Vec::new();
+        for index in 0..2 * options.servers {
+            servers.push(Server::start(index, index >= options.servers, oracle.clone()).await?);
+        }
+        let mut conductors = Vec::new();
+        for nth in 0..options.conductors {
+            conductors.push(Conductor::new(options, nth, &servers).await?);
+        }
+        let late_until = Mutex::new(vec![Instant::now(); options.conductors]);
+        let (fired, short_per_mille) = (Mutex::default(), options.short_per_mille);
+        Ok(World { conductors, servers, oracle, fired, short_per_mille, late_until })
+    }
+
+    /// Notes what the shim of a process that ends has done.
+    pub(crate) fn note_fired(&self, process: &Process) {
+        if let Ok(fired) = process.control.fired() {
+            let mut sum = lock(&self.fired);
+            sum.iter_mut().zip(fired).for_each(|(sum, fired)| *sum += fired);
+        }
+    }
+
+    pub(crate) async fn start_process(&self, nth: usize) -> Option<Process> {
+        let conductor = &self.conductors[nth];
+        let process = conductor.start();
+        let mut process = match process {
+            Ok(process) => process,
+            Err(e) => {
+                self.oracle.violation(format!("start: conductor {nth}: {e}"));
+                return None;
+            }
+        };
+        if let Err(why) = process.ready().await {
+            self.oracle.violation(format!("{why}: conductor {nth}"));
+        }
+        Some(process)
+    }
+
+    /// The process of a conductor has to run, unless a trouble has ended it.
+    pub(crate) async fn check_alive(&self, nth: usize) {
+        let mut process = self.conductors[nth].process.lock().await;
+        if let Some(code) = process.as_mut().and_then(Process::ended) {
+            self.oracle.violation(format!("crash: conductor {nth} ended with {code}"));
+            *process = None;
+        }
+    }
+}
+
+impl Conductor {
+    async fn new(options: &Options, nth: usize, servers: &[Server]) -> std::io::Result<Self> {
+        let mut links = Vec::new();
+        let mut targets = Vec::new();
+        for (index, server) in servers.iter().enumerate() {
+            let link = Link::start(server.address).await?;
+            let model = if index < options.servers { "prefill" } else { "decode" };
+            targets.push(
+                json!({"uid": format!("s{index}"), "endpoint": link.address, "az": "z", "model": model,
+                "pod_group": 0, "state": "active", "capacity_hint": 1.0, "boot_ms": 0}),
+            );
+            links.push(link);
+        }
+        let list = List { rev: 1, targets: targets.clone() };
+        let agents = [Agent::start(list.clone()).await?, Agent::start(list).await?];
+        let (name, listen) = (format!("n{nth}"), free_address()?);
+        let folder = options.folder.join(&name);
+        std::fs::create_dir_all(&folder)?;
+        let config = json!({"name": name, "listen": listen, "discovery": agents[0].address,
+            "seed": format!("{:x}", options.seed.wrapping_add(nth as u64)),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512}, "ops": "127.0.0.1:0",
+            "known": {"rev": 1, "all": true, "targets": targets}, "settings": settings(options.conductors)});
+        let program = options.program.clone();
+        let site = Mutex::new(Site { program, folder, config, listen });
+        let process = tokio::sync::Mutex::new(None);
+        let (starts, faults, agent) = (Mutex::new(0), Mutex::default(), Mutex::new(0));
+        Ok(Conductor { site, listen, process, starts, faults, agents, agent, links })
+    }
+
+    /// Starts a process, which is told the list as the agent has it now.
+    fn start(&self) -> std::io::Result<Process> {
+        let nth = {
+            let mut starts = lock(&self.starts);
+            *starts += 1;
+            *starts
+        };
+        let mut site = lock(&self.site);
+        let List { rev, targets } = self.agents[*lock(&self.agent)].list();
+        site.config["known"] = json!({"rev": rev, "all": true, "targets": targets});
+        site.start(nth, free_address()?, *lock(&self.faults))
+    }
+}
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -6,11 +6,21 @@
 use std::process::Command;
 use std::time::Duration;
 
-use frosttrail_soak::oracle::{Closed, Limits, Oracle, Told};
+use frosttrail_soak::oracle::{Closed, Limits, Oracle, SlowStart, Told};
 use frosttrail_soak::plan::draw;
 use support::program;
 
-const LIMITS: Limits = Limits { release: Duration::from_millis(10), drain_grace: Duration::ZERO };
+const LIMITS: Limits = Limits {
+    release: Duration::from_millis(10),
+    drain_grace: Duration::ZERO,
+    slow_start: SlowStart {
+        capacity: 2.0,
+        from: 0.5,
+        multiple: 1.0,
+        window: Duration::from_secs(1),
+        warm_within: Duration::from_secs(60),
+    },
+};
 const BUDGET: Duration = Duration::from_secs(1);
 
 /// The rules that are named in what the oracle has found.
@@ -72,6 +82,17 @@
     told(broken(&late), "lost: sent for a client that had gone");
     told(broken(&late), "pinned");
     told(broken(&oracle(false)), "lost: no answer");
+    // One call a second, and three times its root and three for chance.
+    for (calls, over) in [(7, 0), (8, 1)] {
+        let cold = oracle(false);
+        cold.started(0);
+        for _ in 0..calls {
+            let attempt = cold.arrived("a", 0, false, BUDGET);
+            cold.ended("a", attempt, false);
+        }
+        let found = cold.report().violations;
+        assert_eq!(found.iter().filter(|found| found.starts_with("failback")).count(), over, "{found:?}");
+    }
 }
 
 #[test]
--- a/soak/tests/support/mod.rs
+++ b/soak/tests/support/mod.rs
@@ -10,9 +10,9 @@
 use frosttrail_soak::client::{Ask, Manner};
 use frosttrail_soak::conductor::{call, free_address, Process, Site};
 use frosttrail_soak::oracle::{Oracle, Report};
-use frosttrail_soak::run::{settings, LIMITS};
 use frosttrail_soak::server::Server;
 use frosttrail_soak::shim::Faults;
+use frosttrail_soak::world::{settings, LIMITS};
 use serde_json::{json, Value};
 
 /// No wait in a test is longer.
--- a/soak/tests/system_calls.rs
+++ b/soak/tests/system_calls.rs
@@ -58,3 +58,15 @@
     timeout(Duration::from_secs(3), loaded).await.expect("taken once it can be read");
     assert_eq!(around.figure("svc_conf_invalid").await, Some(0.0), "the file was good all along");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_start_waits_for_threads_that_cannot_be_made_for_a_while() {
+    let mut around = Surroundings::start("threads").await;
+    let mut process = around.process(Faults { thread_per_mille: ALWAYS, ..Faults::default() });
+    sleep(A_WHILE).await;
+    assert!(fired(&process, "thread") > 0);
+    process.control.set(Faults::default()).unwrap();
+    process.ready().await.unwrap();
+    timeout(LATEST, around.ask(2)).await.expect("answers in time");
+    around.all_served();
+}
