--- a/daemon/src/front/clients.rs
+++ b/daemon/src/front/clients.rs
@@ -12,8 +12,8 @@
 const NEXT: Duration = Duration::from_millis(50);
 /// Who has just come may be about to ask: a connection makes no room before this age.
 const FRESH: Duration = Duration::from_millis(20);
-/// Connections on which requests are only refused, while open requests have all places. Their descriptors come
-/// from those that are spared for neither clients nor servers.
+/// Connections on which requests are only refused, while open requests have all places. Their descriptors
+/// come from those that are spared for neither clients nor servers.
 const REFUSING: usize = 8;
 
 /// All clients' connections, of whichever front.
@@ -67,8 +67,9 @@
     }
 
     /// A place for one more. Where there is none, connections without an open request are told to close in
-    /// turn; clients keep theirs open, so that without this a crowd of idle ones would shut new ones out. Where
-    /// open requests have them all, what comes is refused: unread, it would get no answer in its time.
+    /// turn; clients keep theirs open, so that without this a crowd of idle ones would shut new ones out.
+    /// Where open requests have them all, what comes is refused: unread, it would get no answer in its
+    /// time.
     pub(super) async fn place(&self) -> Place {
         loop {
             let permit = self.permits.clone().try_acquire_owned();
--- a/daemon/src/front/input.rs
+++ b/daemon/src/front/input.rs
@@ -34,8 +34,8 @@
     ("x-resent", "X-Resent"),
     ("x-org", "X-Org"),
 ];
-/// What is whole so long after the listeners have closed, 0.65 s after SIGTERM at the latest, begins no more: a
-/// stream that was taken over 0.7 s after SIGTERM and still runs at SIGKILL is lost.
+/// What is whole so long after the listeners have closed, 0.65 s after SIGTERM at the latest, begins no
+/// more: a stream that was taken over 0.7 s after SIGTERM and still runs at SIGKILL is lost.
 const LATE: Duration = Duration::from_millis(30);
 /// Four characters make a token.
 pub(super) const TOKEN_BYTES: u64 = 4;
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -314,8 +314,8 @@
     .await
 }
 
-/// Resolves once either is cancelled and the runtime has heard what lies in the sockets by then: a request that
-/// has come must be read, not closed over.
+/// Resolves once either is cancelled and the runtime has heard what lies in the sockets by then: a request
+/// that has come must be read, not closed over.
 async fn told_to_end(closing: &CancellationToken, leave: &CancellationToken) {
     tokio::select! {
         () = closing.cancelled() => {}
--- a/daemon/tests/crowds.rs
+++ b/daemon/tests/crowds.rs
@@ -168,8 +168,8 @@
     running.ends_well().await;
 }
 
-/// Every place for clients is taken by an answer that runs: whoever comes then is told so in his time. What is
-/// written to a connection that this machine has accepted is owed an answer.
+/// Every place for clients is taken by an answer that runs: whoever comes then is told so in his time. What
+/// is written to a connection that this machine has accepted is owed an answer.
 #[tokio::test]
 async fn a_request_beside_answers_that_take_every_place_gets_its_own() {
     let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(Does::StreamsOn).await);
--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -149,8 +149,8 @@
     running.ends_well().await;
 }
 
-/// Its last byte comes more than 0.7 s after SIGTERM, and its stream would run into SIGKILL: it is refused, as
-/// its client loses nothing by asking elsewhere, and is never sent on.
+/// Its last byte comes more than 0.7 s after SIGTERM, and its stream would run into SIGKILL: it is refused,
+/// as its client loses nothing by asking elsewhere, and is never sent on.
 #[tokio::test]
 async fn a_request_that_is_whole_after_the_doors_have_closed_begins_no_stream() {
     let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(Does::Ticks(100, 60)).await);
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -58,6 +58,14 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// The limits, as settings have them.
+fn rules() -> Value {
+    let micros = |time: Duration| time.as_micros() as u64;
+    let SlowStart { from, multiple, window, warm_within, .. } = LIMITS.slow_start;
+    json!({"cold-from": from, "drain-grace": micros(LIMITS.drain_grace), "fall": micros(window),
+        "fall-multiple": multiple, "grace-to-answer": 8_000, "warm-within": micros(warm_within)})
+}
+
 /// Settings for so many conductors.
 pub fn settings(conductors: usize) -> Value {
     let class = |name: &str, effect: &str| {
@@ -70,8 +78,7 @@
             "retry-after": true, "max-retry-after": 2_000_000, "connect-timeout": 250_000,
             "conn-idle": 10_000_000},
         "membership-mode": "push", "over-share-worth": 0.1,
-        "rules": {"cold-from": LIMITS.slow_start.from, "drain-grace": LIMITS.drain_grace.as_micros() as u64, "fall": LIMITS.slow_start.window.as_micros() as u64,
-            "fall-multiple": LIMITS.slow_start.multiple, "grace-to-answer": 8_000, "warm-within": LIMITS.slow_start.warm_within.as_micros() as u64},
+        "rules": rules(),
         "specifics": {"aim-us-per-1000-prompt-tokens": [40_000.0, 40_000.0], "holds-allowed": false,
             "kind-role": ["read", "write"], "kv-tokens": [200_000, 150_000],
             "release": LIMITS.release.as_micros() as u64, "resume": true, "self-prefill": false,
