--- a/core/src/exclusion.rs
+++ b/core/src/exclusion.rs
@@ -77,8 +77,8 @@
         }
         for entry in entries {
             match entry.health {
-                Health::Gone => self.listed.remove(&entry.worker),
-                Health::Up | Health::Draining => self.listed.insert(entry.worker.clone(), entry.clone()),
+                Health::Gone => self.listed.remove(&entry.server),
+                Health::Up | Health::Draining => self.listed.insert(entry.server.clone(), entry.clone()),
             };
         }
         entries.iter().map(|entry| self.effective(entry)).collect()
@@ -124,10 +124,10 @@
 
     fn effective(&self, entry: &Entry) -> Entry {
         let mut entry = entry.clone();
-        if entry.health == Health::Up && self.excluded.contains(&entry.worker) {
+        if entry.health == Health::Up && self.excluded.contains(&entry.server) {
             entry.health = Health::Draining;
         }
-        if let Some(included) = self.included.get(&entry.worker) {
+        if let Some(included) = self.included.get(&entry.server) {
             entry.started = entry.started.max(*included);
         }
         entry
--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -415,8 +415,8 @@
                     Report::Ended { outcome, .. } => *outcome,
                     Report::Left => Outcome::CalledOff,
                 };
-                if let Some(worker) = seat.sent_to.first() {
-                    self.standing.told(worker, outcome, now);
+                if let Some(server) = seat.sent_to.first() {
+                    self.standing.told(server, outcome, now);
                 }
                 seat.last = Some(outcome);
                 if matches!(outcome, Outcome::Served | Outcome::ReadDone) {
@@ -432,9 +432,9 @@
                 }
                 return;
             }
-            Message::Probed(worker, outcome, load) => {
-                self.standing.told(&worker, outcome, now);
-                self.facade.probed(now, worker, outcome, load)
+            Message::Probed(server, outcome, load) => {
+                self.standing.told(&server, outcome, now);
+                self.facade.probed(now, server, outcome, load)
             }
             Message::News(news) => self.news(news),
             Message::Close => self.facade.close(now),
@@ -519,8 +519,8 @@
             warn!(self.log, "withheld, as it would break a rule"; "id" => %id, "rule" => %violation);
             self.figures.violated(violation);
         }
-        for worker in verdicts.probes {
-            self.probe(worker);
+        for server in verdicts.probes {
+            self.probe(server);
         }
         for (id, verdict) in verdicts.requests {
             debug!(self.log, "verdict"; "id" => %id, "is" => ?verdict);
@@ -536,12 +536,12 @@
                     }
                     continue;
                 }
-                Verdict::Send { ref worker, send_by, .. } => {
-                    seat.sent_to.insert(0, worker.clone());
+                Verdict::Send { ref server, send_by, .. } => {
+                    seat.sent_to.insert(0, server.clone());
                     if let Some(last) = seat.last.filter(|last| *last != Outcome::ReadDone) {
                         self.figures.retried(last);
                     }
-                    permit = self.admissions.permit(worker, send_by, self.clock, self.figures.clone());
+                    permit = self.admissions.permit(server, send_by, self.clock, self.figures.clone());
                     // A send that never arrives does not stop the clock of what is held, so the release goes
                     // on beside it until the attempt is known to have arrived.
                     let no_server_heard =
@@ -577,12 +577,12 @@
         (task.abort_handle(), end)
     }
 
-    fn probe(&self, worker: Id) {
+    fn probe(&self, server: Id) {
         let (boxes, tell) = (self.boxes.clone(), self.tell.clone());
         tokio::spawn(async move {
-            let (outcome, load) = boxes.probe(&worker).await;
+            let (outcome, load) = boxes.probe(&server).await;
             if let Some(tell) = tell.upgrade() {
-                let _ = tell.send(Message::Probed(worker, outcome, load));
+                let _ = tell.send(Message::Probed(server, outcome, load));
             }
         });
     }
--- a/core/src/permit.rs
+++ b/core/src/permit.rs
@@ -50,8 +50,8 @@
         }
         for entry in entries {
             match entry.health {
-                Health::Up => open.insert(entry.worker.clone(), entry.started),
-                Health::Draining | Health::Gone => open.remove(&entry.worker),
+                Health::Up => open.insert(entry.server.clone(), entry.started),
+                Health::Draining | Health::Gone => open.remove(&entry.server),
             };
         }
     }
--- a/core/src/release.rs
+++ b/core/src/release.rs
@@ -34,14 +34,14 @@
             tokio::select! {
                 biased;
                 Some(taken) = calls.join_next() => match taken {
-                    Ok(Some(worker)) => return Some(worker),
+                    Ok(Some(server)) => return Some(server),
                     _ => due = due.min(Instant::now() + PAUSE),
                 },
                 () = sleep_until(due), if calls.len() < AT_ONCE => {
-                    let (worker, id, boxes) = (turn.next()?, id.clone(), boxes.clone());
+                    let (server, id, boxes) = (turn.next()?, id.clone(), boxes.clone());
                     calls.spawn(async move {
-                        let taken = timeout(EACH, boxes.release(&worker, &id)).await == Ok(true);
-                        taken.then_some(worker)
+                        let taken = timeout(EACH, boxes.release(&server, &id)).await == Ok(true);
+                        taken.then_some(server)
                     });
                     due = Instant::now() + pace;
                 }
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -126,9 +126,9 @@
         let mut last = None;
         while let Some(Order { verdict, after, permit }) = next {
             next = match verdict {
-                Verdict::Send { worker, stop_at, .. } => {
+                Verdict::Send { server, stop_at, .. } => {
                     let prepared = Prepared { after, permit, stop_at };
-                    match self.attempt(&mut seat, &worker, prepared, &call).await {
+                    match self.attempt(&mut seat, &server, prepared, &call).await {
                         Next::Stream(events) => return Ok(Answer::Served(AnswerStream::new(seat, events))),
                         Next::Order(order) => Some(order),
                         Next::Again(outcome) => {
@@ -154,7 +154,7 @@
     async fn attempt(
         &self,
         seat: &mut Seat,
-        worker: &Id,
+        server: &Id,
         Prepared { after, permit, stop_at }: Prepared,
         call: &B::Call,
     ) -> Next<B::Events> {
@@ -169,7 +169,7 @@
                     return Reply::Ended(Outcome::NotSent, None);
                 }
                 let wait = Duration::from_micros(stop_at.saturating_sub(self.clock.now()));
-                self.boxes.attempt(worker, &id, call, wait, &permit).await
+                self.boxes.attempt(server, &id, call, wait, &permit).await
             };
             // What has been decided stands, also where a reply lies ready beside it: the decisions have let
             // go of the request, and what would begin to stream now might be cut by the conductor's end.
@@ -188,7 +188,7 @@
         };
         if ended_here {
             // Neither another attempt nor an answer may overtake its end.
-            let takes = self.boxes.end_takes(worker);
+            let takes = self.boxes.end_takes(server);
             if !takes.is_zero() {
                 sleep(takes).await;
             }
--- a/core/src/standing.rs
+++ b/core/src/standing.rs
@@ -29,11 +29,11 @@
         };
         for entry in entries {
             if entry.health == Health::Gone {
-                self.boxes.remove(&entry.worker);
+                self.boxes.remove(&entry.server);
                 continue;
             }
-            let known = self.boxes.entry(entry.worker.clone());
-            known.or_insert_with(|| before.get(&entry.worker).copied().unwrap_or_default()).zone = entry.zone;
+            let known = self.boxes.entry(entry.server.clone());
+            known.or_insert_with(|| before.get(&entry.server).copied().unwrap_or_default()).zone = entry.zone;
         }
     }
 
@@ -42,8 +42,8 @@
     }
 
     /// What an attempt or a call told of its box.
-    pub(crate) fn told(&mut self, worker: &Id, outcome: Outcome, now: Micros) {
-        let Some(known) = self.boxes.get_mut(worker) else { return };
+    pub(crate) fn told(&mut self, server: &Id, outcome: Outcome, now: Micros) {
+        let Some(known) = self.boxes.get_mut(server) else { return };
         match outcome {
             Outcome::NoConnection | Outcome::NoAnswer | Outcome::ConnectionLost => known.silent = now,
             // Ended by this side.
--- a/core/src/traits.rs
+++ b/core/src/traits.rs
@@ -58,7 +58,7 @@
     /// withholds ends with [`Outcome::NotSent`].
     fn attempt(
         &self,
-        worker: &Id,
+        server: &Id,
         request: &Id,
         call: &Self::Call,
         wait: Duration,
@@ -67,15 +67,15 @@
 
     /// How long the end of an attempt may be on its way to a box. Until it has arrived, the box counts the
     /// attempt as out. As far as is known: zero where the way says nothing.
-    fn end_takes(&self, _worker: &Id) -> Duration {
+    fn end_takes(&self, _server: &Id) -> Duration {
         Duration::ZERO
     }
 
     /// Asks one box to let go of all that is held for the request; true once it has said so.
-    fn release(&self, worker: &Id, request: &Id) -> impl Future<Output = bool> + Send;
+    fn release(&self, server: &Id, request: &Id) -> impl Future<Output = bool> + Send;
 
     /// Probes one box.
-    fn probe(&self, worker: &Id) -> impl Future<Output = (Outcome, Option<Load>)> + Send;
+    fn probe(&self, server: &Id) -> impl Future<Output = (Outcome, Option<Load>)> + Send;
 }
 
 /// News of the list of members.
--- a/core/tests/exclusion.rs
+++ b/core/tests/exclusion.rs
@@ -6,7 +6,7 @@
 const WARM_WITHIN: u64 = 13_000_000;
 
 fn entry(name: &str, health: Health, started: u64) -> Entry {
-    Entry { worker: name.into(), cell: 0, kind: 0, zone: 0, started, health }
+    Entry { server: name.into(), cell: 0, kind: 0, zone: 0, started, health }
 }
 
 fn of_two() -> Exclusions {
--- a/core/tests/held.rs
+++ b/core/tests/held.rs
@@ -78,8 +78,8 @@
         f(&mut self.0.lock().unwrap())
     }
 
-    fn is(&self, worker: &Id) -> Is {
-        self.with(|w| w.are[worker])
+    fn is(&self, server: &Id) -> Is {
+        self.with(|w| w.are[server])
     }
 }
 
@@ -95,8 +95,8 @@
     type Call = ();
     type Events = Over;
 
-    async fn attempt(&self, worker: &Id, _: &Id, _: &(), wait: Duration, _: &SendPermit) -> Reply<Over> {
-        let (is, reads) = (self.is(worker), worker.starts_with('r'));
+    async fn attempt(&self, server: &Id, _: &Id, _: &(), wait: Duration, _: &SendPermit) -> Reply<Over> {
+        let (is, reads) = (self.is(server), server.starts_with('r'));
         let ended = |outcome| Reply::Ended(outcome, None);
         match is {
             Is::Gone => {
@@ -142,8 +142,8 @@
         Reply::Stream(Over)
     }
 
-    async fn release(&self, worker: &Id, _: &Id) -> bool {
-        match self.is(worker) {
+    async fn release(&self, server: &Id, _: &Id) -> bool {
+        match self.is(server) {
             Is::Well | Is::Full | Is::Cut => {
                 sleep(Duration::from_millis(1)).await;
                 self.with(World::taken);
@@ -170,7 +170,7 @@
         ..Settings::example()
     };
     let entry = |(n, name): (usize, &&str)| Entry {
-        worker: (*name).into(),
+        server: (*name).into(),
         cell: n as u64 % 2,
         kind: n / 4,
         zone: n % 2,
--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -23,7 +23,7 @@
 
 /// An attempt as its box sees it.
 struct Attempt {
-    worker: Id,
+    server: Id,
     reply: oneshot::Sender<Reply<Stream>>,
 }
 
@@ -108,12 +108,12 @@
     type Call = ();
     type Events = Stream;
 
-    async fn attempt(&self, worker: &Id, id: &Id, _: &(), wait: Duration, _: &SendPermit) -> Reply<Stream> {
+    async fn attempt(&self, server: &Id, id: &Id, _: &(), wait: Duration, _: &SendPermit) -> Reply<Stream> {
         let mut out = Out::new(self, id);
         let (reply, replied) = oneshot::channel();
         self.with(|w| {
-            w.sends.push(worker.clone());
-            w.attempts.push(Attempt { worker: worker.clone(), reply });
+            w.sends.push(server.clone());
+            w.attempts.push(Attempt { server: server.clone(), reply });
         });
         let Ok(replied) = timeout(wait, replied).await else {
             return Reply::Ended(Outcome::NoAnswer, None);
@@ -200,7 +200,7 @@
 
 fn conductor(table: &Table) -> Conductor<Table> {
     let entry = |name: &str, kind| Entry {
-        worker: name.into(),
+        server: name.into(),
         cell: 0,
         kind,
         zone: 0,
@@ -249,7 +249,7 @@
             return;
         }
         let Some(attempt) = table.with(|w| w.attempts.pop()) else { return };
-        let reads = attempt.worker.starts_with('r');
+        let reads = attempt.server.starts_with('r');
         let ended = |outcome| Some(Reply::Ended(outcome, None));
         let reply = match (what, reads) {
             (Happens::ReadDone, true) => {
@@ -292,7 +292,7 @@
             (over, w.attempts) = (closed, out);
         });
         for attempt in over {
-            if attempt.worker.starts_with('r') {
+            if attempt.server.starts_with('r') {
                 (self.held, self.released_before) = (true, releases_before);
             } else {
                 self.ran = true;
--- a/core/tests/permit.rs
+++ b/core/tests/permit.rs
@@ -90,7 +90,7 @@
 }
 
 fn entry(name: &str, kind: usize, health: Health) -> Entry {
-    Entry { worker: name.into(), cell: 0, kind, zone: 0, started: 0, health }
+    Entry { server: name.into(), cell: 0, kind, zone: 0, started: 0, health }
 }
 
 fn conductor(servers: &Servers) -> (Conductor<Servers>, mpsc::UnboundedSender<News>) {
--- a/core/tests/unit/standing.rs
+++ b/core/tests/unit/standing.rs
@@ -5,7 +5,7 @@
 
 fn entry(name: &str, zone: usize) -> Entry {
     let health = Health::Up;
-    Entry { worker: name.into(), cell: 0, kind: 0, zone, started: 0, health }
+    Entry { server: name.into(), cell: 0, kind: 0, zone, started: 0, health }
 }
 
 fn fleet() -> Standing {
--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -136,8 +136,8 @@
             match entry(&target, &self.names) {
                 Ok(mut entry) => {
                     let converted = self.clock.from_unix_ms(target.boot_ms);
-                    entry.started = self.starts.started(&entry.worker, target.boot_ms, converted, now);
-                    self.book.set(entry.worker.clone(), target.endpoint);
+                    entry.started = self.starts.started(&entry.server, target.boot_ms, converted, now);
+                    self.book.set(entry.server.clone(), target.endpoint);
                     entries.push(entry);
                 }
                 Err(e) => warn!(self.log, "a member is passed over"; "uid" => target.uid, "why" => %e),
@@ -276,7 +276,7 @@
 /// A line of the list as the decisions have it, but for its start.
 fn entry(target: &Target, names: &Names) -> Result<Entry, SetupError> {
     Ok(Entry {
-        worker: Id::from(target.uid.as_str()),
+        server: Id::from(target.uid.as_str()),
         cell: target.pod_group,
         kind: index(names.kinds(), &target.model, "model")?,
         zone: index(names.zones(), &target.az, "az")?,
--- a/daemon/src/discovery/starts.rs
+++ b/daemon/src/discovery/starts.rs
@@ -51,7 +51,7 @@
     /// Forgets servers that a whole list does not name, once there are many.
     pub(super) fn forget_but(&mut self, listed: &[Entry]) {
         if self.known.len() > REMEMBERED_MAX / 2 {
-            let listed: HashSet<&Id> = listed.iter().map(|entry| &entry.worker).collect();
+            let listed: HashSet<&Id> = listed.iter().map(|entry| &entry.server).collect();
             self.known.retain(|server, _| listed.contains(server));
         }
     }
--- a/daemon/src/discovery/xds.rs
+++ b/daemon/src/discovery/xds.rs
@@ -242,11 +242,11 @@
         let address = SocketAddr::new(address, port_value);
         let own = &member.metadata.filter_metadata.frosttrail;
         let hostname = Some(&member.endpoint.hostname).filter(|name| !name.is_empty());
-        let worker = own.uid.as_ref().or(hostname).cloned().unwrap_or_else(|| address.to_string());
-        let worker = Id::from(worker.as_str());
-        self.book.set(worker.clone(), address);
+        let server = own.uid.as_ref().or(hostname).cloned().unwrap_or_else(|| address.to_string());
+        let server = Id::from(server.as_str());
+        self.book.set(server.clone(), address);
         Some(Entry {
-            worker,
+            server,
             cell: own.cell.unwrap_or_else(|| cell(place)),
             kind,
             zone,
--- a/daemon/src/upstream/attempt.rs
+++ b/daemon/src/upstream/attempt.rs
@@ -41,14 +41,14 @@
 /// Makes one attempt. Given up before the last byte was written, it never ran.
 pub(super) async fn attempt(
     pool: &Arc<Pool>,
-    worker: &Id,
+    server: &Id,
     call: &Call,
     wait: Duration,
     permit: &SendPermit,
 ) -> Reply<BoxEvents> {
     let (written, stop_at) = (Written::counted(pool.sends.clone()), Instant::now() + wait);
     let going = Going { call, stop_at, written: &written, permit };
-    match timeout_at(stop_at, run(pool, worker, &going)).await {
+    match timeout_at(stop_at, run(pool, server, &going)).await {
         Ok(reply) => reply,
         Err(_) if written.is_whole() => Reply::Ended(Outcome::NoAnswer, None),
         Err(_) => Reply::Ended(Outcome::NoConnection, None),
@@ -57,20 +57,20 @@
 
 /// A kept connection that turns out to have closed before the request was written is replaced by a new
 /// one: the box has not seen the request, so this is still the first copy.
-async fn run(pool: &Arc<Pool>, worker: &Id, going: &Going<'_>) -> Reply<BoxEvents> {
-    if let Some(link) = pool.kept(worker).await {
+async fn run(pool: &Arc<Pool>, server: &Id, going: &Going<'_>) -> Reply<BoxEvents> {
+    if let Some(link) = pool.kept(server).await {
         let (idle, sent_at) = (link.idle_since.elapsed(), Instant::now());
         match send(link, going).await {
             Err(Unanswered::NeverWritten) => {}
             Err(Unanswered::Reset) if pool.was_stale(sent_at.elapsed()) => {
-                pool.was_dead(worker, idle);
+                pool.was_dead(server, idle);
                 return Reply::Ended(Outcome::StaleConnection, None);
             }
-            sent => return outcome(pool, worker, sent).await,
+            sent => return outcome(pool, server, sent).await,
         }
     }
-    match pool.fresh(worker).await {
-        Ok(link) => outcome(pool, worker, send(link, going).await).await,
+    match pool.fresh(server).await {
+        Ok(link) => outcome(pool, server, send(link, going).await).await,
         Err(NoLink::Server) => Reply::Ended(Outcome::NoConnection, None),
         Err(NoLink::Local) => Reply::Ended(Outcome::NotSent, None),
     }
@@ -114,7 +114,7 @@
 
 async fn outcome(
     pool: &Arc<Pool>,
-    worker: &Id,
+    server: &Id,
     sent: Result<(Link, Response<Incoming>), Unanswered>,
 ) -> Reply<BoxEvents> {
     let (link, answer) = match sent {
@@ -132,15 +132,15 @@
         StatusCode::OK => {
             let framed =
                 [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| head.headers.contains_key(name));
-            let events = BoxEvents::new(pool.clone(), worker.clone(), link, body, framed);
+            let events = BoxEvents::new(pool.clone(), server.clone(), link, body, framed);
             return events.begun(load).await;
         }
-        StatusCode::ACCEPTED => return read_done(pool, worker, link, body, load).await,
+        StatusCode::ACCEPTED => return read_done(pool, server, link, body, load).await,
         StatusCode::GONE if turned_away => Outcome::StateLost,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => Outcome::TurnedAway,
         _ => Outcome::Failed,
     };
-    pool.keep_after(worker, link, body);
+    pool.keep_after(server, link, body);
     Reply::Ended(ended, load)
 }
 
@@ -161,7 +161,7 @@
 /// A reader's answer. One that breaks off has left a state all the same; the decisions let go of it.
 async fn read_done(
     pool: &Arc<Pool>,
-    worker: &Id,
+    server: &Id,
     link: Link,
     body: Incoming,
     load: Option<Load>,
@@ -169,7 +169,7 @@
     let Ok(body) = Limited::new(body, BODY_MOST).collect().await else {
         return Reply::Ended(Outcome::ConnectionLost, load);
     };
-    pool.keep(worker, link);
+    pool.keep(server, link);
     // How much was kept is a hint; without it the read is as good.
     let found = serde_json::from_slice(&body.to_bytes()).unwrap_or(Found { cached_tokens: 0 });
     Reply::Read { kept_tokens: found.cached_tokens, load }
@@ -178,7 +178,7 @@
 /// The events of a box's answer as they come.
 pub struct BoxEvents {
     pool: Arc<Pool>,
-    worker: Id,
+    server: Id,
     link: Option<Link>,
     body: Incoming,
     splitter: Splitter,
@@ -190,9 +190,9 @@
 }
 
 impl BoxEvents {
-    fn new(pool: Arc<Pool>, worker: Id, link: Link, body: Incoming, framed: bool) -> Self {
+    fn new(pool: Arc<Pool>, server: Id, link: Link, body: Incoming, framed: bool) -> Self {
         let (splitter, first) = (Splitter::default(), None);
-        BoxEvents { pool, worker, link: Some(link), body, splitter, first, framed, ended: false }
+        BoxEvents { pool, server, link: Some(link), body, splitter, first, framed, ended: false }
     }
 
     /// Waits for the first event: until it is there, nothing has gone to the client and the request can
@@ -237,7 +237,7 @@
             }
             if self.ended {
                 if let Some(link) = self.link.take() {
-                    self.pool.keep(&self.worker, link);
+                    self.pool.keep(&self.server, link);
                 }
                 return Poll::Ready(Step::End);
             }
--- a/daemon/src/upstream/calls.rs
+++ b/daemon/src/upstream/calls.rs
@@ -22,34 +22,34 @@
 }
 
 /// Sends a call that may be repeated at will: on a kept connection, then on a new one.
-async fn call(pool: &Pool, worker: &Id, method: &Method, target: &str) -> Option<(Link, Response<Incoming>)> {
-    if let Some(mut link) = pool.kept(worker).await {
+async fn call(pool: &Pool, server: &Id, method: &Method, target: &str) -> Option<(Link, Response<Incoming>)> {
+    if let Some(mut link) = pool.kept(server).await {
         if let Ok(answer) = link.send(request(method.clone(), target.into())?, &Written::default()).await {
             return Some((link, answer));
         }
     }
-    let mut link = pool.fresh(worker).await.ok()?;
+    let mut link = pool.fresh(server).await.ok()?;
     let answer = link.send(request(method.clone(), target.into())?, &Written::default()).await.ok()?;
     Some((link, answer))
 }
 
 /// True once the box has taken the call.
-pub(super) async fn release(pool: &Arc<Pool>, worker: &Id, id: &Id) -> bool {
-    let Some((link, answer)) = call(pool, worker, &Method::DELETE, &format!("/state/{id}")).await else {
+pub(super) async fn release(pool: &Arc<Pool>, server: &Id, id: &Id) -> bool {
+    let Some((link, answer)) = call(pool, server, &Method::DELETE, &format!("/state/{id}")).await else {
         return false;
     };
     let taken = answer.status().is_success();
-    pool.keep_after(worker, link, answer.into_body());
+    pool.keep_after(server, link, answer.into_body());
     taken
 }
 
 /// Asks for a box's load.
-pub(super) async fn probe(pool: &Arc<Pool>, worker: &Id) -> (Outcome, Option<Load>) {
+pub(super) async fn probe(pool: &Arc<Pool>, server: &Id) -> (Outcome, Option<Load>) {
     let asked = async {
-        let (link, answer) = call(pool, worker, &Method::GET, "/_load").await?;
+        let (link, answer) = call(pool, server, &Method::GET, "/_load").await?;
         let status = answer.status();
         let body = Limited::new(answer.into_body(), BODY_MOST).collect().await.ok()?.to_bytes();
-        pool.keep_settled(worker, link);
+        pool.keep_settled(server, link);
         Some((status, body))
     };
     match timeout(PROBE, asked).await {
--- a/daemon/src/upstream/mod.rs
+++ b/daemon/src/upstream/mod.rs
@@ -39,30 +39,30 @@
 
 impl Book {
     /// Notes where a box is.
-    pub fn set(&self, worker: Id, address: SocketAddr) {
+    pub fn set(&self, server: Id, address: SocketAddr) {
         let mut book = lock(&self.0);
-        let same = book.get(&worker).filter(|entry| entry.address == address);
+        let same = book.get(&server).filter(|entry| entry.address == address);
         let round_trip = same.and_then(|entry| entry.round_trip);
-        book.insert(worker, Entry { address, gone: None, round_trip });
+        book.insert(server, Entry { address, gone: None, round_trip });
     }
 
     /// Notes how long a connection to it took to come up.
-    fn came_up(&self, worker: &Id, took: Duration) {
-        if let Some(entry) = lock(&self.0).get_mut(worker) {
+    fn came_up(&self, server: &Id, took: Duration) {
+        if let Some(entry) = lock(&self.0).get_mut(server) {
             entry.round_trip = Some(entry.round_trip.map_or(took, |least| least.min(took)));
         }
     }
 
     /// How long a connection's end may be on its way there: two round trips, as one way may be four times as
     /// slow as half of the shortest. Nothing where no connection has come up.
-    fn end_takes(&self, worker: &Id) -> Duration {
-        let round_trip = lock(&self.0).get(worker).and_then(|entry| entry.round_trip);
+    fn end_takes(&self, server: &Id) -> Duration {
+        let round_trip = lock(&self.0).get(server).and_then(|entry| entry.round_trip);
         round_trip.unwrap_or_default() * 2
     }
 
     /// Where it is.
-    pub fn get(&self, worker: &Id) -> Option<SocketAddr> {
-        lock(&self.0).get(worker).map(|entry| entry.address)
+    pub fn get(&self, server: &Id) -> Option<SocketAddr> {
+        lock(&self.0).get(server).map(|entry| entry.address)
     }
 
     /// Follows the list of members: what has left it is forgotten after a while.
@@ -72,7 +72,7 @@
             book.values_mut().for_each(|entry| entry.gone = entry.gone.or(Some(now)));
         }
         for member in &news.entries {
-            if let Some(entry) = book.get_mut(&member.worker) {
+            if let Some(entry) = book.get_mut(&member.server) {
                 let gone = member.health == Health::Gone;
                 entry.gone = gone.then_some(entry.gone.unwrap_or(now));
             }
@@ -123,24 +123,24 @@
 
     async fn attempt(
         &self,
-        worker: &Id,
+        server: &Id,
         _: &Id,
         call: &Call,
         wait: Duration,
         permit: &SendPermit,
     ) -> Reply<BoxEvents> {
-        attempt::attempt(&self.pool, worker, call, wait, permit).await
+        attempt::attempt(&self.pool, server, call, wait, permit).await
     }
 
-    fn end_takes(&self, worker: &Id) -> Duration {
-        self.pool.end_takes(worker)
+    fn end_takes(&self, server: &Id) -> Duration {
+        self.pool.end_takes(server)
     }
 
-    async fn release(&self, worker: &Id, request: &Id) -> bool {
-        calls::release(&self.pool, worker, request).await
+    async fn release(&self, server: &Id, request: &Id) -> bool {
+        calls::release(&self.pool, server, request).await
     }
 
-    async fn probe(&self, worker: &Id) -> (Outcome, Option<Load>) {
-        calls::probe(&self.pool, worker).await
+    async fn probe(&self, server: &Id) -> (Outcome, Option<Load>) {
+        calls::probe(&self.pool, server).await
     }
 }
--- a/daemon/src/upstream/pool.rs
+++ b/daemon/src/upstream/pool.rs
@@ -78,28 +78,28 @@
 
     /// A connection that was kept, if one is fit for use: open, and far from the age at which the box
     /// may close it, as a request that crosses the close may have run.
-    pub(super) async fn kept(&self, worker: &Id) -> Option<Link> {
+    pub(super) async fn kept(&self, server: &Id) -> Option<Link> {
         // Lets what lies in the sockets be heard first: a close of this connection, or the end of the client
         // for whom it is wanted.
         tokio::task::yield_now().await;
-        let address = self.book.get(worker);
+        let address = self.book.get(server);
         let mut idle = lock(&self.idle);
-        let links = idle.get_mut(worker)?;
+        let links = idle.get_mut(server)?;
         // A box that is back elsewhere is not where the connection leads.
-        links.retain(|link| !link.is_spent() && self.is_young(worker, link) && Some(link.address) == address);
+        links.retain(|link| !link.is_spent() && self.is_young(server, link) && Some(link.address) == address);
         let settle = self.limits().settle;
         let settled = |link: &Link| link.is_ready() && link.idle_since.elapsed() >= settle;
         let link = links.iter().rposition(settled).map(|at| links.remove(at));
         if links.is_empty() {
-            idle.remove(worker);
+            idle.remove(server);
         }
         link
     }
 
     /// A new connection. What fails for want of something on this machine is tried again, for as long as a
     /// connection may take.
-    pub(super) async fn fresh(&self, worker: &Id) -> Result<Link, NoLink> {
-        let address = self.book.get(worker).ok_or(NoLink::Server)?;
+    pub(super) async fn fresh(&self, server: &Id) -> Result<Link, NoLink> {
+        let address = self.book.get(server).ok_or(NoLink::Server)?;
         let by = Instant::now() + self.limits().connect_timeout;
         loop {
             let begin = Instant::now();
@@ -111,7 +111,7 @@
             };
             match opened {
                 Ok(link) => {
-                    self.book.came_up(worker, begin.elapsed());
+                    self.book.came_up(server, begin.elapsed());
                     return Ok(link);
                 }
                 Err(e) if !e.is_local() => return Err(NoLink::Server),
@@ -122,8 +122,8 @@
     }
 
     /// How long a connection's end may be on its way.
-    pub(super) fn end_takes(&self, worker: &Id) -> Duration {
-        self.book.end_takes(worker)
+    pub(super) fn end_takes(&self, server: &Id) -> Duration {
+        self.book.end_takes(server)
     }
 
     /// A permit for one more connection, if need be in place of the one that has been idle longest.
@@ -138,36 +138,36 @@
     fn drop_oldest(&self) {
         let mut idle = lock(&self.idle);
         let oldest = |links: &Vec<Link>| links.first().map(|link| link.idle_since);
-        let worker = idle.iter().filter_map(|(w, links)| Some((oldest(links)?, w.clone()))).min();
-        if let Some((_, worker)) = worker {
-            idle.entry(worker).and_modify(|links| drop(links.remove(0)));
+        let server = idle.iter().filter_map(|(w, links)| Some((oldest(links)?, w.clone()))).min();
+        if let Some((_, server)) = server {
+            idle.entry(server).and_modify(|links| drop(links.remove(0)));
         }
     }
 
     /// Keeps a connection whose answer has come whole, and lets go of those that are past use, also of
     /// boxes to which nothing goes any more.
-    pub(super) fn keep(&self, worker: &Id, link: Link) {
-        self.keep_from(worker, link, Instant::now());
+    pub(super) fn keep(&self, server: &Id, link: Link) {
+        self.keep_from(server, link, Instant::now());
     }
 
     /// Keeps a connection on which a small call has been answered: no stream's rest can follow on it, and the
     /// request that the call was for goes out next.
-    pub(super) fn keep_settled(&self, worker: &Id, link: Link) {
+    pub(super) fn keep_settled(&self, server: &Id, link: Link) {
         let now = Instant::now();
-        self.keep_from(worker, link, now.checked_sub(self.limits().settle).unwrap_or(now));
+        self.keep_from(server, link, now.checked_sub(self.limits().settle).unwrap_or(now));
     }
 
-    fn keep_from(&self, worker: &Id, mut link: Link, idle_since: Instant) {
+    fn keep_from(&self, server: &Id, mut link: Link, idle_since: Instant) {
         if link.is_spent() {
             return;
         }
         link.idle_since = idle_since;
         let mut idle = lock(&self.idle);
-        idle.retain(|worker, links| {
-            links.retain(|link| !link.is_spent() && self.is_young(worker, link));
+        idle.retain(|server, links| {
+            links.retain(|link| !link.is_spent() && self.is_young(server, link));
             !links.is_empty()
         });
-        idle.entry(worker.clone()).or_default().push(link);
+        idle.entry(server.clone()).or_default().push(link);
     }
 
     /// Whether a kept connection that broke so long after a request went out had been dead before.
@@ -176,24 +176,24 @@
     }
 
     /// Far from the age at which the box may close it, and younger than those that were found dead.
-    fn is_young(&self, worker: &Id, link: &Link) -> bool {
-        let limit = lock(&self.idle_ages).limit(worker, self.limits().conn_idle / 2, Instant::now());
+    fn is_young(&self, server: &Id, link: &Link) -> bool {
+        let limit = lock(&self.idle_ages).limit(server, self.limits().conn_idle / 2, Instant::now());
         link.idle_since.elapsed() < limit
     }
 
     /// A connection that had been idle for so long broke at its next request: others may be as dead.
-    pub(super) fn was_dead(&self, worker: &Id, idle: Duration) {
+    pub(super) fn was_dead(&self, server: &Id, idle: Duration) {
         let most = self.limits().conn_idle / 2;
-        lock(&self.idle_ages).was_dead(worker, idle, most, Instant::now());
+        lock(&self.idle_ages).was_dead(server, idle, most, Instant::now());
     }
 
     /// Reads an answer that nobody waits for to its end, to keep the connection.
-    pub(super) fn keep_after(self: &Arc<Self>, worker: &Id, link: Link, body: Incoming) {
-        let (pool, worker) = (self.clone(), worker.clone());
+    pub(super) fn keep_after(self: &Arc<Self>, server: &Id, link: Link, body: Incoming) {
+        let (pool, server) = (self.clone(), server.clone());
         tokio::spawn(async move {
             let tail = Limited::new(body, BODY_MOST).collect();
             if matches!(timeout(TAIL, tail).await, Ok(Ok(_))) {
-                pool.keep(&worker, link);
+                pool.keep(&server, link);
             }
         });
     }
--- a/daemon/tests/discovery.rs
+++ b/daemon/tests/discovery.rs
@@ -46,7 +46,7 @@
 }
 
 fn states(news: &News) -> Vec<(&str, Health)> {
-    news.entries.iter().map(|e| (&*e.worker, e.health)).collect()
+    news.entries.iter().map(|e| (&*e.server, e.health)).collect()
 }
 
 /// What a configuration says of an agent, in a fleet of two.
@@ -247,7 +247,7 @@
     let book = Book::default();
     let news = |form, members: &[(&str, Health)]| {
         let entry = |(name, health): &(&str, Health)| Entry {
-            worker: Id::from(*name),
+            server: Id::from(*name),
             cell: 0,
             kind: 0,
             zone: 0,
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -503,7 +503,7 @@
 
 /// A line of the list.
 pub fn entry(name: &str, kind: usize, health: Health) -> Entry {
-    Entry { worker: Id::from(name), cell: 0, kind, zone: 0, started: 0, health }
+    Entry { server: Id::from(name), cell: 0, kind, zone: 0, started: 0, health }
 }
 
 fn conductor(
--- a/daemon/tests/unit/starts.rs
+++ b/daemon/tests/unit/starts.rs
@@ -39,7 +39,7 @@
         starts.started(&server(&n.to_string()), 7, NOW, NOW);
     }
     assert_eq!(starts.known.len(), REMEMBERED_MAX);
-    let (worker, health) = (server("3"), Health::Up);
-    starts.forget_but(&[Entry { worker, cell: 0, kind: 0, zone: 0, started: 0, health }]);
+    let (server, health) = (server("3"), Health::Up);
+    starts.forget_but(&[Entry { server, cell: 0, kind: 0, zone: 0, started: 0, health }]);
     assert_eq!(starts.known.len(), 1);
 }
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -85,7 +85,7 @@
         cell: whole(v, 0, "cohort")?,
         kind: index(names.kinds(), text(v, 2, "flavor")?, "flavor")?,
         zone: index(names.zones(), text(v, 3, "az")?, "az")?,
-        worker: text(v, 4, "worker")?.into(),
+        server: text(v, 4, "server")?.into(),
         started: maybe(v, 5, "started-at")?,
         health: match text(v, 6, "health")? {
             "U" => Health::Up,
@@ -139,7 +139,7 @@
 pub fn event(name: &str, v: &[Value], names: &Names, settings: &Settings) -> Result<Option<Event>, String> {
     let id = || text(v, 0, "ref").map(Id::from);
     let leg = |at| whole(v, at, "leg").map(|n| n.min(u64::from(u32::MAX)) as u32);
-    let worker = |at| text(v, at, "worker").map(Id::from);
+    let server = |at| text(v, at, "server").map(Id::from);
     Ok(Some(match name {
         "members" => members(v, names)?,
         "query" => query(v, settings)?,
@@ -152,7 +152,7 @@
                 kept_tokens: detail,
                 finished: flag(v, 3, "finished")?,
                 attempt: leg(4)?,
-                worker: worker(5)?,
+                server: server(5)?,
                 outcome: outcome(text(v, 6, "status")?, detail)?,
                 load: telemetry(v.get(7))?,
             }
@@ -160,10 +160,10 @@
         "timed-out-client" => Event::ClientGone { id: id()? },
         "hold-result" => {
             let held = whole(v, 1, "what")? == 1;
-            Event::Place { id: id()?, held, worker: want(v.last().and_then(Value::as_str), "worker")?.into() }
+            Event::Place { id: id()?, held, server: want(v.last().and_then(Value::as_str), "server")?.into() }
         }
         "status-back" => Event::Probed {
-            worker: worker(0)?,
+            server: server(0)?,
             outcome: outcome(text(v, 1, "status")?, 0)?,
             load: telemetry(v.get(3))?,
         },
@@ -175,13 +175,13 @@
 /// Puts an action into the wire's words.
 pub fn action(instance: &str, action: Action) -> Value {
     match action {
-        Action::Send { id, worker, stop_at, .. } => json!(["relay", instance, &*id, stop_at, &*worker]),
+        Action::Send { id, server, stop_at, .. } => json!(["relay", instance, &*id, stop_at, &*server]),
         Action::Cancel { id, attempt } => json!(["retract", instance, &*id, attempt]),
         Action::Decline { id, retry_after } => json!(["decline", instance, &*id, retry_after]),
         Action::Fail { id } => json!(["drop-request", instance, &*id]),
         Action::DropState { id } => json!(["drop-state", instance, &*id]),
         Action::Move { id } => json!(["redirect", instance, &*id]),
-        Action::Probe { worker } => json!(["ask-load", instance, &*worker]),
+        Action::Probe { server } => json!(["ask-load", instance, &*server]),
         Action::Watch => json!(["observe", instance, true]),
         Action::Timer { delay, token } => json!(["remind", instance, delay, token]),
         Action::Log(words) => json!(["record", instance, words]),
--- a/rpc/src/members.rs
+++ b/rpc/src/members.rs
@@ -33,7 +33,7 @@
         let entries = known.map(|(m, role)| {
             book.set(Id::from(m.id.as_str()), m.at, *role);
             Entry {
-                worker: Id::from(m.id.as_str()),
+                server: Id::from(m.id.as_str()),
                 cell: m.cell,
                 kind: m.kind,
                 zone: m.zone,
--- a/rpc/src/upstream/mod.rs
+++ b/rpc/src/upstream/mod.rs
@@ -82,8 +82,8 @@
         Upstream { book, connect }
     }
 
-    fn calls(&self, worker: &Id, permit: SendPermit) -> Option<(Calls, Role)> {
-        let (at, role, pool) = self.book.get(worker)?;
+    fn calls(&self, server: &Id, permit: SendPermit) -> Option<(Calls, Role)> {
+        let (at, role, pool) = self.book.get(server)?;
         Some((Calls { at, pool, connect: self.connect, permit }, role))
     }
 }
@@ -94,27 +94,27 @@
 
     async fn attempt(
         &self,
-        worker: &Id,
+        server: &Id,
         _: &Id,
         call: &Call,
         wait: Duration,
         permit: &SendPermit,
     ) -> Reply<Answer> {
-        match self.calls(worker, permit.clone()) {
+        match self.calls(server, permit.clone()) {
             Some((calls, Role::Read)) => calls.read(call.framed.clone(), wait).await,
             Some((calls, Role::Write | Role::Both)) => calls.write(call.framed.clone(), wait).await,
             None => Reply::Ended(Outcome::NoConnection, None),
         }
     }
 
-    async fn release(&self, worker: &Id, request: &Id) -> bool {
-        let Some((calls, _)) = self.calls(worker, SendPermit::unconditional()) else { return false };
+    async fn release(&self, server: &Id, request: &Id) -> bool {
+        let Some((calls, _)) = self.calls(server, SendPermit::unconditional()) else { return false };
         let request = proto::ReleaseRequest { id: request.to_string() };
         calls.unary::<proto::Released>("Release", messages::framed(&request), RELEASE).await.is_ok()
     }
 
-    async fn probe(&self, worker: &Id) -> (Outcome, Option<Load>) {
-        let Some((calls, _)) = self.calls(worker, SendPermit::unconditional()) else {
+    async fn probe(&self, server: &Id) -> (Outcome, Option<Load>) {
+        let Some((calls, _)) = self.calls(server, SendPermit::unconditional()) else {
             return (Outcome::NoConnection, None);
         };
         let request = messages::framed(&proto::ProbeRequest {});
--- a/rpc/tests/outcomes.rs
+++ b/rpc/tests/outcomes.rs
@@ -169,8 +169,8 @@
         *self.does.lock().unwrap() = does;
     }
 
-    async fn attempt(&self, worker: &str) -> Reply<Answer> {
-        attempt(&self.upstream, worker, LARGE).await
+    async fn attempt(&self, server: &str) -> Reply<Answer> {
+        attempt(&self.upstream, server, LARGE).await
     }
 }
 
@@ -184,12 +184,12 @@
 /// More than a box takes before it has opened its window.
 const LARGE: usize = 100_000;
 
-async fn attempt(upstream: &Upstream, worker: &str, body: usize) -> Reply<Answer> {
+async fn attempt(upstream: &Upstream, server: &str, body: usize) -> Reply<Answer> {
     let request = Request { id: "r-1".into(), body: vec![7; body], ..Request::default() };
     let call = Call::new(&request).unwrap();
-    let (worker, id) = (Id::from(worker), Id::from("r-1"));
+    let (server, id) = (Id::from(server), Id::from("r-1"));
     let permit = SendPermit::unconditional();
-    let attempt = upstream.attempt(&worker, &id, &call, WAIT, &permit);
+    let attempt = upstream.attempt(&server, &id, &call, WAIT, &permit);
     timeout(LATEST, attempt).await.unwrap()
 }
 
@@ -259,9 +259,9 @@
         (GoawayDrops, Outcome::ConnectionLost),
     ];
     for (does, expected) in both {
-        for worker in ["reader", "writer"] {
+        for server in ["reader", "writer"] {
             let stand = Stand::start(does.clone()).await;
-            let reply = stand.attempt(worker).await;
+            let reply = stand.attempt(server).await;
             assert!(matches!(reply, Reply::Ended(outcome, _) if outcome == expected), "{does:?}: {reply:?}");
             assert_eq!(*stand.runs.lock().unwrap(), 1, "{does:?}: never sent again by itself");
         }
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -14,10 +14,10 @@
 /// What is to be done about a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// Send it to this worker and stop waiting at `stop_at`.
+    /// Send it to this server and stop waiting at `stop_at`.
     Send {
-        /// The worker.
-        worker: Id,
+        /// The server.
+        server: Id,
         /// On the caller's clock.
         stop_at: Micros,
         /// Nothing is to be written from then on.
@@ -32,7 +32,7 @@
     Fail,
     /// Stop waiting for the attempt that is out.
     Cancel,
-    /// Let go of whatever is held for it at any worker.
+    /// Let go of whatever is held for it at any server.
     Release,
     /// End its running stream; the client comes back for the rest.
     Move,
@@ -43,9 +43,9 @@
 pub struct Verdicts {
     /// What to do, request by request, in order.
     pub requests: Vec<(Id, Verdict)>,
-    /// Workers to probe.
+    /// Servers to probe.
     pub probes: Vec<Id>,
-    /// The list of workers must be asked for anew.
+    /// The list of servers must be asked for anew.
     pub watch: bool,
     /// Lines for the operators.
     pub log: Vec<String>,
@@ -62,9 +62,9 @@
     Ended {
         /// How.
         outcome: Outcome,
-        /// Prompt tokens that the worker still had.
+        /// Prompt tokens that the server still had.
         kept_tokens: u64,
-        /// The worker's load report, if one came along.
+        /// The server's load report, if one came along.
         load: Option<Load>,
     },
     /// Nobody waits for it any more. The caller says so once for each request, as the last thing;
@@ -77,7 +77,7 @@
 struct Open {
     attempts: u32,
     started: bool,
-    /// Worker and send time of the attempt that is out.
+    /// Server and send time of the attempt that is out.
     out: Option<(Id, Micros)>,
 }
 
@@ -91,7 +91,7 @@
 }
 
 impl Facade {
-    /// A facade whose module knows no worker yet.
+    /// A facade whose module knows no server yet.
     pub fn new(settings: Settings, seed: u64) -> Self {
         Facade {
             guard: Guard::new(&settings),
@@ -124,7 +124,7 @@
         }
     }
 
-    /// News of the list of workers.
+    /// News of the list of servers.
     pub fn members(&mut self, now: Micros, form: ListForm, entries: Vec<Entry>) -> Verdicts {
         self.guard.members(form, &entries);
         self.handle(now, Event::Members { form, entries })
@@ -146,7 +146,7 @@
         self.router.snapshot(now)
     }
 
-    /// What is open at workers.
+    /// What is open at servers.
     pub fn open_work(&self) -> OpenWork {
         self.router.open_work()
     }
@@ -156,12 +156,12 @@
         self.router.set_foreign_work(foreign);
     }
 
-    /// Takes over what a snapshot of this age says of workers that are listed; the rest stays in it.
+    /// Takes over what a snapshot of this age says of servers that are listed; the rest stays in it.
     pub fn restore(&mut self, now: Micros, age: Micros, snapshot: &mut Snapshot) {
         self.router.restore(now, age, snapshot);
     }
 
-    /// Workers that requests may go to now.
+    /// Servers that requests may go to now.
     pub fn usable(&self) -> usize {
         self.router.usable()
     }
@@ -172,8 +172,8 @@
     }
 
     /// A probe came back.
-    pub fn probed(&mut self, now: Micros, worker: Id, outcome: Outcome, load: Option<Load>) -> Verdicts {
-        self.handle(now, Event::Probed { worker, outcome, load })
+    pub fn probed(&mut self, now: Micros, server: Id, outcome: Outcome, load: Option<Load>) -> Verdicts {
+        self.handle(now, Event::Probed { server, outcome, load })
     }
 
     /// When [`Facade::tick`] is due.
@@ -218,12 +218,12 @@
         load: Option<Load>,
     ) -> Option<Event> {
         let open = self.open.get_mut(id)?;
-        let (worker, sent) = open.out.take()?;
+        let (server, sent) = open.out.take()?;
         self.guard.attempt_ended(id, outcome);
         Some(Event::Result {
             id: id.clone(),
             attempt: open.attempts - 1,
-            worker,
+            server,
             outcome,
             elapsed: now.saturating_sub(sent),
             kept_tokens: kept,
@@ -259,14 +259,14 @@
 
     fn carry(&mut self, now: Micros, action: Action, verdicts: &mut Verdicts) {
         let (id, verdict) = match action {
-            Action::Send { id, worker, stop_at, send_by } => {
-                if let Err(violation) = self.guard.send(now, &id, &worker) {
-                    return self.withhold(now, id, worker, violation, verdicts);
+            Action::Send { id, server, stop_at, send_by } => {
+                if let Err(violation) = self.guard.send(now, &id, &server) {
+                    return self.withhold(now, id, server, violation, verdicts);
                 }
                 let open = self.open.entry(id.clone()).or_default();
                 open.attempts += 1;
-                open.out = Some((worker.clone(), now));
-                (id, Verdict::Send { worker, stop_at, send_by })
+                open.out = Some((server.clone(), now));
+                (id, Verdict::Send { server, stop_at, send_by })
             }
             Action::Cancel { id, .. } => (id, Verdict::Cancel),
             Action::Decline { id, retry_after } => match self.guard.answer(&id, true) {
@@ -286,7 +286,7 @@
             },
             Action::DropState { id } => (id, Verdict::Release),
             Action::Move { id } => (id, Verdict::Move),
-            Action::Probe { worker } => return verdicts.probes.push(worker),
+            Action::Probe { server } => return verdicts.probes.push(server),
             Action::Watch => return verdicts.watch = true,
             Action::Timer { delay, token } => {
                 self.bells.insert((now + delay, token));
@@ -298,14 +298,14 @@
     }
 
     /// An attempt that would break a rule does not go out; to the decisions it has ended as never sent.
-    fn withhold(&mut self, now: Micros, id: Id, worker: Id, violation: Violation, verdicts: &mut Verdicts) {
+    fn withhold(&mut self, now: Micros, id: Id, server: Id, violation: Violation, verdicts: &mut Verdicts) {
         verdicts.violations.push((id.clone(), violation));
         let Some(open) = self.open.get_mut(&id) else { return };
         open.attempts += 1;
         let (attempt, outcome) = (open.attempts - 1, Outcome::NotSent);
         let finished = open.started;
         let event =
-            Event::Result { id, attempt, worker, outcome, elapsed: 0, kept_tokens: 0, finished, load: None };
+            Event::Result { id, attempt, server, outcome, elapsed: 0, kept_tokens: 0, finished, load: None };
         self.feed(now, event, verdicts);
     }
 }
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -104,11 +104,11 @@
             let place = Place { zone: entry.zone, cell: entry.cell, decodes };
             match entry.health {
                 Health::Up => {
-                    self.open.insert(entry.worker.clone());
-                    self.places.insert(entry.worker.clone(), place);
+                    self.open.insert(entry.server.clone());
+                    self.places.insert(entry.server.clone(), place);
                 }
                 Health::Draining | Health::Gone => {
-                    self.open.remove(&entry.worker);
+                    self.open.remove(&entry.server);
                 }
             }
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,16 +1,16 @@
 //! What goes into the decision module and what comes out of it.
 //!
 //! Times are microseconds on the caller's monotonic clock. Kinds, zones, classes and tenants are
-//! indices into the caller's own lists; worker, request, session and prefix ids are stable text.
+//! indices into the caller's own lists; server, request, session and prefix ids are stable text.
 
 use std::sync::Arc;
 
 /// Microseconds, as a point in time or as a span.
 pub type Micros = u64;
-/// A stable id: of a worker, a request, a session or a shared prefix.
+/// A stable id: of a server, a request, a session or a shared prefix.
 pub type Id = Arc<str>;
 
-/// What a kind of worker does.
+/// What a kind of server does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
     /// Prefill only.
@@ -21,14 +21,14 @@
     Both,
 }
 
-/// The workers that together drop repeats of a keyed request.
+/// The servers that together drop repeats of a keyed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scope {
-    /// Every worker.
+    /// Every server.
     All,
-    /// The workers of one zone.
+    /// The servers of one zone.
     Zone,
-    /// The workers of one cell.
+    /// The servers of one cell.
     Cell,
 }
 
@@ -55,7 +55,7 @@
     Served,
     /// The prompt is read; the state waits at the reader.
     ReadDone,
-    /// The worker returned an error; it may have run.
+    /// The server returned an error; it may have run.
     Failed,
     /// Turned away for want of room; it never ran.
     TurnedAway,
@@ -68,7 +68,7 @@
     /// The connection broke; it may have run.
     ConnectionLost,
     /// A connection kept from earlier broke as soon as the attempt went out on it. It may have run, but this
-    /// tells of the connection's age rather than of the worker.
+    /// tells of the connection's age rather than of the server.
     StaleConnection,
     /// Cancelled; it may have run.
     CalledOff,
@@ -84,7 +84,7 @@
     }
 }
 
-/// What the list of workers says of one.
+/// What the list of servers says of one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Health {
     /// Runs.
@@ -95,12 +95,12 @@
     Gone,
 }
 
-/// What kind of report on the list of workers this is.
+/// What kind of report on the list of servers this is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListForm {
     /// Only what changed.
     Changes,
-    /// All of it; a worker that is missing is gone.
+    /// All of it; a server that is missing is gone.
     Full,
     /// All of it as last held, maybe stale.
     WarmCopy,
@@ -108,11 +108,11 @@
     Lost,
 }
 
-/// One line of the list of workers.
+/// One line of the list of servers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
-    /// The worker.
-    pub worker: Id,
+    /// The server.
+    pub server: Id,
     /// Its cell (rack).
     pub cell: u64,
     /// Its kind, an index into [`Settings::roles`].
@@ -125,7 +125,7 @@
     pub health: Health,
 }
 
-/// A worker's own report of its load; a hint, late and noisy.
+/// A server's own report of its load; a hint, late and noisy.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
     /// Share of its memory that is held.
@@ -195,7 +195,7 @@
     pub parallel_tries: bool,
     /// An attempt may be cancelled.
     pub may_cancel: bool,
-    /// Workers may be probed.
+    /// Servers may be probed.
     pub may_probe: bool,
     /// Places may be held ahead.
     pub may_hold: bool,
@@ -209,13 +209,13 @@
     pub release: Micros,
     /// A connection that has not come up within this time never will.
     pub connect_timeout: Micros,
-    /// A worker closes a connection that has been idle this long, or earlier.
+    /// A server closes a connection that has been idle this long, or earlier.
     pub conn_idle: Micros,
     /// Slack after a client's deadline within which a final answer counts.
     pub answer_slack: Micros,
-    /// Nothing may go to a worker later than this after it is known to drain.
+    /// Nothing may go to a server later than this after it is known to drain.
     pub drain_grace: Micros,
-    /// A worker starts with at least this share of its capacity.
+    /// A server starts with at least this share of its capacity.
     pub cold_from: f64,
     /// It is warm within this time.
     pub warm_within: Micros,
@@ -223,7 +223,7 @@
     pub fall_multiple: f64,
     /// kept up for this long.
     pub fall: Micros,
-    /// Where the list of workers must be asked for: ask at least this often. `None`: it is pushed.
+    /// Where the list of servers must be asked for: ask at least this often. `None`: it is pushed.
     pub ask_within: Option<Micros>,
 }
 
@@ -257,7 +257,7 @@
 /// What has happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
-    /// News of the list of workers.
+    /// News of the list of servers.
     Members {
         /// What kind of news.
         form: ListForm,
@@ -281,25 +281,25 @@
         id: Id,
         /// Which attempt, from 0.
         attempt: u32,
-        /// The worker.
-        worker: Id,
+        /// The server.
+        server: Id,
         /// How it ended.
         outcome: Outcome,
         /// Time since the send.
         elapsed: Micros,
-        /// Prompt tokens that the worker still had.
+        /// Prompt tokens that the server still had.
         kept_tokens: u64,
         /// The request has its final answer.
         finished: bool,
-        /// The worker's load report, if one came along.
+        /// The server's load report, if one came along.
         load: Option<Load>,
     },
     /// A place asked for ahead was held or not.
     Place {
         /// The request.
         id: Id,
-        /// The worker.
-        worker: Id,
+        /// The server.
+        server: Id,
         /// Held.
         held: bool,
     },
@@ -310,11 +310,11 @@
     },
     /// A probe came back.
     Probed {
-        /// The worker.
-        worker: Id,
+        /// The server.
+        server: Id,
         /// How it ended.
         outcome: Outcome,
-        /// The worker's load report, if one came along.
+        /// The server's load report, if one came along.
         load: Option<Load>,
     },
     /// This router's part of what all routers share has changed: of 1, and never 0.
@@ -336,12 +336,12 @@
 /// What to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Send the request to a worker; the attempt ends at `stop_at`.
+    /// Send the request to a server; the attempt ends at `stop_at`.
     Send {
         /// The request.
         id: Id,
-        /// The worker.
-        worker: Id,
+        /// The server.
+        server: Id,
         /// When to stop waiting.
         stop_at: Micros,
         /// Not to be written from then on, as it would be a repeat outside of its window.
@@ -376,12 +376,12 @@
         /// The request.
         id: Id,
     },
-    /// Probe a worker.
+    /// Probe a server.
     Probe {
-        /// The worker.
-        worker: Id,
+        /// The server.
+        server: Id,
     },
-    /// Subscribe to the list of workers.
+    /// Subscribe to the list of servers.
     Watch,
     /// Ring after `delay`.
     Timer {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,15 +14,15 @@
 //! };
 //! let mut router = Router::new(settings, 7);
 //! let mut actions = Vec::new();
-//! let worker = |name: &str, kind| Entry {
-//!     worker: name.into(),
+//! let server = |name: &str, kind| Entry {
+//!     server: name.into(),
 //!     cell: 0,
 //!     kind,
 //!     zone: 0,
 //!     started: 0,
 //!     health: Health::Up,
 //! };
-//! let entries = vec![worker("10.0.0.1:9000", 0), worker("10.0.0.2:9000", 1)];
+//! let entries = vec![server("10.0.0.1:9000", 0), server("10.0.0.2:9000", 1)];
 //! router.handle(1_000, Event::Members { form: ListForm::Full, entries }, &mut actions);
 //! let query = Query {
 //!     id: "request-1".into(),
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -20,11 +20,11 @@
 const READ_TOKENS: f64 = 12_000.0;
 /// Own requests that may wait at one writer or mixed server to begin: a queue there helps nobody.
 const BEGIN_CAP: f64 = 4.0;
-/// A worker rests after `full`, at first this long, doubling up to the most.
+/// A server rests after `full`, at first this long, doubling up to the most.
 const FULL_REST: Micros = 200_000;
 const REST_MOST: Micros = 12_000_000;
-/// Where parts are below one request: a wait of over this share of the aim rests the worker, and all routers
-/// together want this many to wait at one worker.
+/// Where parts are below one request: a wait of over this share of the aim rests the server, and all routers
+/// together want this many to wait at one server.
 const REST_AIM: f64 = 0.25;
 const WAIT_SLOTS: f64 = 4.0;
 /// Share of its part of the writers for its part of the readers that a cell keeps of what it reads.
@@ -37,13 +37,13 @@
 const STREAM_STEP: f64 = 1.0 / 3.0;
 /// Readers that a prefix hashes to where parts are below one request; the session's hash picks one.
 const HOMES: usize = 3;
-/// Share of a worker's memory that all routers together plan to fill.
+/// Share of a server's memory that all routers together plan to fill.
 const MEMORY_SHARE: f64 = 0.9;
 /// A writer takes this much of what a mixed server takes whole: a mixed server also reads.
 const MIXED_WEIGHT: f64 = 1.5;
 /// More tokens than this to read are not for a mixed server while there are readers.
 const LONG_READ: u64 = 3_000;
-/// A session's last reader is remembered this long: about as long as a worker's memory keeps it.
+/// A session's last reader is remembered this long: about as long as a server's memory keeps it.
 const KEEP: Micros = 60_000_000;
 /// Held this long is starved, or for this share of the time after which it is given up.
 const STARVED: Micros = 2_000_000;
@@ -76,9 +76,9 @@
 const OPEN_MOST: Micros = 8_000_000;
 /// Share of a role that may be out of use before its breakers are passed over (panic threshold).
 const PANIC_SHARE: f64 = 0.5;
-/// Workers of one zone that fail in a row, with no answer from there, before it is cut off.
+/// Servers of one zone that fail in a row, with no answer from there, before it is cut off.
 const ZONE_TRIP: usize = 3;
-/// Slow start: share of a cold worker's budget that is used, the rest is for chance. A router that has
+/// Slow start: share of a cold server's budget that is used, the rest is for chance. A router that has
 /// measured nothing yet takes its part of one send a second.
 const COLD_SHARE: f64 = 0.5;
 const COLD_LEAST: f64 = 1.0;
@@ -114,16 +114,16 @@
     since: Micros,
     phase: Phase,
     attempts: u32,
-    /// The attempt that is out: worker, send time, tokens charged to it.
+    /// The attempt that is out: server, send time, tokens charged to it.
     out: Option<(usize, Micros, u64)>,
     /// The reader whose memory holds the state, and since when no attempt took it that is known to have
-    /// reached a worker.
+    /// reached a server.
     state: Option<(usize, Micros)>,
     /// Some reader may hold something for it.
     holds: bool,
-    /// Worker and send time of the first attempt that may have run.
+    /// Server and send time of the first attempt that may have run.
     ran: Option<(usize, Micros)>,
-    /// Workers that failed it.
+    /// Servers that failed it.
     failed: Vec<usize>,
     over_quota: bool,
     /// The first token is wanted within this time from its arrival.
@@ -132,14 +132,14 @@
     stage: Stage,
     /// The attempt that is out has not been heard of yet.
     silent: bool,
-    /// Its wait is cut short by the deadline: if nothing comes, that is no mark against its worker.
+    /// Its wait is cut short by the deadline: if nothing comes, that is no mark against its server.
     cut: bool,
-    /// An attempt was turned away or not answered in time: its workers have too much to do.
+    /// An attempt was turned away or not answered in time: its servers have too much to do.
     crowded: bool,
 }
 
 #[derive(Default)]
-struct Worker {
+struct Server {
     id: Id,
     hash: u64,
     cell: u64,
@@ -171,10 +171,10 @@
     asked: bool,
 }
 
-/// What a router's workers in one zone have shown it together.
+/// What a router's servers in one zone have shown it together.
 #[derive(Default)]
 struct Zone {
-    /// Workers that failed since one there was last heard.
+    /// Servers that failed since one there was last heard.
     failed: BTreeSet<usize>,
     /// Trials since then, and when the next is due.
     trials: u32,
@@ -196,9 +196,9 @@
     settings: Settings,
     seed: u64,
     now: Micros,
-    workers: Vec<Worker>,
+    servers: Vec<Server>,
     index: BTreeMap<Id, usize>,
-    /// Places among the workers that nobody has.
+    /// Places among the servers that nobody has.
     free: Vec<usize>,
     requests: BTreeMap<Id, Request>,
     held: Vec<Id>,
@@ -206,7 +206,7 @@
     zones: BTreeMap<usize, Zone>,
     /// When the next may leave for each role.
     ready: [Micros; 3],
-    /// When some worker of each role was last heard.
+    /// When some server of each role was last heard.
     heard: [Micros; 3],
     quotas: Vec<(f64, Micros)>,
     /// Where each session's last prompt was read, its length, and when.
@@ -223,7 +223,7 @@
 }
 
 impl Router {
-    /// A router that knows no worker yet.
+    /// A router that knows no server yet.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let quotas = settings.tenants.iter().map(|t| (t.quota_per_s, 0)).collect();
         let watch_at = settings.ask_within.map(|_| 0);
@@ -257,7 +257,7 @@
                     return;
                 }
             }
-            Event::Probed { worker, outcome, load } => self.probed(&worker, outcome, load, out),
+            Event::Probed { server, outcome, load } => self.probed(&server, outcome, load, out),
             Event::Place { .. } | Event::Bell { .. } => {}
         }
         self.release(out);
@@ -266,9 +266,9 @@
     /// A reader says what all routers together have there.
     fn probed(&mut self, id: &Id, outcome: Outcome, load: Option<Load>, out: &mut Vec<Action>) {
         let Some(&w) = self.index.get(id) else { return };
-        self.workers[w].asked = false;
-        self.workers[w].said = self.now;
-        self.workers[w].holds = match outcome {
+        self.servers[w].asked = false;
+        self.servers[w].said = self.now;
+        self.servers[w].holds = match outcome {
             Outcome::Served => load.and_then(|l| l.outstanding).unwrap_or(0.0),
             Outcome::NoConnection | Outcome::NoAnswer => READ_SLOTS,
             // It drains, or too many ask it: the last that is taken.
@@ -287,8 +287,8 @@
     }
 
     fn known(&self, w: usize) -> Option<f64> {
-        let worker = &self.workers[w];
-        (worker.said > 0 && self.now < worker.said + SAID_FOR).then_some(worker.holds)
+        let server = &self.servers[w];
+        (server.said > 0 && self.now < server.said + SAID_FOR).then_some(server.holds)
     }
 
     fn ring(&mut self, out: &mut Vec<Action>) {
@@ -296,35 +296,35 @@
         out.push(Action::Timer { delay: SWEEP.max(self.settings.tick), token: self.bell });
     }
 
-    // The list of workers.
+    // The list of servers.
 
     fn members(&mut self, form: ListForm, entries: Vec<Entry>, out: &mut Vec<Action>) {
         match form {
             ListForm::Lost if self.settings.ask_within.is_some() => {
                 self.watch_at = Some(self.now + OPEN_FIRST);
             }
-            // A complete list that lacks a worker means that it is gone.
-            ListForm::Full | ListForm::WarmCopy => self.workers.iter_mut().for_each(|w| w.up = false),
+            // A complete list that lacks a server means that it is gone.
+            ListForm::Full | ListForm::WarmCopy => self.servers.iter_mut().for_each(|w| w.up = false),
             _ => {}
         }
         for entry in entries {
             let Some(&role) = self.settings.roles.get(entry.kind) else { continue };
-            let known = self.index.get(&entry.worker).copied();
-            let w = known.unwrap_or_else(|| self.free.pop().unwrap_or(self.workers.len()));
+            let known = self.index.get(&entry.server).copied();
+            let w = known.unwrap_or_else(|| self.free.pop().unwrap_or(self.servers.len()));
             if known.is_none() {
-                self.index.insert(entry.worker.clone(), w);
-                let (hash, id, kind) = (hash(&entry.worker, 0), entry.worker, entry.kind);
-                self.workers.resize_with(self.workers.len().max(w + 1), Worker::default);
-                self.workers[w] = Worker { hash, id, kind, role: stage_of(role), ..Worker::default() };
+                self.index.insert(entry.server.clone(), w);
+                let (hash, id, kind) = (hash(&entry.server, 0), entry.server, entry.kind);
+                self.servers.resize_with(self.servers.len().max(w + 1), Server::default);
+                self.servers[w] = Server { hash, id, kind, role: stage_of(role), ..Server::default() };
             }
-            let worker = &mut self.workers[w];
-            (worker.up, worker.cell, worker.zone) = (entry.health == Health::Up, entry.cell, entry.zone);
-            if known.is_none() || entry.started > worker.started {
-                worker.started = entry.started;
-                (worker.fails, worker.open_until) = (0, 0);
-                self.zones.remove(&worker.zone);
+            let server = &mut self.servers[w];
+            (server.up, server.cell, server.zone) = (entry.health == Health::Up, entry.cell, entry.zone);
+            if known.is_none() || entry.started > server.started {
+                server.started = entry.started;
+                (server.fails, server.open_until) = (0, 0);
+                self.zones.remove(&server.zone);
                 if known.is_some() {
-                    out.push(Action::Log(format!("restarted {}: slow start", worker.id)));
+                    out.push(Action::Log(format!("restarted {}: slow start", server.id)));
                 }
                 self.warm_up(w);
             }
@@ -333,16 +333,16 @@
 
     /// What has gone, and is no part of an open request, leaves its place to the next that comes.
     fn forget_gone(&mut self) {
-        let mut named = vec![false; self.workers.len()];
+        let mut named = vec![false; self.servers.len()];
         for r in self.requests.values() {
             let first = [r.out.map(|out| out.0), r.state.map(|s| s.0), r.ran.map(|ran| ran.0)];
             first.into_iter().flatten().chain(r.failed.iter().copied()).for_each(|w| named[w] = true);
         }
-        let gone = |w: &usize| !self.workers[*w].up && !named[*w] && !self.workers[*w].id.is_empty();
-        let gone: BTreeSet<usize> = (0..self.workers.len()).filter(gone).collect();
+        let gone = |w: &usize| !self.servers[*w].up && !named[*w] && !self.servers[*w].id.is_empty();
+        let gone: BTreeSet<usize> = (0..self.servers.len()).filter(gone).collect();
         for &w in &gone {
-            let worker = std::mem::take(&mut self.workers[w]);
-            self.index.remove(&worker.id);
+            let server = std::mem::take(&mut self.servers[w]);
+            self.index.remove(&server.id);
             self.free.push(w);
         }
         self.kept.retain(|_, k| !gone.contains(&k.0));
@@ -401,7 +401,7 @@
         let Some((w, ..)) = request.out else { return };
         let tokens = request.query.prompt_tokens;
         request.silent = false;
-        self.workers[w].silent -= 1;
+        self.servers[w].silent -= 1;
         self.succeeded(id, w, stage, elapsed, tokens);
     }
 
@@ -420,7 +420,7 @@
         let Some((w, sent, tokens)) = request.out.filter(|_| attempt + 1 == request.attempts) else { return };
         request.out = None;
         let (phase, prompt) = (request.phase, request.query.prompt_tokens);
-        let reading = self.workers[w].role == Stage::Read;
+        let reading = self.servers[w].role == Stage::Read;
         let (stage, cut) = (request.stage, request.cut);
         if !reading && !outcome.never_ran() && request.ran.is_none() {
             request.ran = Some((w, sent));
@@ -441,20 +441,20 @@
         }
         request.since = self.now;
         request.crowded |= matches!(outcome, Outcome::TurnedAway | Outcome::NoAnswer);
-        let worker = &mut self.workers[w];
-        let open = worker.fails >= TRIP;
-        worker.silent -= u32::from(std::mem::take(&mut request.silent));
-        worker.tokens = worker.tokens.saturating_sub(tokens);
-        let count = if reading { &mut worker.reads } else { &mut worker.streams };
+        let server = &mut self.servers[w];
+        let open = server.fails >= TRIP;
+        server.silent -= u32::from(std::mem::take(&mut request.silent));
+        server.tokens = server.tokens.saturating_sub(tokens);
+        let count = if reading { &mut server.reads } else { &mut server.streams };
         *count = count.saturating_sub(1);
         match outcome {
             Outcome::ReadDone => self.succeeded(id, w, stage, elapsed, prompt.saturating_sub(kept)),
             Outcome::Served | Outcome::StateLost => self.heard(w),
             Outcome::TurnedAway => {
                 // Full: others send there too. It rests, longer each time in a row, so that no herd returns.
-                let rest = self.spread((FULL_REST << self.workers[w].full.min(6)).min(REST_MOST), w);
-                let worker = &mut self.workers[w];
-                (worker.full, worker.rest) = (worker.full + 1, self.now + rest);
+                let rest = self.spread((FULL_REST << self.servers[w].full.min(6)).min(REST_MOST), w);
+                let server = &mut self.servers[w];
+                (server.full, server.rest) = (server.full + 1, self.now + rest);
                 self.heard(w);
             }
             Outcome::CalledOff | Outcome::NotSent | Outcome::StaleConnection => {}
@@ -470,8 +470,8 @@
             Outcome::NoConnection | Outcome::ConnectionLost => self.failed(w, TRIP, out),
             Outcome::Failed => self.failed(w, 1, out),
         }
-        if open && self.workers[w].fails == 0 {
-            out.push(Action::Log(format!("closed {}: answers again", self.workers[w].id)));
+        if open && self.servers[w].fails == 0 {
+            out.push(Action::Log(format!("closed {}: answers again", self.servers[w].id)));
         }
         if finished || phase == Phase::Done || phase == Phase::Streaming {
             self.end(id, false, out);
@@ -534,7 +534,7 @@
         if !allowed || !self.may_take(request, w) {
             return false;
         }
-        let reading = self.workers[w].role == Stage::Read;
+        let reading = self.servers[w].role == Stage::Read;
         let stage = match (reading, request.state) {
             (true, _) => Stage::Read,
             (_, Some(_)) => Stage::Write,
@@ -549,23 +549,23 @@
         let stop_at =
             if last { latest } else { (self.now + limit).min(half.max(self.now + limit / 2)).min(latest) };
         let (gap, now) = (self.cold_gap(w), self.now);
-        let worker = &mut self.workers[w];
-        *if reading { &mut worker.reads } else { &mut worker.streams } += 1;
-        worker.tokens += tokens;
-        worker.pending = worker.pending.or(Some(now));
-        worker.silent += 1;
-        worker.holds += 1.0;
+        let server = &mut self.servers[w];
+        *if reading { &mut server.reads } else { &mut server.streams } += 1;
+        server.tokens += tokens;
+        server.pending = server.pending.or(Some(now));
+        server.silent += 1;
+        server.holds += 1.0;
         if let Some(gap) = gap {
-            worker.cold_next = now + gap;
+            server.cold_next = now + gap;
         }
-        let worker_id = worker.id.clone();
+        let server_id = server.id.clone();
         let Some(request) = self.requests.get_mut(id) else { return false };
         request.attempts += 1;
         request.out = Some((w, now, tokens));
         (request.stage, request.silent, request.cut) = (stage, true, stop_at < now + limit / 2);
         request.phase = if reading { Phase::Reading } else { Phase::Writing };
         let (id, send_by) = (id.clone(), repeat_by(request));
-        out.push(Action::Send { id, worker: worker_id, stop_at: stop_at.max(now + 1), send_by });
+        out.push(Action::Send { id, server: server_id, stop_at: stop_at.max(now + 1), send_by });
         self.await_zone(w);
         true
     }
@@ -642,7 +642,7 @@
         2 * self.settings.tick + SWEEP
     }
 
-    /// Tokens that this worker is likely to read: it keeps a session's last prompt, if it read it, and
+    /// Tokens that this server is likely to read: it keeps a session's last prompt, if it read it, and
     /// likely a shared prefix.
     fn cost(&self, query: &Query, w: usize) -> u64 {
         let last = self.kept.get(&query.session).filter(|k| k.0 == w).map_or(0, |k| k.1);
@@ -676,9 +676,9 @@
         for (_, _, arrived, id, _) in order {
             let Some(request) = self.requests.get(&id) else { continue };
             let Some(w) = self.place(request) else { continue };
-            if self.asks() && self.workers[w].role == Stage::Read && self.known(w).is_none() {
-                if !std::mem::replace(&mut self.workers[w].asked, true) {
-                    out.push(Action::Probe { worker: self.workers[w].id.clone() });
+            if self.asks() && self.servers[w].role == Stage::Read && self.known(w).is_none() {
+                if !std::mem::replace(&mut self.servers[w].asked, true) {
+                    out.push(Action::Probe { server: self.servers[w].id.clone() });
                 }
                 continue;
             }
@@ -691,18 +691,18 @@
         }
     }
 
-    /// The worker with which a held request leaves now, if any.
+    /// The server with which a held request leaves now, if any.
     fn place(&self, request: &Request) -> Option<usize> {
         let two_stages = request.attempts + 2 <= request.query.class.max_attempts;
         let room = |w: &usize| self.has_room(*w, request);
         // What is being read will want a writer soon: its place is counted as taken.
         let writers = self.candidates(request, Stage::Write);
         let spare: f64 = writers.iter().map(|&w| self.spare(w, request)).sum();
-        // Reads at a worker that is silent or failing may never come.
-        let reads = |w: usize| if self.healthy(w) { self.workers[w].reads } else { 0 };
-        let coming: u32 = (0..self.workers.len()).map(reads).sum();
+        // Reads at a server that is silent or failing may never come.
+        let reads = |w: usize| if self.healthy(w) { self.servers[w].reads } else { 0 };
+        let coming: u32 = (0..self.servers.len()).map(reads).sum();
         let full = self.part_full(&writers, Stage::Write);
-        let writer = writers.into_iter().filter(room).min_by_key(|&w| self.workers[w].streams);
+        let writer = writers.into_iter().filter(room).min_by_key(|&w| self.servers[w].streams);
         let writer = writer.filter(|_| !full && (coming == 0 || spare >= f64::from(coming + 1)));
         let readers = self.candidates(request, Stage::Read);
         let no_readers = readers.is_empty();
@@ -749,11 +749,11 @@
         first.or_else(|| all.into_iter().min_by(|&a, &b| full(a).total_cmp(&full(b))))
     }
 
-    /// Workers in the order in which a prefix hashes to them, the one with the session's last prompt first.
+    /// Servers in the order in which a prefix hashes to them, the one with the session's last prompt first.
     /// Many routers see a session's turns at one each: by its hash they meet at one of the prefix's homes.
     fn homes(&self, request: &Request, mut all: Vec<usize>) -> Vec<usize> {
         let session = hash(&request.query.session, 2);
-        let score = |w: usize, key: u64| std::cmp::Reverse(mix(self.workers[w].hash ^ key));
+        let score = |w: usize, key: u64| std::cmp::Reverse(mix(self.servers[w].hash ^ key));
         all.sort_by_cached_key(|&w| score(w, request.key));
         let homes = if self.many() { HOMES } else { 1 }.min(all.len());
         all[..homes].sort_by_cached_key(|&w| score(w, session));
@@ -770,7 +770,7 @@
         let mixed = self.candidates(request, Stage::Whole);
         // Those with room first; if all are at cap it goes and queues, where it rests the shortest.
         let rank = |&w: &usize| {
-            let v = &self.workers[w];
+            let v = &self.servers[w];
             let full = if self.has_room(w, request) { 0 } else { v.rest.max(self.now) };
             let whole = v.role == Stage::Whole;
             let slots = self.part(if whole { MIXED_SLOTS } else { WRITE_SLOTS });
@@ -781,8 +781,8 @@
         writers.into_iter().chain(mixed).min_by_key(rank)
     }
 
-    fn nearness(&self, request: &Request, at: usize) -> impl Fn(&Worker) -> (bool, bool, u64) + '_ {
-        let at = &self.workers[at];
+    fn nearness(&self, request: &Request, at: usize) -> impl Fn(&Server) -> (bool, bool, u64) + '_ {
+        let at = &self.servers[at];
         let draw = if self.many() { hash(&request.query.id, self.seed) } else { self.seed };
         let keeps = self.cell_shares();
         let keeps = move |cell: u64| keeps.get(&cell).copied().unwrap_or(1.0);
@@ -795,7 +795,7 @@
     /// writers, so that a cell with many readers would pile all that they read on its few writers.
     fn cell_shares(&self) -> BTreeMap<u64, f64> {
         let mut cells: BTreeMap<u64, [f64; 3]> = BTreeMap::new();
-        for v in self.workers.iter().filter(|v| v.up) {
+        for v in self.servers.iter().filter(|v| v.up) {
             cells.entry(v.cell).or_default()[v.role as usize] += 1.0;
         }
         let all = cells.values().fold((0.0, 0.0), |sum, c| (sum.0 + c[0], sum.1 + c[1]));
@@ -803,60 +803,60 @@
         cells.into_iter().map(|(cell, c)| (cell, share(c))).collect()
     }
 
-    /// Where a part of one worker is less than one request, the parts of all of a role together bound
-    /// what waits there: else a router always finds one more worker that it has nothing out at.
+    /// Where a part of one server is less than one request, the parts of all of a role together bound
+    /// what waits there: else a router always finds one more server that it has nothing out at.
     fn part_full(&self, peers: &[usize], stage: Stage) -> bool {
-        let waits = || peers.iter().map(|&w| self.workers[w].silent).sum::<u32>();
+        let waits = || peers.iter().map(|&w| self.servers[w].silent).sum::<u32>();
         let over = |n| n > 0 && f64::from(n + 1) > self.part(READ_SLOTS) * peers.len() as f64;
         self.many() && !self.asks() && (self.now < self.ready[stage as usize] || over(waits()))
     }
 
-    /// Under the own cap, in number and in tokens; an empty worker always has room for one.
+    /// Under the own cap, in number and in tokens; an empty server always has room for one.
     fn has_room(&self, w: usize, request: &Request) -> bool {
-        let worker = &self.workers[w];
-        let empty = worker.reads + worker.streams == 0;
-        self.now >= worker.rest && (empty || self.spare(w, request) >= 1.0)
+        let server = &self.servers[w];
+        let empty = server.reads + server.streams == 0;
+        self.now >= server.rest && (empty || self.spare(w, request) >= 1.0)
     }
 
     fn part(&self, all: f64) -> f64 {
         all / self.routers
     }
 
-    /// So many routers that each one's part of a worker is less than one request.
+    /// So many routers that each one's part of a server is less than one request.
     fn many(&self) -> bool {
         self.part(READ_SLOTS) < 1.0
     }
 
     fn spare(&self, w: usize, request: &Request) -> f64 {
-        let worker = &self.workers[w];
-        let slots = [READ_SLOTS, WRITE_SLOTS, MIXED_SLOTS][worker.role as usize];
-        let count = self.part(slots).max(1.0).floor() - f64::from(worker.reads + worker.streams);
-        let (bound, each) = if worker.role == Stage::Read {
+        let server = &self.servers[w];
+        let slots = [READ_SLOTS, WRITE_SLOTS, MIXED_SLOTS][server.role as usize];
+        let count = self.part(slots).max(1.0).floor() - f64::from(server.reads + server.streams);
+        let (bound, each) = if server.role == Stage::Read {
             (self.part(READ_TOKENS), self.cost(&request.query, w))
         } else {
-            let memory = self.settings.memory_tokens.get(worker.kind).copied().filter(|&m| m > 0);
+            let memory = self.settings.memory_tokens.get(server.kind).copied().filter(|&m| m > 0);
             let all = memory.map_or(f64::INFINITY, |m| m as f64 * MEMORY_SHARE);
             (self.part(all), footprint(&request.query))
         };
         // Those that wait there to begin show a queue at once, whatever makes it.
-        let begin = if worker.role == Stage::Read { f64::INFINITY } else { BEGIN_CAP };
+        let begin = if server.role == Stage::Read { f64::INFINITY } else { BEGIN_CAP };
         count
-            .min(begin - f64::from(worker.silent))
-            .min((bound - worker.tokens as f64) / each.max(1) as f64)
+            .min(begin - f64::from(server.silent))
+            .min((bound - server.tokens as f64) / each.max(1) as f64)
             .max(0.0)
     }
 
     // Health.
 
     fn listed(&self, role: Stage) -> impl Iterator<Item = usize> + '_ {
-        (0..self.workers.len()).filter(move |&w| self.workers[w].up && self.workers[w].role == role)
+        (0..self.servers.len()).filter(move |&w| self.servers[w].up && self.servers[w].role == role)
     }
 
-    /// Workers of a role that may take this request: usable ones, or in a panic all listed.
+    /// Servers of a role that may take this request: usable ones, or in a panic all listed.
     fn candidates(&self, request: &Request, role: Stage) -> Vec<usize> {
         let listed = || self.listed(role);
         // What cannot be reached is no part of what a panic may pass over, while other zones answer.
-        let cut = |w: usize| self.cut_off(&self.workers[w].zone);
+        let cut = |w: usize| self.cut_off(&self.servers[w].zone);
         let whole = listed().all(cut);
         let all = || listed().filter(|&w| whole || !cut(w));
         let up = all().count();
@@ -872,27 +872,27 @@
 
     /// The rules' guards on a send: drain, effect, cold.
     fn may_take(&self, request: &Request, w: usize) -> bool {
-        let worker = &self.workers[w];
-        let cold = self.cold_gap(w).is_some() && self.now < worker.cold_next;
-        if !worker.up || (cold && !self.warms(request, w)) {
+        let server = &self.servers[w];
+        let cold = self.cold_gap(w).is_some() && self.now < server.cold_next;
+        if !server.up || (cold && !self.warms(request, w)) {
             return false;
         }
         match (request.query.class.effect, request.ran) {
             (Effect::Safe, _) | (_, None) => true,
             (Effect::Unsafe, Some(_)) => false,
             (Effect::Keyed { scope, window }, Some((first, sent))) => {
-                let first = &self.workers[first];
+                let first = &self.servers[first];
                 let group = match scope {
                     Scope::All => true,
-                    Scope::Zone => first.zone == worker.zone,
-                    Scope::Cell => first.cell == worker.cell,
+                    Scope::Zone => first.zone == server.zone,
+                    Scope::Cell => first.cell == server.cell,
                 };
                 group && self.now + self.settings.connect_timeout < sent + window
             }
         }
     }
 
-    /// Some workers of this zone failed one after another and none answered: rather the zone's network or
+    /// Some servers of this zone failed one after another and none answered: rather the zone's network or
     /// power than each of them. One trial at a time is for all of the zone.
     fn cut_off(&self, zone: &usize) -> bool {
         self.zones.get(zone).is_some_and(|z| z.failed.len() >= ZONE_TRIP && self.now < z.next)
@@ -900,12 +900,12 @@
 
     /// A time with up to half more or less of it, so that routers do not try again in step.
     fn spread(&self, span: Micros, w: usize) -> Micros {
-        (span as f64 * (0.5 + share_of(mix(self.workers[w].hash ^ self.seed ^ self.now)))) as Micros
+        (span as f64 * (0.5 + share_of(mix(self.servers[w].hash ^ self.seed ^ self.now)))) as Micros
     }
 
     fn await_zone(&mut self, w: usize) {
         let (now, spread) = (self.now, self.spread(OPEN_FIRST, w));
-        let zone = self.zones.entry(self.workers[w].zone).or_default();
+        let zone = self.zones.entry(self.servers[w].zone).or_default();
         if zone.failed.len() >= ZONE_TRIP && now >= zone.next {
             zone.next = now + (spread << zone.trials.min(4));
             zone.trials += 1;
@@ -914,13 +914,13 @@
 
     /// Breaker closed, or open long enough for one trial; not quiet while peers answer.
     fn healthy(&self, w: usize) -> bool {
-        let worker = &self.workers[w];
-        if worker.fails >= TRIP {
-            return self.now >= worker.open_until && worker.reads + worker.streams == 0;
+        let server = &self.servers[w];
+        if server.fails >= TRIP {
+            return self.now >= server.open_until && server.reads + server.streams == 0;
         }
-        let Some(pending) = worker.pending else { return true };
-        let limit = self.patience(worker.role, 2_000, QUIET).max(QUIET_FLOOR);
-        self.now < pending + limit || self.heard[worker.role as usize] <= pending + limit / 2
+        let Some(pending) = server.pending else { return true };
+        let limit = self.patience(server.role, 2_000, QUIET).max(QUIET_FLOOR);
+        self.now < pending + limit || self.heard[server.role as usize] <= pending + limit / 2
     }
 
     fn patience(&self, stage: Stage, tokens: u64, times: f64) -> Micros {
@@ -938,14 +938,14 @@
         }
         self.sample(stage, elapsed, tokens);
         self.ease(w, elapsed);
-        let worker = &mut self.workers[w];
-        worker.full = 0;
-        worker.rate = decay(worker.rate, self.now - worker.rate_at) + 1.0 / 4.0;
-        worker.rate_at = self.now;
+        let server = &mut self.servers[w];
+        server.full = 0;
+        server.rate = decay(server.rate, self.now - server.rate_at) + 1.0 / 4.0;
+        server.rate_at = self.now;
         self.heard(w);
     }
 
-    /// Parts of less than one request are kept in time. A worker rests where the wait cost much of the aim;
+    /// Parts of less than one request are kept in time. A server rests where the wait cost much of the aim;
     /// for routers that can't ask, a role whose parts together are below one rests after each wait until, on
     /// average, no more of this router's wait there than its part: by twice the usual wait at most.
     fn ease(&mut self, w: usize, elapsed: Micros) {
@@ -953,51 +953,51 @@
             return;
         }
         let rest = |t: Micros, part: f64| REST_MOST.min((t as f64 * (1.0 / part - 1.0).max(0.0)) as Micros);
-        if !self.asks() && self.workers[w].fails < TRIP {
-            let role = self.workers[w].role;
+        if !self.asks() && self.servers[w].fails < TRIP {
+            let role = self.servers[w].role;
             let usual = elapsed.min(self.patience(role, 2_000, 2.0));
             let all = self.now + rest(usual, self.part(WAIT_SLOTS) * self.listed(role).count() as f64);
             self.ready[role as usize] = self.ready[role as usize].max(all);
         }
         let aim = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0);
         if elapsed as f64 > aim as f64 * REST_AIM {
-            self.workers[w].rest = self.workers[w].rest.max(self.now + rest(elapsed, self.part(READ_SLOTS)));
+            self.servers[w].rest = self.servers[w].rest.max(self.now + rest(elapsed, self.part(READ_SLOTS)));
         }
     }
 
     fn heard(&mut self, w: usize) {
-        let (now, worker) = (self.now, &mut self.workers[w]);
-        self.zones.insert(worker.zone, Zone::default());
-        self.heard[worker.role as usize] = now;
-        worker.pending = (worker.silent > 0).then_some(now);
-        worker.fails = 0;
+        let (now, server) = (self.now, &mut self.servers[w]);
+        self.zones.insert(server.zone, Zone::default());
+        self.heard[server.role as usize] = now;
+        server.pending = (server.silent > 0).then_some(now);
+        server.fails = 0;
     }
 
     fn failed(&mut self, w: usize, weight: u32, out: &mut Vec<Action>) {
         let now = self.now;
-        self.zones.entry(self.workers[w].zone).or_default().failed.insert(w);
+        self.zones.entry(self.servers[w].zone).or_default().failed.insert(w);
         self.await_zone(w);
         let spread = self.spread(OPEN_FIRST, w);
-        let worker = &mut self.workers[w];
-        worker.fails = worker.fails.saturating_add(weight);
-        if worker.silent == 0 {
-            worker.pending = None;
+        let server = &mut self.servers[w];
+        server.fails = server.fails.saturating_add(weight);
+        if server.silent == 0 {
+            server.pending = None;
         }
-        if worker.fails >= TRIP {
-            let times = (worker.fails - TRIP).min(6);
-            if now >= worker.open_until {
-                out.push(Action::Log(format!("open {}: {} failures in a row", worker.id, worker.fails)));
+        if server.fails >= TRIP {
+            let times = (server.fails - TRIP).min(6);
+            if now >= server.open_until {
+                out.push(Action::Log(format!("open {}: {} failures in a row", server.id, server.fails)));
             }
-            worker.open_until = now + (spread << times).min(OPEN_MOST);
+            server.open_until = now + (spread << times).min(OPEN_MOST);
         }
     }
 
-    // The budget of a cold worker.
+    // The budget of a cold server.
 
-    /// Time between sends to a worker that started a short while ago; `None` for a warm one.
+    /// Time between sends to a server that started a short while ago; `None` for a warm one.
     fn cold_gap(&self, w: usize) -> Option<Micros> {
-        let worker = &self.workers[w];
-        if worker.started == 0 || self.now >= worker.started + self.settings.warm_within {
+        let server = &self.servers[w];
+        if server.started == 0 || self.now >= server.started + self.settings.warm_within {
             return None;
         }
         let least = COLD_LEAST / self.routers;
@@ -1005,21 +1005,21 @@
             return Some((1e6 / least) as Micros);
         }
         // What warm peers of the role take from here bounds from below what it can do when warm.
-        let warm = |v: &&Worker| v.started + self.settings.warm_within < self.now;
-        let warm = self.listed(worker.role).map(|v| &self.workers[v]).filter(warm);
+        let warm = |v: &&Server| v.started + self.settings.warm_within < self.now;
+        let warm = self.listed(server.role).map(|v| &self.servers[v]).filter(warm);
         let rates = warm.map(|v| decay(v.rate, self.now - v.rate_at));
         let (sum, n) = rates.fold((0.0, 0.0_f64), |(s, n), r| (s + r, n + 1.0));
         let per_s = sum / n.max(1.0) * self.settings.cold_from * self.settings.fall_multiple * COLD_SHARE;
         Some((1e6 / per_s.max(least)) as Micros)
     }
 
-    /// Where parts are below one request, a router's time between sends to a cold worker is longer than it
+    /// Where parts are below one request, a router's time between sends to a cold server is longer than it
     /// stays cold. There, of what it would get if it were warm, a share goes at once: of what has just come,
     /// as all that is held would come together, and no overflow, which has no bound.
     fn warms(&self, request: &Request, w: usize) -> bool {
         let share = self.settings.cold_from * self.settings.fall_multiple * COLD_SHARE;
-        let worker = &self.workers[w];
-        let drawn = || share_of(hash(&request.query.session, worker.hash)) < share;
+        let server = &self.servers[w];
+        let drawn = || share_of(hash(&request.query.session, server.hash)) < share;
         let wait = if self.asks() { SAID_FOR } else { 0 };
         if !self.many() || self.now > request.since + wait || !drawn() {
             return false;
@@ -1027,19 +1027,19 @@
         let first = match request.state {
             Some((at, _)) => {
                 let near = self.nearness(request, at);
-                self.listed(worker.role).min_by_key(|&v| near(&self.workers[v]))
+                self.listed(server.role).min_by_key(|&v| near(&self.servers[v]))
             }
-            None => self.homes(request, self.listed(worker.role).collect()).first().copied(),
+            None => self.homes(request, self.listed(server.role).collect()).first().copied(),
         };
         first == Some(w)
     }
 
-    /// A worker that turns up is empty to every router at once: each waits for a moment of its own
+    /// A server that turns up is empty to every router at once: each waits for a moment of its own
     /// within its time between sends, so that the first sends do not fall together.
     fn warm_up(&mut self, w: usize) {
         let gap = self.cold_gap(w).unwrap_or(0) as f64;
-        let share = share_of(mix(self.workers[w].hash ^ self.seed));
-        self.workers[w].cold_next = self.now + (gap * share) as Micros;
+        let share = share_of(mix(self.servers[w].hash ^ self.seed));
+        self.servers[w].cold_next = self.now + (gap * share) as Micros;
     }
 
     // Timers.
--- a/src/scheduler/figures.rs
+++ b/src/scheduler/figures.rs
@@ -3,13 +3,13 @@
 use super::Router;
 
 impl Router {
-    /// How many entries are kept under ids that others give: of workers, requests and sessions.
+    /// How many entries are kept under ids that others give: of servers, requests and sessions.
     pub fn entries(&self) -> usize {
-        self.workers.len() + self.index.len() + self.requests.len() + self.held.len() + self.kept.len()
+        self.servers.len() + self.index.len() + self.requests.len() + self.held.len() + self.kept.len()
     }
 
-    /// Workers that requests may go to now: listed, not draining, and not left alone after failures.
+    /// Servers that requests may go to now: listed, not draining, and not left alone after failures.
     pub fn usable(&self) -> usize {
-        (0..self.workers.len()).filter(|&w| self.workers[w].up && self.healthy(w)).count()
+        (0..self.servers.len()).filter(|&w| self.servers[w].up && self.healthy(w)).count()
     }
 }
--- a/src/scheduler/handover.rs
+++ b/src/scheduler/handover.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Router, Worker};
+use super::{Router, Server};
 use crate::interface::{Id, Micros};
 
 /// Sessions whose last reader is handed over: the latest ones.
@@ -19,7 +19,8 @@
 pub struct Snapshot {
     pace: [f64; 3],
     tenants: Vec<TenantSnapshot>,
-    workers: Vec<WorkerSnapshot>,
+    #[serde(rename = "workers")]
+    servers: Vec<ServerSnapshot>,
     sessions: Vec<SessionSnapshot>,
 }
 
@@ -30,7 +31,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct WorkerSnapshot {
+struct ServerSnapshot {
     id: Id,
     /// `None`: long ago.
     started_before: Option<Micros>,
@@ -46,7 +47,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct SessionSnapshot {
     id: Id,
-    worker: Id,
+    #[serde(rename = "worker")]
+    server: Id,
     prompt_tokens: u64,
     before: Micros,
 }
@@ -54,24 +56,24 @@
 impl Snapshot {
     /// Whether all of it has been taken over.
     pub fn is_empty(&self) -> bool {
-        self.workers.is_empty()
+        self.servers.is_empty()
     }
 }
 
 impl Router {
     /// What it has learned up to now.
     pub fn snapshot(&self, now: Micros) -> Snapshot {
-        let listed = self.workers.iter().filter(|worker| !worker.id.is_empty());
-        let workers = listed.map(|worker| WorkerSnapshot {
-            id: worker.id.clone(),
-            started_before: (worker.started > 0).then(|| now.saturating_sub(worker.started)),
-            rate: worker.rate,
-            rate_before: now.saturating_sub(worker.rate_at),
-            fails: worker.fails,
-            open_for: worker.open_until.saturating_sub(now),
-            full: worker.full,
-            rests_for: worker.rest.saturating_sub(now),
-            cold_next_in: worker.cold_next.saturating_sub(now),
+        let listed = self.servers.iter().filter(|server| !server.id.is_empty());
+        let servers = listed.map(|server| ServerSnapshot {
+            id: server.id.clone(),
+            started_before: (server.started > 0).then(|| now.saturating_sub(server.started)),
+            rate: server.rate,
+            rate_before: now.saturating_sub(server.rate_at),
+            fails: server.fails,
+            open_for: server.open_until.saturating_sub(now),
+            full: server.full,
+            rests_for: server.rest.saturating_sub(now),
+            cold_next_in: server.cold_next.saturating_sub(now),
         });
         let tenants = self.settings.tenants.iter().zip(&self.quotas);
         let tenants = tenants.map(|(t, quota)| TenantSnapshot { name: t.name.clone(), quota_left: quota.0 });
@@ -79,19 +81,19 @@
         sessions.sort_by_key(|(_, kept)| std::cmp::Reverse(kept.2));
         let sessions = sessions.into_iter().take(SESSIONS_MAX).map(|(id, kept)| SessionSnapshot {
             id: id.clone(),
-            worker: self.workers[kept.0].id.clone(),
+            server: self.servers[kept.0].id.clone(),
             prompt_tokens: kept.1,
             before: now.saturating_sub(kept.2),
         });
         Snapshot {
             pace: self.pace,
             tenants: tenants.collect(),
-            workers: workers.collect(),
+            servers: servers.collect(),
             sessions: sessions.collect(),
         }
     }
 
-    /// Takes over what a snapshot of this age says of workers that are listed, and leaves the rest in it for
+    /// Takes over what a snapshot of this age says of servers that are listed, and leaves the rest in it for
     /// when they are.
     pub fn restore(&mut self, now: Micros, age: Micros, snapshot: &mut Snapshot) {
         if snapshot.pace.iter().all(|pace| *pace > 0.0 && pace.is_finite()) {
@@ -102,38 +104,38 @@
                 self.quotas[i] = (tenant.quota_left, now.saturating_sub(age));
             }
         }
-        let (known, unknown) = std::mem::take(&mut snapshot.workers)
+        let (known, unknown) = std::mem::take(&mut snapshot.servers)
             .into_iter()
-            .partition::<Vec<_>, _>(|worker| self.index.contains_key(&worker.id));
-        snapshot.workers = unknown;
-        for worker in known {
-            self.restore_worker(now, age, &worker);
+            .partition::<Vec<_>, _>(|server| self.index.contains_key(&server.id));
+        snapshot.servers = unknown;
+        for server in known {
+            self.restore_server(now, age, &server);
         }
         let (known, unknown) = std::mem::take(&mut snapshot.sessions)
             .into_iter()
-            .partition::<Vec<_>, _>(|session| self.index.contains_key(&session.worker));
+            .partition::<Vec<_>, _>(|session| self.index.contains_key(&session.server));
         snapshot.sessions = unknown;
         for session in known {
             let at = now.saturating_sub(age + session.before);
-            let kept = (self.index[&session.worker], session.prompt_tokens, at);
+            let kept = (self.index[&session.server], session.prompt_tokens, at);
             self.kept.entry(session.id).or_insert(kept);
         }
     }
 
-    fn restore_worker(&mut self, now: Micros, age: Micros, of: &WorkerSnapshot) {
-        let worker = &mut self.workers[self.index[&of.id]];
+    fn restore_server(&mut self, now: Micros, age: Micros, of: &ServerSnapshot) {
+        let server = &mut self.servers[self.index[&of.id]];
         let started = of.started_before.map_or(0, |before| now.saturating_sub(age + before));
-        if worker.started > started + SAME_START {
+        if server.started > started + SAME_START {
             // It has restarted since: nothing of this is true any more.
             return;
         }
         let left = |span: Micros| now + span.saturating_sub(age);
-        worker.started = worker.started.max(started);
-        worker.rate = of.rate;
-        worker.rate_at = now.saturating_sub(age + of.rate_before);
-        (worker.fails, worker.open_until) = (of.fails, left(of.open_for));
-        (worker.full, worker.rest) = (of.full, left(of.rests_for));
-        worker.cold_next = left(of.cold_next_in);
+        server.started = server.started.max(started);
+        server.rate = of.rate;
+        server.rate_at = now.saturating_sub(age + of.rate_before);
+        (server.fails, server.open_until) = (of.fails, left(of.open_for));
+        (server.full, server.rest) = (of.full, left(of.rests_for));
+        server.cold_next = left(of.cold_next_in);
     }
 }
 
@@ -160,12 +162,12 @@
 }
 
 impl ServerWork {
-    fn of(worker: &Worker) -> Self {
-        ServerWork { reads: worker.reads, streams: worker.streams, tokens: worker.tokens }
+    fn of(server: &Server) -> Self {
+        ServerWork { reads: server.reads, streams: server.streams, tokens: server.tokens }
     }
 
-    fn count_at(self, worker: &mut Worker) {
-        (worker.reads, worker.streams, worker.tokens) = (self.reads, self.streams, self.tokens);
+    fn count_at(self, server: &mut Server) {
+        (server.reads, server.streams, server.tokens) = (self.reads, self.streams, self.tokens);
     }
 
     fn plus(self, other: Self) -> Self {
@@ -188,10 +190,10 @@
 impl Router {
     /// What this router has open at servers.
     pub fn open_work(&self) -> OpenWork {
-        let own = self.workers.iter().filter_map(|worker| {
-            let foreign = self.foreign.0.get(&worker.id).copied().unwrap_or_default();
-            let work = ServerWork::of(worker).minus(foreign);
-            (work != ServerWork::default()).then(|| (worker.id.clone(), work))
+        let own = self.servers.iter().filter_map(|server| {
+            let foreign = self.foreign.0.get(&server.id).copied().unwrap_or_default();
+            let work = ServerWork::of(server).minus(foreign);
+            (work != ServerWork::default()).then(|| (server.id.clone(), work))
         });
         OpenWork(own.collect())
     }
@@ -202,14 +204,14 @@
         let before = std::mem::replace(&mut self.foreign, foreign);
         for (id, work) in &before.0 {
             let Some(&w) = self.index.get(id) else { continue };
-            let worker = &mut self.workers[w];
-            ServerWork::of(worker).minus(*work).count_at(worker);
+            let server = &mut self.servers[w];
+            ServerWork::of(server).minus(*work).count_at(server);
         }
         // What is not listed here is not counted, so that it is not taken off again either.
         self.foreign.0.retain(|id, _| self.index.contains_key(id));
         for (id, work) in &self.foreign.0 {
-            let worker = &mut self.workers[self.index[id]];
-            ServerWork::of(worker).plus(*work).count_at(worker);
+            let server = &mut self.servers[self.index[id]];
+            ServerWork::of(server).plus(*work).count_at(server);
         }
     }
 }
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -24,10 +24,10 @@
     Report::Ended { outcome, kept_tokens: 0, load: None }
 }
 
-/// The verdicts' kinds; a send by its worker.
+/// The verdicts' kinds; a send by its server.
 fn kinds(verdicts: &Verdicts) -> Vec<String> {
     let kind = |(_, verdict): &(Id, Verdict)| match verdict {
-        Verdict::Send { worker, .. } => worker.to_string(),
+        Verdict::Send { server, .. } => server.to_string(),
         other => format!("{other:?}").split(' ').next().unwrap_or_default().to_string(),
     };
     verdicts.requests.iter().map(kind).collect()
@@ -98,7 +98,7 @@
         at = due;
         last = kinds(&facade.tick(at));
     }
-    assert_eq!(last, ["Refuse"], "no worker is known");
+    assert_eq!(last, ["Refuse"], "no server is known");
     assert!(at <= NOW + 5 * SEC, "before its client gives up");
 }
 
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -204,7 +204,7 @@
 }
 
 #[test]
-fn stale_connections_are_no_reason_to_leave_a_worker_alone() {
+fn stale_connections_are_no_reason_to_leave_a_server_alone() {
     let mut b = Bench::new(Settings::example(), &[("r1", 0), ("r2", 0), ("r3", 0), ("w", 1)]);
     let home = sends(&b.ask(query("a", 900)));
     for attempt in 0..2 {
@@ -214,7 +214,7 @@
 }
 
 #[test]
-fn an_unreachable_worker_is_left_alone_then_tried_once() {
+fn an_unreachable_server_is_left_alone_then_tried_once() {
     let mut b = Bench::new(small(), &[("r1", 0), ("r2", 0), ("w", 1)]);
     let first = sends(&b.ask(query("a", 900)))[0].1.clone();
     let out = b.end("a", 0, &first, Outcome::NoConnection);
@@ -235,7 +235,7 @@
 }
 
 #[test]
-fn a_worker_that_is_silent_while_a_peer_answers_gets_nothing_new() {
+fn a_server_that_is_silent_while_a_peer_answers_gets_nothing_new() {
     let mut b = Bench::new(small(), &[("r1", 0), ("r2", 0), ("w", 1), ("w2", 1)]);
     let of = |id: &str, p: &str| Query { prefix: Some(p.into()), ..query(id, 100) };
     let silent = sends(&b.ask(of("a", "p")))[0].1.clone();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -89,7 +89,7 @@
 }
 
 #[test]
-fn nothing_goes_to_a_worker_that_drains_or_is_gone() {
+fn nothing_goes_to_a_server_that_drains_or_is_gone() {
     for health in [Health::Draining, Health::Gone] {
         let mut b = Bench::new(Settings::example(), &FLEET);
         b.list(ListForm::Changes, vec![Entry { health, ..entry("r", 0) }]);
@@ -101,7 +101,7 @@
 }
 
 #[test]
-fn a_cold_worker_gets_a_trickle_and_only_this_routers_part_of_it() {
+fn a_cold_server_gets_a_trickle_and_only_this_routers_part_of_it() {
     let sent = |balancers| {
         let mut b = Bench::new(Settings { balancers, ..Settings::example() }, &[("w", 1)]);
         b.list(ListForm::Changes, vec![Entry { started: b.now, ..entry("r", 0) }]);
@@ -174,7 +174,7 @@
 struct Seen {
     deadline: Micros,
     attempts: u32,
-    /// Worker, send time, when and how it ends, and whether the stream has begun.
+    /// Server, send time, when and how it ends, and whether the stream has begun.
     out: Option<(usize, Micros, Micros, Option<Outcome>, bool)>,
     ended: bool,
     /// A state waits since the last outcome.
@@ -239,9 +239,9 @@
         let now = self.now;
         match action {
             Action::Timer { delay, token } => self.bells.push((now + delay, *token)),
-            Action::Send { id, worker, stop_at, send_by } => {
+            Action::Send { id, server, stop_at, send_by } => {
                 self.check_repeat_by(id, *send_by);
-                self.check_send(id, worker, *stop_at);
+                self.check_send(id, server, *stop_at);
             }
             Action::Decline { id, .. } | Action::Fail { id } => {
                 let seen = self.seen.get_mut(&**id).expect("an answer for a request that was asked");
@@ -278,10 +278,10 @@
         assert_eq!(send_by, first.map(|sent| sent + window - 150 * MS), "{id}");
     }
 
-    fn check_send(&mut self, id: &Id, worker: &Id, stop_at: Micros) {
+    fn check_send(&mut self, id: &Id, server: &Id, stop_at: Micros) {
         let now = self.now;
-        let w = self.fleet.iter().position(|e| e.worker == *worker).expect("a listed worker");
-        assert_eq!(self.fleet[w].health, Health::Up, "sent to {worker}, which drains or is gone");
+        let w = self.fleet.iter().position(|e| e.server == *server).expect("a listed server");
+        assert_eq!(self.fleet[w].health, Health::Up, "sent to {server}, which drains or is gone");
         let fate = self.below(100);
         let delay = (1 + self.below(400)) * MS;
         let seen = self.seen.get_mut(&**id).expect("a send for a request that was asked");
@@ -350,10 +350,10 @@
         let finished = seen.ended || how == Served;
         seen.ended |= finished;
         let attempt = seen.attempts - 1;
-        let worker = self.fleet[w].worker.clone();
+        let server = self.fleet[w].server.clone();
         let elapsed = now - sent;
         let (id, kept_tokens, load) = (id.into(), 0, None);
-        self.feed(Event::Result { id, attempt, worker, outcome: how, elapsed, kept_tokens, finished, load });
+        self.feed(Event::Result { id, attempt, server, outcome: how, elapsed, kept_tokens, finished, load });
     }
 
     /// News of the list: drains, ends, restarts, stale and lost lists.
@@ -381,17 +381,17 @@
     fn odd(&mut self) {
         let n = self.seen.len() as u64 + 3;
         let id: Id = format!("q{}", self.below(n)).as_str().into();
-        let (worker, load) = (self.fleet[0].worker.clone(), Some(Load::default()));
+        let (server, load) = (self.fleet[0].server.clone(), Some(Load::default()));
         let known = self.seen.contains_key(&*id);
         match self.below(5) {
             0 => self.feed(Event::Bell { token: 1 << 40 }),
-            1 => self.feed(Event::Place { id, worker, held: false }),
-            2 => self.feed(Event::Probed { worker, outcome: Outcome::NoConnection, load }),
+            1 => self.feed(Event::Place { id, server, held: false }),
+            2 => self.feed(Event::Probed { server, outcome: Outcome::NoConnection, load }),
             3 if !known => {
                 let (outcome, finished) = (Outcome::ReadDone, false);
                 let (attempt, elapsed, kept_tokens) = (9, 1, 0);
                 let event =
-                    Event::Result { id, attempt, worker, outcome, elapsed, kept_tokens, finished, load };
+                    Event::Result { id, attempt, server, outcome, elapsed, kept_tokens, finished, load };
                 self.feed(event);
             }
             _ => {
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -21,7 +21,7 @@
 }
 
 #[test]
-fn all_routers_together_keep_a_cold_worker_within_its_budget() {
+fn all_routers_together_keep_a_cold_server_within_its_budget() {
     for back in ["r0", "w0"] {
         let settings = large();
         let mut side = Side::new(&settings, &fleet(10, 10));
@@ -33,15 +33,15 @@
         // A warm peer takes 20 a second here, and can do at least that.
         let budget = 20.0 * settings.cold_from * settings.fall_multiple;
         let most = side.busiest_second(back, from);
-        assert!(most > 0, "{back}: a cold worker must be filled");
+        assert!(most > 0, "{back}: a cold server must be filled");
         assert!(most as f64 <= budget, "{back}: {most} sends in a second, budget {budget}");
     }
 }
 
-/// Each router sees two requests a second and most have never sent to this worker: what one alone may send
+/// Each router sees two requests a second and most have never sent to this server: what one alone may send
 /// must add up to the share that all together may.
 #[test]
-fn routers_that_see_little_or_have_just_started_fill_a_cold_worker_all_the_same() {
+fn routers_that_see_little_or_have_just_started_fill_a_cold_server_all_the_same() {
     for (back, before) in [("r0", 15), ("w0", 15), ("r0", 0), ("w0", 0)] {
         let settings = large();
         let mut side = Side::new(&settings, &fleet(10, 10));
@@ -50,7 +50,7 @@
         let kind = usize::from(back.starts_with('w'));
         side.tell(&[Entry { started: from, ..entry(back, kind) }]);
         side.run(8 * SEC);
-        let to = |worker: &str| side.sent.iter().filter(|s| &*s.1 == worker && s.0 >= from).count();
+        let to = |server: &str| side.sent.iter().filter(|s| &*s.1 == server && s.0 >= from).count();
         let peers: usize = (1..10).map(|i| to(&format!("{}{i}", &back[..1]))).sum();
         let (cold, warm) = (to(back), peers / 9);
         // Half of what it may be sent, were a warm one at its limit; most of that is to arrive.
@@ -60,7 +60,7 @@
 }
 
 #[test]
-fn a_new_worker_that_looks_empty_to_all_draws_no_herd() {
+fn a_new_server_that_looks_empty_to_all_draws_no_herd() {
     let mut side = Side::new(&large(), &fleet(10, 10));
     side.run(15 * SEC);
     let from = side.now;
@@ -110,16 +110,16 @@
 }
 
 fn asked(actions: &[Action]) -> Vec<String> {
-    let worker = |a: &Action| match a {
-        Action::Probe { worker } => Some(worker.to_string()),
+    let server = |a: &Action| match a {
+        Action::Probe { server } => Some(server.to_string()),
         _ => None,
     };
-    actions.iter().filter_map(worker).collect()
+    actions.iter().filter_map(server).collect()
 }
 
-fn says(b: &mut Bench, worker: &str, outcome: Outcome, outstanding: f64) -> Vec<Action> {
+fn says(b: &mut Bench, server: &str, outcome: Outcome, outstanding: f64) -> Vec<Action> {
     let load = Some(Load { outstanding: Some(outstanding), ..Load::default() });
-    b.step(Event::Probed { worker: worker.into(), outcome, load })
+    b.step(Event::Probed { server: server.into(), outcome, load })
 }
 
 #[test]
@@ -191,7 +191,7 @@
 }
 
 #[test]
-fn a_worker_that_was_slow_for_this_router_rests_while_others_take_its_work() {
+fn a_server_that_was_slow_for_this_router_rests_while_others_take_its_work() {
     let mut b = router(large(), fleet(30, 30));
     let of = |id: &str| Query { session: "s".into(), ..query(id, 900) };
     let home = sends(&b.ask(of("a")))[0].1.clone();
@@ -199,7 +199,7 @@
     let slow = Event::Result {
         id: "a".into(),
         attempt: 0,
-        worker: home.as_str().into(),
+        server: home.as_str().into(),
         outcome: Outcome::ReadDone,
         elapsed: 600 * MS,
         kept_tokens: 0,
@@ -213,7 +213,7 @@
 }
 
 #[test]
-fn a_worker_that_turned_a_request_away_rests_and_comes_back() {
+fn a_server_that_turned_a_request_away_rests_and_comes_back() {
     let mut b = Bench::new(Settings::example(), &[("m1", 2), ("m2", 2)]);
     let first = sends(&b.ask(query("a", 900)))[0].1.clone();
     b.end("a", 0, &first, Outcome::TurnedAway);
@@ -230,7 +230,7 @@
 fn a_reader_heavy_rack_does_not_pile_its_reads_on_its_one_writer() {
     let mut entries = fleet(4, 6);
     for e in &mut entries {
-        e.cell = if e.kind == 0 || &*e.worker == "w0" { 1 } else { 2 };
+        e.cell = if e.kind == 0 || &*e.server == "w0" { 1 } else { 2 };
     }
     let mut side = Side::new(&large(), &entries);
     side.run(15 * SEC);
@@ -274,7 +274,7 @@
     let out = b.step(Event::Result {
         id: "a".into(),
         attempt: 0,
-        worker: first[0].1.as_str().into(),
+        server: first[0].1.as_str().into(),
         outcome: Outcome::ReadDone,
         elapsed: u64::MAX / 4,
         kept_tokens: u64::MAX,
@@ -336,14 +336,14 @@
         out.extend(b.wait(50 * MS));
         let over: Vec<_> = due.iter().filter(|d| d.0 <= b.now).cloned().collect();
         due.retain(|d| d.0 > b.now);
-        for (_, id, worker) in over {
-            let (id, worker): (Id, Id) = (id.as_str().into(), worker.as_str().into());
+        for (_, id, server) in over {
+            let (id, server): (Id, Id) = (id.as_str().into(), server.as_str().into());
             let (outcome, elapsed, kept_tokens, load) = (Outcome::ReadDone, 800 * MS, 0, None);
             let (attempt, finished) = (0, false);
             out.extend(b.step(Event::Result {
                 id,
                 attempt,
-                worker,
+                server,
                 outcome,
                 elapsed,
                 kept_tokens,
@@ -361,7 +361,7 @@
     // Rack 1 has three readers and one writer, rack 2 one reader and five writers.
     let mut entries = fleet(4, 6);
     for e in &mut entries {
-        e.cell = if matches!(&*e.worker, "r0" | "r1" | "r2" | "w0") { 1 } else { 2 };
+        e.cell = if matches!(&*e.server, "r0" | "r1" | "r2" | "w0") { 1 } else { 2 };
     }
     let mut shares = [0, 0];
     for i in 0..200u64 {
@@ -381,14 +381,14 @@
 }
 
 #[test]
-fn one_hung_worker_does_not_rest_its_whole_role() {
+fn one_hung_server_does_not_rest_its_whole_role() {
     let mut b = router(large(), fleet(9, 9));
     let hung = sends(&b.ask(query("a", 900)))[0].1.clone();
     b.now += 3 * SEC;
     b.step(Event::Result {
         id: "a".into(),
         attempt: 0,
-        worker: hung.as_str().into(),
+        server: hung.as_str().into(),
         outcome: Outcome::NoAnswer,
         elapsed: 3 * SEC,
         kept_tokens: 0,
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -82,7 +82,7 @@
 
     pub fn tell(&mut self, form: ListForm, entries: Vec<Entry>) {
         for entry in &entries {
-            let server = self.servers.entry(entry.worker.clone()).or_default();
+            let server = self.servers.entry(entry.server.clone()).or_default();
             server.slots.resize(SLOTS, 0);
         }
         self.feed(Event::Members { form, entries });
@@ -138,22 +138,23 @@
     }
 
     fn ended(&mut self, id: Id, attempt: u32, outcome: Outcome) {
-        let Some((worker, sent)) = self.is_out(&id, attempt) else { return };
+        let Some((server, sent)) = self.is_out(&id, attempt) else { return };
         self.out.remove(&id);
         let (elapsed, finished) = (self.now - sent, outcome == Outcome::Served);
         let kept_tokens = 0;
         let load = None;
-        self.feed(Event::Result { id, attempt, worker, outcome, elapsed, kept_tokens, finished, load });
+        self.feed(Event::Result { id, attempt, server, outcome, elapsed, kept_tokens, finished, load });
     }
 
-    fn send(&mut self, id: Id, worker: Id, stop_at: Micros) {
+    fn send(&mut self, id: Id, server: Id, stop_at: Micros) {
         let number = self.numbers.entry(id.clone()).or_default();
         let attempt = *number;
         *number += 1;
-        self.out.insert(id.clone(), (attempt, worker.clone(), self.now));
+        self.out.insert(id.clone(), (attempt, server.clone(), self.now));
         let (now, tokens) = (self.now, self.asked[&id].1);
-        let Some(server) = self.servers.get_mut(&worker) else { return };
-        if worker.starts_with('p') {
+        let prefills = server.starts_with('p');
+        let Some(server) = self.servers.get_mut(&server) else { return };
+        if prefills {
             server.until = server.until.max(now) + READ_FIXED + tokens * SEC / READS_PER_S;
             let until = server.until;
             self.plan(until, Due::Read(id.clone(), attempt));
@@ -174,7 +175,7 @@
         self.router.handle(self.now, event, &mut out);
         for action in out {
             match action {
-                Action::Send { id, worker, stop_at, .. } => self.send(id, worker, stop_at),
+                Action::Send { id, server, stop_at, .. } => self.send(id, server, stop_at),
                 Action::Timer { delay, token } => self.plan(self.now + delay, Due::Bell(token)),
                 Action::Decline { id, .. } => drop(self.ends.insert(id, End::Refused)),
                 Action::Fail { id } => drop(self.ends.insert(id, End::Failed)),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,8 +12,8 @@
 pub const SEC: Micros = 1_000_000;
 
 pub fn entry(name: &str, kind: usize) -> Entry {
-    let (worker, health) = (name.into(), Health::Up);
-    Entry { worker, cell: 0, kind, zone: 0, started: 0, health }
+    let (server, health) = (name.into(), Health::Up);
+    Entry { server, cell: 0, kind, zone: 0, started: 0, health }
 }
 
 pub fn query(id: &str, prompt_tokens: u64) -> Query {
@@ -58,7 +58,7 @@
         bench
     }
 
-    /// A router with a seed of its own that knows no worker yet.
+    /// A router with a seed of its own that knows no server yet.
     pub fn seeded(settings: Settings, seed: u64) -> Self {
         let class = settings.classes[0].clone();
         Bench { router: Router::new(settings, seed), now: 100 * SEC, token: 0, class }
@@ -84,11 +84,11 @@
         self.step(Event::Query(Query { class, ..query }))
     }
 
-    pub fn end(&mut self, id: &str, attempt: u32, worker: &str, outcome: Outcome) -> Vec<Action> {
+    pub fn end(&mut self, id: &str, attempt: u32, server: &str, outcome: Outcome) -> Vec<Action> {
         self.step(Event::Result {
             id: id.into(),
             attempt,
-            worker: worker.into(),
+            server: server.into(),
             outcome,
             elapsed: 50 * MS,
             kept_tokens: 0,
@@ -112,10 +112,10 @@
     }
 }
 
-/// Requests and workers of the sends, in order.
+/// Requests and servers of the sends, in order.
 pub fn sends(actions: &[Action]) -> Vec<(String, String)> {
     let pair = |a: &Action| match a {
-        Action::Send { id, worker, .. } => Some((id.to_string(), worker.to_string())),
+        Action::Send { id, server, .. } => Some((id.to_string(), server.to_string())),
         _ => None,
     };
     actions.iter().filter_map(pair).collect()
--- a/tests/support/side.rs
+++ b/tests/support/side.rs
@@ -13,13 +13,13 @@
     asked: usize,
     /// At which of so many routers a request comes.
     pub whose: Box<dyn Fn(usize, usize) -> usize>,
-    /// When, router, request, attempt, worker.
+    /// When, router, request, attempt, server.
     due: Vec<(Micros, usize, Id, u32, Id)>,
     attempts: BTreeMap<Id, u32>,
     bells: BTreeMap<(Micros, usize), u64>,
-    /// When, and to which worker; who sent it.
+    /// When, and to which server; who sent it.
     pub sent: Vec<(Micros, Id, usize)>,
-    /// The prefix of all requests, and the most that were out at one worker.
+    /// The prefix of all requests, and the most that were out at one server.
     pub prefix: Option<Id>,
     pub most: usize,
 }
@@ -64,17 +64,17 @@
         self.routers[i].handle(self.now, event, &mut out);
         for action in out {
             match action {
-                Action::Send { id, worker, .. } => {
+                Action::Send { id, server, .. } => {
                     let attempt = self.attempts.entry(id.clone()).or_insert(0);
-                    self.due.push((self.now + 50 * MS, i, id, *attempt, worker.clone()));
+                    self.due.push((self.now + 50 * MS, i, id, *attempt, server.clone()));
                     *attempt += 1;
-                    self.most = self.most.max(self.holds(&worker));
-                    self.sent.push((self.now, worker, i));
+                    self.most = self.most.max(self.holds(&server));
+                    self.sent.push((self.now, server, i));
                 }
-                Action::Probe { worker } => {
+                Action::Probe { server } => {
                     let load =
-                        Some(Load { outstanding: Some(self.holds(&worker) as f64), ..Load::default() });
-                    self.feed(i, Event::Probed { worker, outcome: Outcome::Served, load });
+                        Some(Load { outstanding: Some(self.holds(&server) as f64), ..Load::default() });
+                    self.feed(i, Event::Probed { server, outcome: Outcome::Served, load });
                 }
                 Action::Timer { delay, token } => {
                     self.bells.insert((self.now + delay, i), token);
@@ -84,8 +84,8 @@
         }
     }
 
-    fn holds(&self, worker: &str) -> usize {
-        self.due.iter().filter(|d| &*d.4 == worker).count()
+    fn holds(&self, server: &str) -> usize {
+        self.due.iter().filter(|d| &*d.4 == server).count()
     }
 
     /// One new request every five milliseconds, at the routers in turn if `whose` says nothing else.
@@ -100,8 +100,8 @@
             }
             let (over, due) = std::mem::take(&mut self.due).into_iter().partition(|d| d.0 <= now);
             self.due = due;
-            for (_, i, id, attempt, worker) in Vec::from_iter::<Vec<_>>(over) {
-                let read = worker.starts_with('r');
+            for (_, i, id, attempt, server) in Vec::from_iter::<Vec<_>>(over) {
+                let read = server.starts_with('r');
                 let outcome = if read { Outcome::ReadDone } else { Outcome::Served };
                 let (elapsed, kept_tokens, load) = (50 * MS, 0, None);
                 if !read {
@@ -110,7 +110,7 @@
                 let finished = !read;
                 self.feed(
                     i,
-                    Event::Result { id, attempt, worker, outcome, elapsed, kept_tokens, finished, load },
+                    Event::Result { id, attempt, server, outcome, elapsed, kept_tokens, finished, load },
                 );
             }
             self.asked += 1;
@@ -120,9 +120,9 @@
         }
     }
 
-    pub fn busiest_second(&self, worker: &str, from: Micros) -> usize {
+    pub fn busiest_second(&self, server: &str, from: Micros) -> usize {
         let times: Vec<Micros> =
-            self.sent.iter().filter(|s| &*s.1 == worker && s.0 >= from).map(|s| s.0).collect();
+            self.sent.iter().filter(|s| &*s.1 == server && s.0 >= from).map(|s| s.0).collect();
         let within = |&t: &Micros| times.iter().filter(|&&u| u >= t && u < t + SEC).count();
         times.iter().map(within).max().unwrap_or(0)
     }
