--- a/core/src/clock.rs
+++ b/core/src/clock.rs
@@ -5,11 +5,11 @@
 use frosttrail::Micros;
 use tokio::time::Instant;
 
-/// What the clock shows when the program starts, so that a box that started earlier has a time too.
+/// What the clock shows when the program starts, so that a server that started earlier has a time too.
 const AT_START: Micros = 3_600_000_000;
 
 /// Monotonic time since an hour before the start. Its relation to the wall clock is read once: were it
-/// read again for each list, a box's start would seem to move and each list would look like a restart.
+/// read again for each list, a server's start would seem to move and each list would look like a restart.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: Instant,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -1,6 +1,6 @@
 //! Requests, attempts and outcomes: what a conductor does with the decisions, whatever the wire.
 //!
-//! [`start`] takes the settings, something that reaches boxes ([`Boxes`]) and a list of members
+//! [`start`] takes the settings, something that reaches servers ([`Upstream`]) and a list of members
 //! ([`MemberList`]), and gives a [`Conductor`]: a cheap handle that any front can call, and a
 //! [`tower_service::Service`] for use as a client-side plug-in within an RPC library.
 //!
@@ -16,9 +16,9 @@
 mod figures;
 mod owner;
 mod permit;
+mod reachability;
 mod release;
 mod request;
-mod standing;
 mod traits;
 
 pub use clock::Clock;
@@ -27,4 +27,4 @@
 pub use owner::{start, Conductor, Learned, Parts};
 pub use permit::{SendPermit, Withheld};
 pub use request::{Answer, AnswerStream, Broken, CallError, Request};
-pub use traits::{Boxes, Events, MemberList, News, Reply, Step};
+pub use traits::{Events, MemberList, News, Reply, Step, Upstream};
--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -20,13 +20,13 @@
 use crate::exclusion::{ExclusionError, Exclusions};
 use crate::figures::Figures;
 use crate::permit::{Admissions, SendPermit};
+use crate::reachability::Reachability;
 use crate::release::release;
-use crate::standing::Standing;
-use crate::traits::{Boxes, MemberList, News};
+use crate::traits::{MemberList, News, Upstream};
 
-/// How long a release is tried beyond the settings' time: a box that was cut off still holds the state.
+/// How long a release is tried beyond the settings' time: a server that was cut off still holds the state.
 const RELEASE_MORE: Duration = Duration::from_secs(4);
-/// Share of the settings' time after which the next box is asked beside one that has not answered.
+/// Share of the settings' time after which the next server is asked beside one that has not answered.
 const RELEASE_PACE: u32 = 10;
 /// Share of it that the request's next attempt waits for a release to end.
 const RELEASE_WAIT: u32 = 2;
@@ -99,8 +99,8 @@
     pub seed: u64,
     /// The clock, also of whoever converts start times of members.
     pub clock: Clock,
-    /// The way to the boxes.
-    pub boxes: Arc<B>,
+    /// The way to the servers.
+    pub upstream: Arc<B>,
     /// The list of members.
     pub members: M,
     /// Instances that operators have taken out of use before.
@@ -116,7 +116,7 @@
 /// A handle on a running conductor; clones are cheap and speak to the same one.
 pub struct Conductor<B> {
     pub(crate) tell: mpsc::UnboundedSender<Message>,
-    pub(crate) boxes: Arc<B>,
+    pub(crate) upstream: Arc<B>,
     pub(crate) clock: Clock,
     /// The settings in force.
     settings: Arc<watch::Sender<Arc<Settings>>>,
@@ -137,7 +137,7 @@
     fn clone(&self) -> Self {
         Conductor {
             tell: self.tell.clone(),
-            boxes: self.boxes.clone(),
+            upstream: self.upstream.clone(),
             clock: self.clock,
             settings: self.settings.clone(),
             tickets: self.tickets.clone(),
@@ -150,7 +150,7 @@
     }
 }
 
-impl<B: Boxes> Conductor<B> {
+impl<B: Upstream> Conductor<B> {
     pub(crate) fn ticket(&self) -> Ticket {
         self.tickets.fetch_add(1, Ordering::Relaxed)
     }
@@ -175,7 +175,7 @@
         let _ = self.tell.send(Message::Close);
     }
 
-    /// This conductor's part of what all that send to the same boxes share: of 1. Until it is told, that is
+    /// This conductor's part of what all that send to the same servers share: of 1. Until it is told, that is
     /// one of the number in the settings.
     pub fn share(&self, part: f64) {
         let _ = self.tell.send(Message::Share(part));
@@ -263,8 +263,8 @@
 }
 
 /// Starts a conductor on the current runtime. It runs until every handle has gone.
-pub fn start<B: Boxes, M: MemberList>(parts: Parts<B, M>) -> Conductor<B> {
-    let Parts { settings, seed, clock, boxes, mut members, excluded, figures, learned, log } = parts;
+pub fn start<B: Upstream, M: MemberList>(parts: Parts<B, M>) -> Conductor<B> {
+    let Parts { settings, seed, clock, upstream, mut members, excluded, figures, learned, log } = parts;
     figures.add_classes(&settings);
     let (tell, inbox) = mpsc::unbounded_channel();
     let (able_tx, able) = watch::channel(false);
@@ -280,10 +280,10 @@
     let owner = Owner {
         facade: Facade::new(settings, seed),
         clock,
-        boxes: boxes.clone(),
+        upstream: upstream.clone(),
         tell: tell.downgrade(),
         seats: HashMap::new(),
-        standing: Standing::default(),
+        reachability: Reachability::default(),
         able: able_tx,
         releases: releases.clone(),
         exclusions: exclusions.clone(),
@@ -305,7 +305,7 @@
     });
     Conductor {
         tell,
-        boxes,
+        upstream,
         clock,
         settings: in_force,
         tickets: Arc::default(),
@@ -317,7 +317,7 @@
     }
 }
 
-/// A request that is open: where its verdicts go, and the boxes it went to, latest first.
+/// A request that is open: where its verdicts go, and the servers it went to, latest first.
 struct Seat {
     ticket: Ticket,
     verdicts: mpsc::UnboundedSender<Order>,
@@ -341,11 +341,11 @@
 struct Owner<B> {
     facade: Facade,
     clock: Clock,
-    boxes: Arc<B>,
+    upstream: Arc<B>,
     tell: mpsc::WeakUnboundedSender<Message>,
     seats: HashMap<Id, Seat>,
     /// The members, for releases.
-    standing: Standing,
+    reachability: Reachability,
     able: watch::Sender<bool>,
     releases: TaskTracker,
     exclusions: Arc<Mutex<Exclusions>>,
@@ -359,7 +359,7 @@
     log: Logger,
 }
 
-impl<B: Boxes> Owner<B> {
+impl<B: Upstream> Owner<B> {
     async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
         let mut worked = Duration::ZERO;
         loop {
@@ -416,7 +416,7 @@
                     Report::Left => Outcome::CalledOff,
                 };
                 if let Some(server) = seat.sent_to.first() {
-                    self.standing.told(server, outcome, now);
+                    self.reachability.told(server, outcome, now);
                 }
                 seat.last = Some(outcome);
                 if matches!(outcome, Outcome::Served | Outcome::ReadDone) {
@@ -433,7 +433,7 @@
                 return;
             }
             Message::Probed(server, outcome, load) => {
-                self.standing.told(&server, outcome, now);
+                self.reachability.told(&server, outcome, now);
                 self.facade.probed(now, server, outcome, load)
             }
             Message::News(news) => self.news(news),
@@ -488,7 +488,7 @@
             return;
         }
         self.read_figures_at = now + READ_FIGURES_EVERY;
-        let listed = self.standing.count();
+        let listed = self.reachability.count();
         let avoided = listed.saturating_sub(self.facade.usable());
         self.figures.cluster_size.set(listed as i64);
         self.figures.cluster_unhealthy.set(avoided as i64);
@@ -499,8 +499,8 @@
         for entry in &entries {
             debug!(self.log, "member"; "is" => ?entry);
         }
-        self.standing.members(form, &entries);
-        let up = self.standing.count();
+        self.reachability.members(form, &entries);
+        let up = self.reachability.count();
         info!(self.log, "members"; "form" => ?form, "entries" => entries.len(), "up" => up);
         let now = self.clock.now();
         let entries = lock(&self.exclusions).news(now, form, &entries);
@@ -529,7 +529,7 @@
             let after = match verdict {
                 Verdict::Release => {
                     seat.call_off_release();
-                    let order = self.standing.order(&seat.sent_to);
+                    let order = self.reachability.order(&seat.sent_to);
                     let (task, end) = self.release(id.clone(), order);
                     if let Some(seat) = self.seats.get_mut(&id) {
                         seat.release = Some((task, Some(end)));
@@ -563,13 +563,13 @@
 
     /// Starts a release; the other half resolves once it has ended.
     fn release(&self, id: Id, order: Vec<Id>) -> (AbortHandle, oneshot::Receiver<()>) {
-        let (boxes, log, time) = (self.boxes.clone(), self.log.clone(), self.release);
+        let (upstream, log, time) = (self.upstream.clone(), self.log.clone(), self.release);
         let (ended, end) = oneshot::channel();
         let task = self.releases.spawn(async move {
             let _ended: oneshot::Sender<()> = ended;
             let begin = tokio::time::Instant::now();
             let pace = time / RELEASE_PACE;
-            match release(boxes, id.clone(), order, pace, time + RELEASE_MORE).await {
+            match release(upstream, id.clone(), order, pace, time + RELEASE_MORE).await {
                 Some(by) => debug!(log, "released"; "id" => %id, "by" => %by, "after" => ?begin.elapsed()),
                 None => info!(log, "a release reached no box"; "id" => %id),
             }
@@ -578,9 +578,9 @@
     }
 
     fn probe(&self, server: Id) {
-        let (boxes, tell) = (self.boxes.clone(), self.tell.clone());
+        let (upstream, tell) = (self.upstream.clone(), self.tell.clone());
         tokio::spawn(async move {
-            let (outcome, load) = boxes.probe(&server).await;
+            let (outcome, load) = upstream.probe(&server).await;
             if let Some(tell) = tell.upgrade() {
                 let _ = tell.send(Message::Probed(server, outcome, load));
             }
--- a/core/src/release.rs
+++ b/core/src/release.rs
@@ -1,4 +1,4 @@
-//! Letting go of what boxes hold for a request.
+//! Letting go of what servers hold for a request.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,20 +7,20 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
-use crate::traits::Boxes;
+use crate::traits::Upstream;
 
-/// One box has this long to take the call.
+/// One server has this long to take the call.
 const EACH: Duration = Duration::from_millis(200);
-/// So many boxes are asked at once at most.
+/// So many servers are asked at once at most.
 const AT_ONCE: usize = 4;
 /// After one that said no.
 const PAUSE: Duration = Duration::from_millis(5);
 
-/// Calls boxes until one has taken the release, or `within` has passed; gives that one. Any box can let go
-/// of all that is held for a request, wherever it is. One that has not answered within `pace` keeps its time,
-/// and the next is asked beside it: a zone that is silent must not use up the time of the rule.
-pub(crate) async fn release<B: Boxes>(
-    boxes: Arc<B>,
+/// Calls servers until one has taken the release, or `within` has passed; gives that one. Any server can
+/// let go of all that is held for a request, wherever it is. One that has not answered within `pace` keeps
+/// its time, and the next is asked beside it: a zone that is silent must not use up the time of the rule.
+pub(crate) async fn release<B: Upstream>(
+    upstream: Arc<B>,
     id: Id,
     order: Vec<Id>,
     pace: Duration,
@@ -38,9 +38,9 @@
                     _ => due = due.min(Instant::now() + PAUSE),
                 },
                 () = sleep_until(due), if calls.len() < AT_ONCE => {
-                    let (server, id, boxes) = (turn.next()?, id.clone(), boxes.clone());
+                    let (server, id, upstream) = (turn.next()?, id.clone(), upstream.clone());
                     calls.spawn(async move {
-                        let taken = timeout(EACH, boxes.release(&server, &id)).await == Ok(true);
+                        let taken = timeout(EACH, upstream.release(&server, &id)).await == Ok(true);
                         taken.then_some(server)
                     });
                     due = Instant::now() + pace;
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -13,13 +13,13 @@
 use crate::figures::Account;
 use crate::owner::{Conductor, Message, Order, Ticket};
 use crate::permit::SendPermit;
-use crate::traits::{Boxes, Events, Reply, Step};
+use crate::traits::{Events, Reply, Step, Upstream};
 
-/// A stream that says nothing for this long has lost its box: a machine that vanished ends no
+/// A stream that says nothing for this long has lost its server: a machine that vanished ends no
 /// connection. Below the 5 s after which a waiting client counts as left waiting.
 const SILENCE: Duration = Duration::from_millis(4_500);
-/// What came while the client took nothing lies in the box's socket, and has this long to come through once
-/// the client takes events again. With the silence it stays below those 5 s.
+/// What came while the client took nothing lies in the server's socket, and has this long to come through
+/// once the client takes events again. With the silence it stays below those 5 s.
 const CATCH_UP: Duration = Duration::from_millis(250);
 
 /// A client's request as a front hands it over.
@@ -27,14 +27,14 @@
 pub struct Request<C> {
     /// What the decisions know of it.
     pub query: Query,
-    /// What goes to the boxes.
+    /// What goes to the servers.
     pub call: C,
 }
 
 /// The final answer of a request.
 #[derive(Debug)]
 pub enum Answer<E: Events> {
-    /// Served: the events of one box's stream.
+    /// Served: the events of one server's stream.
     Served(AnswerStream<E>),
     /// Refused: trying again is harmless.
     Refused {
@@ -108,7 +108,7 @@
     Order(Order),
 }
 
-impl<B: Boxes> Conductor<B> {
+impl<B: Upstream> Conductor<B> {
     /// Takes a request to its final answer. Dropping the future gives the request up.
     pub async fn call(&self, request: Request<B::Call>) -> Result<Answer<B::Events>, CallError> {
         let Request { query, call } = request;
@@ -169,7 +169,7 @@
                     return Reply::Ended(Outcome::NotSent, None);
                 }
                 let wait = Duration::from_micros(stop_at.saturating_sub(self.clock.now()));
-                self.boxes.attempt(server, &id, call, wait, &permit).await
+                self.upstream.attempt(server, &id, call, wait, &permit).await
             };
             // What has been decided stands, also where a reply lies ready beside it: the decisions have let
             // go of the request, and what would begin to stream now might be cut by the conductor's end.
@@ -188,7 +188,7 @@
         };
         if ended_here {
             // Neither another attempt nor an answer may overtake its end.
-            let takes = self.boxes.end_takes(server);
+            let takes = self.upstream.end_takes(server);
             if !takes.is_zero() {
                 sleep(takes).await;
             }
@@ -218,7 +218,7 @@
 }
 
 /// The events of an answer that has begun, unchanged and as they come. It ends well only where the
-/// box's stream did; a break is an error, so that a front never completes it.
+/// server's stream did; a break is an error, so that a front never completes it.
 #[derive(Debug)]
 pub struct AnswerStream<E: Events> {
     seat: Option<Seat>,
@@ -261,7 +261,7 @@
                         self.silence.as_mut().reset(soonest);
                     }
                 }
-                // One stream that stalls may be that answer's own fault; a box that has vanished shows in
+                // One stream that stalls may be that answer's own fault; a server that has vanished shows in
                 // others.
                 ready!(self.silence.as_mut().poll(cx));
                 Step::Broken(Outcome::NoAnswer)
@@ -293,7 +293,7 @@
     }
 }
 
-impl<B: Boxes> tower_service::Service<Request<B::Call>> for Conductor<B> {
+impl<B: Upstream> tower_service::Service<Request<B::Call>> for Conductor<B> {
     type Response = Answer<B::Events>;
     type Error = CallError;
     type Future = Pin<Box<dyn Future<Output = Result<Self::Response, CallError>> + Send>>;
--- a/core/src/traits.rs
+++ b/core/src/traits.rs
@@ -42,16 +42,16 @@
     fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Step>;
 }
 
-/// The way to the boxes. Dropping a future that it returned ends what that future did: the attempt's
+/// The way to the servers. Dropping a future that it returned ends what that future did: the attempt's
 /// connection is closed.
-pub trait Boxes: Send + Sync + 'static {
-    /// What travels to a box: the request as the front's wire has it.
+pub trait Upstream: Send + Sync + 'static {
+    /// What travels to a server: the request as the front's wire has it.
     type Call: Send + Sync + 'static;
     /// Answers.
     type Events: Events;
 
     /// One attempt, never repeated: it resolves with the read's end, the first event or the outcome, and
-    /// after `wait` at the latest. Only the way to a box knows whether a request that was given up by then
+    /// after `wait` at the latest. Only the way to a server knows whether a request that was given up by then
     /// had been written, and so whether it may run, so this clock is kept there.
     ///
     /// `permit` is to be asked directly before the first byte is written, after all waits; an attempt that it
@@ -65,16 +65,16 @@
         permit: &SendPermit,
     ) -> impl Future<Output = Reply<Self::Events>> + Send;
 
-    /// How long the end of an attempt may be on its way to a box. Until it has arrived, the box counts the
-    /// attempt as out. As far as is known: zero where the way says nothing.
+    /// How long the end of an attempt may be on its way to a server. Until it has arrived, the server
+    /// counts the attempt as out. As far as is known: zero where the way says nothing.
     fn end_takes(&self, _server: &Id) -> Duration {
         Duration::ZERO
     }
 
-    /// Asks one box to let go of all that is held for the request; true once it has said so.
+    /// Asks one server to let go of all that is held for the request; true once it has said so.
     fn release(&self, server: &Id, request: &Id) -> impl Future<Output = bool> + Send;
 
-    /// Probes one box.
+    /// Probes one server.
     fn probe(&self, server: &Id) -> impl Future<Output = (Outcome, Option<Load>)> + Send;
 }
 
--- a/core/tests/held.rs
+++ b/core/tests/held.rs
@@ -1,6 +1,6 @@
-//! Whatever boxes do not answer: a state that was read is taken by an attempt that reaches a box, or a
+//! Whatever servers do not answer: a state that was read is taken by an attempt that reaches a server, or a
 //! release has reached one that runs, within the settings' time and what sockets add to it. Truth is
-//! counted at the boxes; time is paused.
+//! counted at the servers; time is paused.
 
 mod support;
 
@@ -12,7 +12,7 @@
 
 use frosttrail::{Entry, Health, Id, ListForm, Load, Outcome, Role, Settings};
 use frosttrail_core::{
-    start, Answer, Boxes, Clock, Events, Figures, News, Parts, Reply, Request, SendPermit, Step,
+    start, Answer, Clock, Events, Figures, News, Parts, Reply, Request, SendPermit, Step, Upstream,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use support::{paused, query, Fixed};
@@ -25,7 +25,7 @@
 const SILENT_FOR: Duration = Duration::from_millis(300);
 const NAMES: [&str; 8] = ["r1", "r2", "r3", "r4", "w1", "w2", "w3", "w4"];
 
-/// How a box is.
+/// How a server is.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Is {
     Well,
@@ -91,7 +91,7 @@
     }
 }
 
-impl Boxes for Table {
+impl Upstream for Table {
     type Call = ();
     type Events = Over;
 
@@ -159,7 +159,7 @@
     }
 }
 
-/// One request through a fleet of which each box is as it is; how long its state waited at worst.
+/// One request through a fleet of which each server is as it is; how long its state waited at worst.
 async fn longest(are: [Is; 8], release: Duration) -> Duration {
     let table = Table::default();
     table.with(|w| w.are = NAMES.iter().map(|n| Id::from(*n)).zip(are).collect());
@@ -185,7 +185,7 @@
         settings,
         seed: 7,
         clock: Clock::new(),
-        boxes: Arc::new(table.clone()),
+        upstream: Arc::new(table.clone()),
         members: Fixed(Some(News { form: ListForm::Full, entries })),
         log: slog::Logger::root(slog::Discard, slog::o!()),
     });
--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -1,6 +1,6 @@
-//! A model of one request's connection to the boxes, against which random steps are checked: at any
+//! A model of one request's connection to the servers, against which random steps are checked: at any
 //! moment at most one attempt is out, what may have run is not sent or refused again, the client gets
-//! exactly one final answer, and no state stays behind. Time is paused, boxes are a table in memory.
+//! exactly one final answer, and no state stays behind. Time is paused, servers are a table in memory.
 
 mod support;
 
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use frosttrail::{Entry, Health, Id, ListForm, Load, Outcome, Role, Settings};
-use frosttrail_core::{start, Answer, Boxes, Clock, Conductor, Events, Figures, News, Parts, Reply};
+use frosttrail_core::{start, Answer, Clock, Conductor, Events, Figures, News, Parts, Reply, Upstream};
 use frosttrail_core::{CallError, Request, SendPermit, Step};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use support::{classes, paused, query, Fixed};
@@ -21,7 +21,7 @@
 
 type Answered = Result<Answer<Stream>, CallError>;
 
-/// An attempt as its box sees it.
+/// An attempt as its server sees it.
 struct Attempt {
     server: Id,
     reply: oneshot::Sender<Reply<Stream>>,
@@ -35,7 +35,7 @@
     attempts: Vec<Attempt>,
     sends: Vec<Id>,
     releases: u32,
-    /// How long a box takes to let go,
+    /// How long a server takes to let go,
     release_takes: Duration,
     /// and how long the end of an attempt is on its way to one.
     end_takes: Duration,
@@ -51,7 +51,7 @@
     }
 }
 
-/// Counts an attempt as out until its box has ended it, or has heard that its future, or the stream it
+/// Counts an attempt as out until its server has ended it, or has heard that its future, or the stream it
 /// became, was dropped.
 struct Out {
     table: Table,
@@ -104,7 +104,7 @@
     }
 }
 
-impl Boxes for Table {
+impl Upstream for Table {
     type Call = ();
     type Events = Stream;
 
@@ -215,7 +215,7 @@
         settings: settings(),
         seed: 7,
         clock: Clock::new(),
-        boxes: Arc::new(table.clone()),
+        upstream: Arc::new(table.clone()),
         members: Fixed(Some(News { form: ListForm::Full, entries })),
         log: slog::Logger::root(slog::Discard, slog::o!()),
     })
@@ -381,7 +381,7 @@
 #[test]
 fn random_steps_keep_the_rules() {
     fn keeps(book: bool, far: bool, steps: Vec<Happens>) -> bool {
-        // Where boxes are far, the end of an attempt is later there than the next would be elsewhere.
+        // Where servers are far, the end of an attempt is later there than the next would be elsewhere.
         let end_takes = Duration::from_millis(if far { 20 } else { 0 });
         paused(walk(book, end_takes, steps));
         true
@@ -444,7 +444,7 @@
 }
 
 /// Sends and releases of a request so long after its reads ended like this, and whether it is served in the
-/// end; boxes take so long to let go.
+/// end; servers take so long to let go.
 async fn read_anew(first: &[Happens], release_takes: u64, wait: u64) -> (usize, u32, bool) {
     let table = Table::default();
     table.with(|w| w.release_takes = Duration::from_millis(release_takes));
@@ -485,7 +485,7 @@
     paused(async {
         assert_eq!(read_anew(&[Broke, NoConnection], 40, 0).await, (2, 0, true), "waits for the release");
         assert_eq!(read_anew(&[Broke, NoConnection], 40, 40).await, (3, 1, true));
-        // Where no box takes the release, the request does not wait for ever, and none comes later.
+        // Where no server takes the release, the request does not wait for ever, and none comes later.
         assert_eq!(read_anew(&[Broke, NoConnection], 10_000, 300).await, (3, 0, true));
         assert_eq!(read_anew(&[NoConnection], 40, 0).await, (2, 0, true), "nothing is held");
     });
--- a/core/tests/permit.rs
+++ b/core/tests/permit.rs
@@ -9,8 +9,8 @@
 
 use frosttrail::{Entry, Health, Id, ListForm, Load, Outcome, Role, Settings};
 use frosttrail_core::{
-    start, Boxes, Clock, Conductor, Events, Figures, MemberList, News, Parts, Reply, Request, SendPermit,
-    Step,
+    start, Clock, Conductor, Events, Figures, MemberList, News, Parts, Reply, Request, SendPermit, Step,
+    Upstream,
 };
 use support::{classes, paused, query};
 use tokio::sync::mpsc;
@@ -42,7 +42,7 @@
     }
 }
 
-impl Boxes for Servers {
+impl Upstream for Servers {
     type Call = ();
     type Events = NoEvents;
 
@@ -110,7 +110,7 @@
         settings,
         seed: 7,
         clock: Clock::new(),
-        boxes: Arc::new(servers.clone()),
+        upstream: Arc::new(servers.clone()),
         members: Told(told),
         log: slog::Logger::root(slog::Discard, slog::o!()),
     });
--- a/core/tests/unit/standing.rs
+++ b/core/tests/unit/reachability.rs
@@ -1,4 +1,4 @@
-//! Tests of what `core/src/standing.rs` keeps to itself.
+//! Tests of what `core/src/reachability.rs` keeps to itself.
 
 use super::*;
 use quickcheck::{Gen, QuickCheck};
@@ -8,25 +8,25 @@
     Entry { server: name.into(), cell: 0, kind: 0, zone, started: 0, health }
 }
 
-fn fleet() -> Standing {
-    let mut standing = Standing::default();
+fn fleet() -> Reachability {
+    let mut reachability = Reachability::default();
     let entries: Vec<Entry> = ["a1", "a2", "a3"]
         .map(|n| entry(n, 0))
         .into_iter()
         .chain(["b1", "b2"].map(|n| entry(n, 1)))
         .collect();
-    standing.members(ListForm::Full, &entries);
-    standing
+    reachability.members(ListForm::Full, &entries);
+    reachability
 }
 
-fn order(standing: &Standing, sent_to: &[&str]) -> Vec<String> {
+fn order(reachability: &Reachability, sent_to: &[&str]) -> Vec<String> {
     let sent_to: Vec<Id> = sent_to.iter().map(|s| Id::from(*s)).collect();
-    standing.order(&sent_to).iter().map(Id::to_string).collect()
+    reachability.order(&sent_to).iter().map(Id::to_string).collect()
 }
 
 #[test]
 fn what_was_heard_last_comes_first_and_what_was_silent_last() {
-    let mut standing = fleet();
+    let mut reachability = fleet();
     for (id, outcome, at) in [
         ("a1", Outcome::ReadDone, 10),
         ("a2", Outcome::TurnedAway, 20),
@@ -34,9 +34,9 @@
         ("b1", Outcome::Served, 5),
         ("b2", Outcome::NoAnswer, 6),
     ] {
-        standing.told(&id.into(), outcome, at);
+        reachability.told(&id.into(), outcome, at);
     }
-    assert_eq!(order(&standing, &["a2", "a1", "x"]), ["a1", "b1", "a3", "a2", "b2", "x"]);
+    assert_eq!(order(&reachability, &["a2", "a1", "x"]), ["a1", "b1", "a3", "a2", "b2", "x"]);
 }
 
 #[test]
@@ -46,31 +46,31 @@
 
 #[test]
 fn a_list_keeps_what_was_heard_of_those_that_stay() {
-    let mut standing = fleet();
-    standing.told(&"a3".into(), Outcome::ReadDone, 10);
-    standing.told(&"b2".into(), Outcome::NoConnection, 10);
-    standing.members(ListForm::Full, &[entry("a1", 0), entry("a3", 0), entry("b2", 0)]);
-    assert_eq!(order(&standing, &[]), ["a3", "a1", "b2"]);
-    standing.members(ListForm::Changes, &[Entry { health: Health::Gone, ..entry("a3", 0) }]);
-    assert_eq!((order(&standing, &[]), standing.count()), (vec!["a1".into(), "b2".into()], 2));
+    let mut reachability = fleet();
+    reachability.told(&"a3".into(), Outcome::ReadDone, 10);
+    reachability.told(&"b2".into(), Outcome::NoConnection, 10);
+    reachability.members(ListForm::Full, &[entry("a1", 0), entry("a3", 0), entry("b2", 0)]);
+    assert_eq!(order(&reachability, &[]), ["a3", "a1", "b2"]);
+    reachability.members(ListForm::Changes, &[Entry { health: Health::Gone, ..entry("a3", 0) }]);
+    assert_eq!((order(&reachability, &[]), reachability.count()), (vec!["a1".into(), "b2".into()], 2));
 }
 
-/// Whatever was told: each box once, none that answered behind one that did not, and of the two first
+/// Whatever was told: each server once, none that answered behind one that did not, and of the two first
 /// that answered one in each zone, where there are such.
 #[test]
 fn any_order_holds_every_box_once() {
     fn holds(told: Vec<(u8, bool)>) -> bool {
-        let mut standing = fleet();
+        let mut reachability = fleet();
         let names = ["a1", "a2", "a3", "b1", "b2"];
         for (at, (which, heard)) in told.iter().enumerate() {
             let outcome = if *heard { Outcome::Served } else { Outcome::NoConnection };
-            standing.told(&names[usize::from(*which) % 5].into(), outcome, 1 + at as Micros);
+            reachability.told(&names[usize::from(*which) % 5].into(), outcome, 1 + at as Micros);
         }
-        let order = standing.order(&[]);
+        let order = reachability.order(&[]);
         let silent: Vec<bool> =
-            order.iter().map(|id| standing.boxes[id]).map(|k| k.silent > k.heard).collect();
+            order.iter().map(|id| reachability.servers[id]).map(|k| k.silent > k.heard).collect();
         let good = silent.iter().filter(|s| !**s).count();
-        let zones = |n: usize| order[..n].iter().map(|id| standing.boxes[id].zone).collect::<Vec<_>>();
+        let zones = |n: usize| order[..n].iter().map(|id| reachability.servers[id].zone).collect::<Vec<_>>();
         let both = [0, 1].iter().all(|z| zones(good).contains(z));
         let mut sorted = order.clone();
         sorted.sort();
--- a/daemon/src/command/operations.rs
+++ b/daemon/src/command/operations.rs
@@ -11,14 +11,14 @@
 use frosttrail::OpenWork;
 use frosttrail_core::{Conductor, Figures, Learned};
 use frosttrail_daemon::config::Config;
-use frosttrail_daemon::front::Doors;
+use frosttrail_daemon::front::ClientListeners;
 use frosttrail_daemon::listener_handover::{InheritedListeners, ListenerHandover};
 use frosttrail_daemon::open_work_files::OpenWorkFiles;
 use frosttrail_daemon::ops::{CallMarks, ConductorOperations, ExclusionStore, OpsServer};
 use frosttrail_daemon::snapshot_file::SnapshotFile;
 use frosttrail_daemon::state_dir;
 use frosttrail_daemon::transient::{is_shortage, retry_at_start};
-use frosttrail_daemon::upstream::Upstream;
+use frosttrail_daemon::upstream::HttpUpstream;
 use slog::{warn, Logger};
 use tokio::time::sleep;
 use tokio_util::task::AbortOnDropHandle;
@@ -79,7 +79,7 @@
     /// Answers calls from now on; `serving` is set while the process takes requests.
     pub fn answer_calls(
         &mut self,
-        conductor: &Conductor<Upstream>,
+        conductor: &Conductor<HttpUpstream>,
         figures: Figures,
         serving: Arc<AtomicBool>,
         log: &Logger,
@@ -94,7 +94,7 @@
 
     /// Takes over which instances are excluded. Resolves once that is known: a folder that can't be read says
     /// nothing, and may not be taken for one that holds nothing.
-    pub async fn restore_exclusions(&self, conductor: &Conductor<Upstream>, log: &Logger) {
+    pub async fn restore_exclusions(&self, conductor: &Conductor<HttpUpstream>, log: &Logger) {
         let mut told = false;
         loop {
             let Some(mark) = self.calls.mark() else {
@@ -123,7 +123,12 @@
     }
 
     /// Keeps what the next process needs.
-    pub fn start(self, conductor: &Conductor<Upstream>, listeners: Listeners, log: &Logger) -> OpsService {
+    pub fn start(
+        self,
+        conductor: &Conductor<HttpUpstream>,
+        listeners: Listeners,
+        log: &Logger,
+    ) -> OpsService {
         let Ops { folder, store, snapshot, calls, .. } = self;
         let handover = ListenerHandover::offer(&folder, Arc::new(listeners.listeners), log.clone());
         let files = OpenWorkFiles::in_folder(&folder);
@@ -143,7 +148,7 @@
 
 /// The clients' listeners: those that were passed on, else new ones.
 pub struct Listeners {
-    doors: Doors,
+    doors: ClientListeners,
     inherited: Option<InheritedListeners>,
     /// A descriptor of each, to pass on.
     listeners: Vec<TcpListener>,
@@ -151,7 +156,7 @@
 
 impl Listeners {
     /// None is bound yet.
-    pub fn new(doors: &Doors, inherited: Option<InheritedListeners>) -> Self {
+    pub fn new(doors: &ClientListeners, inherited: Option<InheritedListeners>) -> Self {
         Listeners { doors: doors.clone(), inherited, listeners: Vec::new() }
     }
 
@@ -188,7 +193,7 @@
 }
 
 /// Writes what was learned again and again, for the process that takes over.
-async fn keep_snapshot(conductor: Conductor<Upstream>, file: SnapshotFile, log: Logger) {
+async fn keep_snapshot(conductor: Conductor<HttpUpstream>, file: SnapshotFile, log: Logger) {
     let mut failed = false;
     loop {
         sleep(SNAPSHOT_EVERY).await;
@@ -213,7 +218,7 @@
 }
 
 /// Tells the other processes of the same conductor what this one has open, and counts what they have.
-async fn share_open_work(conductor: Conductor<Upstream>, files: OpenWorkFiles, log: Logger) {
+async fn share_open_work(conductor: Conductor<HttpUpstream>, files: OpenWorkFiles, log: Logger) {
     let (mut counted, mut failed) = (OpenWork::default(), false);
     loop {
         sleep(OPEN_WORK_EVERY).await;
@@ -264,7 +269,7 @@
 
 /// Takes over what another process of the same conductor was told of exclusions.
 async fn follow_exclusions(
-    conductor: Conductor<Upstream>,
+    conductor: Conductor<HttpUpstream>,
     store: ExclusionStore,
     calls: CallMarks,
     log: Logger,
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -12,11 +12,11 @@
 use frosttrail_daemon::ending::Ending;
 use frosttrail_daemon::front::chat::Chat;
 use frosttrail_daemon::front::platform::Platform;
-use frosttrail_daemon::front::{Doors, Patience};
+use frosttrail_daemon::front::{ClientListeners, ClientTimeouts};
 use frosttrail_daemon::listener_handover::ListenerHandover;
 use frosttrail_daemon::reload::Reload;
 use frosttrail_daemon::transient::{await_resources, is_shortage, retry_at_start};
-use frosttrail_daemon::upstream::{Book, Limits, Upstream};
+use frosttrail_daemon::upstream::{AddressTable, HttpUpstream, Limits};
 use frosttrail_membership::service::{self, Membership};
 use slog::{info, Logger};
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -29,21 +29,21 @@
 
 /// How long clients may take: a request is small and comes from near, idle connections cost memory and
 /// descriptors, and a client on a bad line may fall silent for some seconds while its answer streams.
-const PATIENCE: Patience = Patience {
+const CLIENT_TIMEOUTS: ClientTimeouts = ClientTimeouts {
     arrive: Duration::from_millis(2_200),
     idle: Duration::from_secs(5),
     stall: Duration::from_secs(20),
 };
-/// A box's connection rests this long after an answer, in which what follows right behind has come.
+/// A server's connection rests this long after an answer, in which what follows right behind has come.
 const SETTLE: Duration = Duration::from_millis(10);
-/// A reset comes back from a box, or from what lies before it, within this time.
+/// A reset comes back from a server, or from what lies before it, within this time.
 const STALE_WITHIN: Duration = Duration::from_millis(20);
-/// Descriptors for all that is neither a client nor a box: log, timers, discovery, listeners.
+/// Descriptors for all that is neither a client nor a server: log, timers, discovery, listeners.
 const SPARE_SOCKETS: usize = 48;
 
 /// Requests are counted this often, for this instance's share of the traffic.
 const COUNT: Duration = Duration::from_millis(500);
-/// For a goodbye to those that share the boxes.
+/// For a goodbye to those that share the servers.
 const GOODBYE: Duration = Duration::from_millis(100);
 
 /// The files that switch parts on.
@@ -55,7 +55,7 @@
     /// Take members from the xDS server that this file names, in place of the platform's discovery.
     #[arg(long, value_name = "FILE")]
     xds: Option<PathBuf>,
-    /// Settle with the instances that this file names what part of the boxes is this one's.
+    /// Settle with the instances that this file names what part of the servers is this one's.
     #[arg(long, value_name = "FILE")]
     membership: Option<PathBuf>,
 }
@@ -97,7 +97,7 @@
 ) -> Result<(), ServeError> {
     let each = (config.sockets - SPARE_SOCKETS) / 2;
     let mut ops = config.ops.map(|address| Ops::open(address, &config, &log)).transpose()?;
-    let doors = Doors::new(each, PATIENCE, log.clone());
+    let doors = ClientListeners::new(each, CLIENT_TIMEOUTS, log.clone());
     let doors = if ops.is_some() { doors.sharing_address() } else { doors };
     let listen = config.listen;
     let (discovery, members) = watch::channel(config.discovery_config());
@@ -179,10 +179,10 @@
     Ok(())
 }
 
-/// Takes part among those that share the boxes, and tells the decisions what part is theirs.
+/// Takes part among those that share the servers, and tells the decisions what part is theirs.
 async fn join(
     config: service::Config,
-    conductor: &Conductor<Upstream>,
+    conductor: &Conductor<HttpUpstream>,
     log: &Logger,
 ) -> Result<(Membership, AbortOnDropHandle<()>), ServeError> {
     let listen = config.listen;
@@ -217,9 +217,9 @@
     learned: PreviousState,
     figures: &Figures,
     log: &Logger,
-) -> (Conductor<Upstream>, Arc<Upstream>) {
+) -> (Conductor<HttpUpstream>, Arc<HttpUpstream>) {
     let clock = Clock::new();
-    let book = Arc::new(Book::default());
+    let book = Arc::new(AddressTable::default());
     let limits = Limits {
         connections,
         connect_timeout: Duration::from_micros(config.settings.connect_timeout),
@@ -227,21 +227,21 @@
         settle: SETTLE,
         stale_within: STALE_WITHIN,
     };
-    let boxes = Arc::new(Upstream::new(book.clone(), limits, figures.sends.clone()));
+    let upstream = Arc::new(HttpUpstream::new(book.clone(), limits, figures.sends.clone()));
     let Config { name, known, names, settings, seed, .. } = config;
-    let (log, upstream, figures) = (log.clone(), boxes.clone(), figures.clone());
+    let (log, shared_upstream, figures) = (log.clone(), upstream.clone(), figures.clone());
     // They are known before anything is served.
     let excluded = Vec::new();
     let conductor = match xds {
         Some(xds) => {
             let members = Xds::new(xds, name, names, clock, book, log.clone());
-            start(Parts { settings, seed, clock, boxes, members, excluded, figures, learned, log })
+            start(Parts { settings, seed, clock, upstream, members, excluded, figures, learned, log })
         }
         None => {
             let backoff = Backoff::new(settings.balancers, seed);
             let members = Discovery::new(discovery, known, backoff, names, clock, book, log.clone());
-            start(Parts { settings, seed, clock, boxes, members, excluded, figures, learned, log })
+            start(Parts { settings, seed, clock, upstream, members, excluded, figures, learned, log })
         }
     };
-    (conductor, upstream)
+    (conductor, shared_upstream)
 }
--- a/daemon/src/command/transfer.rs
+++ b/daemon/src/command/transfer.rs
@@ -1,4 +1,4 @@
-//! `frosttrail transfer`: a node beside a box, and tools to hand it states and to look at it.
+//! `frosttrail transfer`: a node beside a server, and tools to hand it states and to look at it.
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -41,7 +41,7 @@
 
 #[derive(Subcommand, Debug)]
 pub enum Command {
-    /// Take, hold and hand on states beside a box, until SIGTERM.
+    /// Take, hold and hand on states beside a server, until SIGTERM.
     Serve(Serve),
     /// Hand a file to a node as the state of a request.
     Send(Send),
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -389,7 +389,7 @@
     }
 }
 
-/// How the conductor takes part among those that share its boxes.
+/// How the conductor takes part among those that share its servers.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct MembershipFile {
--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -21,7 +21,7 @@
 use super::backoff::{Backoff, CALL, SILENCE};
 use super::http::{call, whole, Called, ListError};
 use super::starts::Starts;
-use crate::upstream::Book;
+use crate::upstream::AddressTable;
 
 /// No list is longer.
 const LIST_MOST: usize = 4 << 20;
@@ -97,7 +97,7 @@
     names: Names,
     clock: Clock,
     starts: Starts,
-    book: Arc<Book>,
+    book: Arc<AddressTable>,
     log: Logger,
     known: Option<Listing>,
 }
@@ -110,7 +110,7 @@
         backoff: Backoff,
         names: Names,
         clock: Clock,
-        book: Arc<Book>,
+        book: Arc<AddressTable>,
         log: Logger,
     ) -> Self {
         let agent = Agent::new(config.borrow_and_update().agent, Some(known.rev));
@@ -128,7 +128,7 @@
             let target = match line {
                 Line::Read(target) => target,
                 Line::Unreadable(line) => {
-                    // Nothing is sent to a box that a whole list does not name in readable words.
+                    // Nothing is sent to a server that a whole list does not name in readable words.
                     warn!(self.log, "a line of the list is passed over"; "why" => fault(&line));
                     continue;
                 }
--- a/daemon/src/discovery/xds.rs
+++ b/daemon/src/discovery/xds.rs
@@ -1,5 +1,5 @@
 //! Members from a server that speaks Envoy's xDS, version 3, over REST with JSON: clusters, then the
-//! endpoints of each. A cluster stands for one kind of box; see the README for how they map.
+//! endpoints of each. A cluster stands for one kind of server; see the README for how they map.
 
 use std::hash::{Hash, Hasher};
 use std::net::{IpAddr, SocketAddr};
@@ -20,7 +20,7 @@
 
 use super::http::{call, whole, Called, ListError};
 use crate::config::XdsConfig;
-use crate::upstream::Book;
+use crate::upstream::AddressTable;
 
 /// An answer must be whole within this time.
 const ANSWER: Duration = Duration::from_secs(2);
@@ -177,7 +177,7 @@
     node: String,
     names: Names,
     clock: Clock,
-    book: Arc<Book>,
+    book: Arc<AddressTable>,
     log: Logger,
     clusters: Held<Cluster>,
     assignments: Held<Assignment>,
@@ -191,7 +191,7 @@
         node: String,
         names: Names,
         clock: Clock,
-        book: Arc<Book>,
+        book: Arc<AddressTable>,
         log: Logger,
     ) -> Self {
         let (clusters, assignments) = (Held::default(), Held::default());
--- a/daemon/src/front/body.rs
+++ b/daemon/src/front/body.rs
@@ -1,4 +1,4 @@
-//! What a front sends back: a short text, or a box's events.
+//! What a front sends back: a short text, or a server's events.
 
 use std::convert::Infallible;
 use std::pin::Pin;
--- a/daemon/src/front/chat/error.rs
+++ b/daemon/src/front/chat/error.rs
@@ -21,7 +21,7 @@
     #[error("No model server can be reached at the moment; try again after the time given.")]
     NoServer,
     #[error("The model server failed. The request may have taken effect.")]
-    Upstream,
+    HttpUpstream,
     #[error("No answer came in time. The request may have taken effect.")]
     TimedOut,
 }
@@ -53,7 +53,7 @@
             ApiError::NoServer => {
                 (StatusCode::SERVICE_UNAVAILABLE, "server_error", None, Some("service_unavailable"))
             }
-            ApiError::Upstream => (StatusCode::BAD_GATEWAY, "server_error", None, Some("bad_gateway")),
+            ApiError::HttpUpstream => (StatusCode::BAD_GATEWAY, "server_error", None, Some("bad_gateway")),
             ApiError::TimedOut => (StatusCode::GATEWAY_TIMEOUT, "server_error", None, Some("timeout")),
         }
     }
@@ -63,7 +63,7 @@
         let (status, kind, param, code) = self.words();
         let object = json!({"message": self.to_string(), "type": kind, "param": param, "code": code});
         let mut response = whole(status, JSON, json!({ "error": object }).to_string());
-        if matches!(self, ApiError::Upstream | ApiError::TimedOut) {
+        if matches!(self, ApiError::HttpUpstream | ApiError::TimedOut) {
             response.headers_mut().insert(SHOULD_RETRY, HeaderValue::from_static("false"));
         }
         response
--- a/daemon/src/front/chat/gather.rs
+++ b/daemon/src/front/chat/gather.rs
@@ -46,7 +46,7 @@
 }
 
 impl Gather {
-    /// Nothing yet; id and model as they are where the box names none.
+    /// Nothing yet; id and model as they are where the server names none.
     pub(super) fn new(id: String, model: String) -> Self {
         let created = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
         Gather { id, created, model, choices: BTreeMap::new(), usage: None, done: false }
@@ -55,7 +55,7 @@
     /// The whole answer, if its final event has come.
     pub(super) fn finish(self) -> Result<String, ApiError> {
         if !self.done {
-            return Err(ApiError::Upstream);
+            return Err(ApiError::HttpUpstream);
         }
         let choice = |(index, choice): (u64, Choice)| {
             let mut message = choice.message;
@@ -86,9 +86,9 @@
             self.done = true;
             return Ok(());
         }
-        let chunk: Chunk = serde_json::from_slice(&data).map_err(|_| ApiError::Upstream)?;
+        let chunk: Chunk = serde_json::from_slice(&data).map_err(|_| ApiError::HttpUpstream)?;
         if chunk.error.is_some() {
-            return Err(ApiError::Upstream);
+            return Err(ApiError::HttpUpstream);
         }
         self.id = chunk.id.unwrap_or(std::mem::take(&mut self.id));
         self.created = chunk.created.unwrap_or(self.created);
--- a/daemon/src/front/chat/mod.rs
+++ b/daemon/src/front/chat/mod.rs
@@ -9,7 +9,7 @@
 use std::future::poll_fn;
 
 use frosttrail::Outcome;
-use frosttrail_core::{Answer, AnswerStream, Boxes, Broken, CallError, Conductor, Events};
+use frosttrail_core::{Answer, AnswerStream, Broken, CallError, Conductor, Events, Upstream};
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
@@ -39,7 +39,7 @@
     reader: Reader,
 }
 
-impl<B: Boxes<Call = Call>> Chat<B> {
+impl<B: Upstream<Call = Call>> Chat<B> {
     /// A front of this conductor.
     pub fn new(conductor: Conductor<B>, config: ChatConfig) -> Self {
         let ChatConfig { models, class, max_tokens, .. } = config;
@@ -86,7 +86,7 @@
                 refused
             }
             Ok(Answer::Failed { last: None | Some(Outcome::NoAnswer) }) => ApiError::TimedOut.response(),
-            Ok(Answer::Failed { .. }) => ApiError::Upstream.response(),
+            Ok(Answer::Failed { .. }) => ApiError::HttpUpstream.response(),
             Err(CallError::IdInUse) => return Err(InputError::IdInUse.into()),
         };
         if let Ok(id) = HeaderValue::from_str(&id) {
@@ -96,7 +96,7 @@
     }
 }
 
-impl<B: Boxes<Call = Call>> Service for Chat<B> {
+impl<B: Upstream<Call = Call>> Service for Chat<B> {
     type Events = B::Events;
 
     async fn answer(&self, request: Request<Incoming>) -> FrontResponse<B::Events> {
@@ -113,7 +113,7 @@
 async fn gather<E: Events>(mut events: AnswerStream<E>, id: &str, model: String) -> Result<String, ApiError> {
     let mut gather = Gather::new(format!("chatcmpl-{id}"), model);
     while let Some(data) = poll_fn(|cx| events.poll_next(cx)).await {
-        let data = data.map_err(|Broken| ApiError::Upstream)?;
+        let data = data.map_err(|Broken| ApiError::HttpUpstream)?;
         gather.push(&data)?;
     }
     gather.finish()
--- a/daemon/src/front/chat/request.rs
+++ b/daemon/src/front/chat/request.rs
@@ -15,7 +15,7 @@
 use crate::front::input::{is_id, platform_labels, repeat, span, tenant, text, InputError, TOKEN_BYTES};
 use crate::upstream::Call;
 
-/// What the front needs of a request's body; the rest is the box's concern.
+/// What the front needs of a request's body; the rest is the server's concern.
 #[derive(Deserialize)]
 struct Body {
     model: String,
@@ -105,7 +105,7 @@
         &self.models
     }
 
-    /// The query, and the request as a box gets it.
+    /// The query, and the request as a server gets it.
     pub(super) fn read(
         &self,
         settings: &Settings,
@@ -200,7 +200,7 @@
     }
 }
 
-/// The platform's headers, so that boxes see what they see behind the other front. A client's
+/// The platform's headers, so that servers see what they see behind the other front. A client's
 /// credentials end here.
 fn box_headers(query: &Query) -> Result<HeaderMap, InputError> {
     let prefix = query.prefix.as_ref().map(|p| format!("prefix={p},")).unwrap_or_default();
@@ -262,7 +262,7 @@
     InputError::Body(format!("the body: {e}"))
 }
 
-/// Boxes only stream: the same request, asked for as a stream with its usage.
+/// Servers only stream: the same request, asked for as a stream with its usage.
 fn streamed(bytes: &Bytes) -> Result<Bytes, InputError> {
     let mut body: Map<String, Value> = serde_json::from_slice(bytes).map_err(malformed)?;
     body.insert("stream".into(), json!(true));
--- a/daemon/src/front/chat/sse.rs
+++ b/daemon/src/front/chat/sse.rs
@@ -33,7 +33,7 @@
     serde_json::from_slice::<UsageOnly>(data).is_ok_and(|u| u.choices.is_empty())
 }
 
-/// A box's events for a client that streams: each unchanged, as soon as it is whole. The event that only
+/// A server's events for a client that streams: each unchanged, as soon as it is whole. The event that only
 /// tells the usage is left out where it was not asked for. A stream that ends without its final event is
 /// broken, however well its connection ended.
 pub struct ChatStream<E: Events> {
--- a/daemon/src/front/clients.rs
+++ b/daemon/src/front/clients.rs
@@ -48,7 +48,7 @@
     }
 
     /// The one whose turn it is to make room.
-    fn turn_out(&mut self) -> Option<CancellationToken> {
+    fn evict(&mut self) -> Option<CancellationToken> {
         let (&(asked, nth), first) = self.connections.first_key_value()?;
         let turn = match !asked && first.since.elapsed() < FRESH {
             // All that never asked are as young; the next are those that have.
@@ -81,7 +81,7 @@
                     return self.enter(permit, true);
                 }
             }
-            if let Some(leave) = self.with(Idle::turn_out) {
+            if let Some(leave) = self.with(Idle::evict) {
                 leave.cancel();
             }
             // The semaphore is never closed.
--- a/daemon/src/front/input.rs
+++ b/daemon/src/front/input.rs
@@ -153,15 +153,15 @@
         Err(_) => return Err(InputError::Body("the body broke off".into())),
     };
     head.extensions.get::<Admission>().map_or(Ok(()), Admission::check)?;
-    // A box could only turn it away.
+    // A server could only turn it away.
     match bytes.is_empty() {
         true => Err(InputError::Body("the body is missing".into())),
         false => Ok(bytes),
     }
 }
 
-/// Each of them at most once, of bounded length and meant for the box: else box and conductor could read
-/// different things in one request.
+/// Each of them at most once, of bounded length and meant for the server: else server and conductor could
+/// read different things in one request.
 fn unequivocal(headers: &HeaderMap) -> Result<(), InputError> {
     for (name, spelt) in SAYS {
         let mut values = headers.get_all(name).iter();
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -74,7 +74,7 @@
 
 /// How long clients may take.
 #[derive(Clone, Copy, Debug)]
-pub struct Patience {
+pub struct ClientTimeouts {
     /// A request must have come whole this long after its connection was accepted or, if it is not the
     /// first there, after its head. A connection on which none has is closed a little later.
     pub arrive: Duration,
@@ -86,9 +86,9 @@
 
 /// What the listeners have in common: the bound on connections, and how far they are open.
 #[derive(Clone)]
-pub struct Doors {
+pub struct ClientListeners {
     clients: Clients,
-    patience: Patience,
+    patience: ClientTimeouts,
     /// Another process may listen at the same address.
     share_address: bool,
     /// An end is planned: clients are told with each answer to come back on another connection.
@@ -104,10 +104,10 @@
     log: Logger,
 }
 
-impl Doors {
+impl ClientListeners {
     /// Room for so many connections, on all listeners together.
-    pub fn new(most: usize, patience: Patience, log: Logger) -> Self {
-        Doors {
+    pub fn new(most: usize, patience: ClientTimeouts, log: Logger) -> Self {
+        ClientListeners {
             clients: Clients::new(most),
             patience,
             share_address: false,
@@ -123,7 +123,7 @@
 
     /// Lets another process of the same conductor listen at the same address.
     pub fn sharing_address(self) -> Self {
-        Doors { share_address: true, ..self }
+        ClientListeners { share_address: true, ..self }
     }
 
     /// Listens, and serves what comes; the address is the one bound.
@@ -208,7 +208,7 @@
     }
 
     fn serve<S: Service>(&self, stream: TcpStream, accepted: Instant, place: Place, service: Arc<S>) {
-        let Patience { arrive, idle, stall } = self.patience;
+        let ClientTimeouts { arrive, idle, stall } = self.patience;
         let (closing, leaving, log) = (self.closing.clone(), self.leaving.clone(), self.log.clone());
         let admission = Admission { closed_at: self.closed_at.clone(), has_place: !place.refuses() };
         self.connections.spawn(async move {
--- a/daemon/src/front/mod.rs
+++ b/daemon/src/front/mod.rs
@@ -10,4 +10,4 @@
 mod socket;
 
 pub use body::FrontBody;
-pub use listener::{Doors, Patience, Service};
+pub use listener::{ClientListeners, ClientTimeouts, Service};
--- a/daemon/src/front/platform.rs
+++ b/daemon/src/front/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's front: headers to queries, answers to statuses.
 
 use frosttrail::{Query, Settings};
-use frosttrail_core::{Answer, Boxes, CallError, Conductor};
+use frosttrail_core::{Answer, CallError, Conductor, Upstream};
 use hyper::body::Incoming;
 use hyper::header::RETRY_AFTER;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
@@ -20,7 +20,7 @@
     conductor: Conductor<B>,
 }
 
-impl<B: Boxes<Call = Call>> Platform<B> {
+impl<B: Upstream<Call = Call>> Platform<B> {
     /// A front of this conductor.
     pub fn new(conductor: Conductor<B>) -> Self {
         Platform { conductor }
@@ -70,7 +70,7 @@
     }
 }
 
-impl<B: Boxes<Call = Call>> Service for Platform<B> {
+impl<B: Upstream<Call = Call>> Service for Platform<B> {
     type Events = B::Events;
 
     async fn answer(&self, request: Request<Incoming>) -> FrontResponse<B::Events> {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,4 +1,4 @@
-//! The conductor's daemon: configuration, fronts, the way to the boxes, and discovery. Fronts only
+//! The conductor's daemon: configuration, fronts, the way to the servers, and discovery. Fronts only
 //! translate; what becomes of a request is settled in `frosttrail-core`.
 
 #![forbid(unsafe_code)]
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -26,7 +26,7 @@
 enum Command {
     /// Conduct requests, as EDGE_CONFIG says, until SIGTERM.
     Serve(serve::Options),
-    /// Move read state between boxes.
+    /// Move read state between servers.
     #[command(subcommand)]
     Transfer(transfer::Command),
 }
--- a/daemon/src/ops/conductor.rs
+++ b/daemon/src/ops/conductor.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use frosttrail::Id;
-use frosttrail_core::{Boxes, Conductor, Figures};
+use frosttrail_core::{Conductor, Figures, Upstream};
 
 use super::call::{CallError, Operations};
 use super::call_marks::CallMarks;
@@ -19,7 +19,7 @@
     serving: Arc<AtomicBool>,
 }
 
-impl<B: Boxes> ConductorOperations<B> {
+impl<B: Upstream> ConductorOperations<B> {
     /// Calls on this conductor; `serving` is set while it takes requests.
     pub fn new(
         conductor: Conductor<B>,
@@ -32,7 +32,7 @@
     }
 }
 
-impl<B: Boxes> Operations for ConductorOperations<B> {
+impl<B: Upstream> Operations for ConductorOperations<B> {
     fn is_ready(&self) -> bool {
         self.conductor.able() && self.serving.load(Ordering::Relaxed)
     }
--- a/daemon/src/reload.rs
+++ b/daemon/src/reload.rs
@@ -12,7 +12,7 @@
 use crate::config::{Config, ConfigError, SuccessionError};
 use crate::discovery::DiscoveryConfig;
 use crate::transient::RETRY_EVERY;
-use crate::upstream::Upstream;
+use crate::upstream::HttpUpstream;
 
 /// A file that can't be read is tried again for so long. What a new configuration names counts as told 4 s
 /// after its signal, and the list of a new agent takes time of its own.
@@ -32,9 +32,9 @@
     /// The configuration in force.
     pub config: Config,
     /// The decisions, and with them the fronts.
-    pub conductor: Conductor<Upstream>,
+    pub conductor: Conductor<HttpUpstream>,
     /// Connections to instances.
-    pub upstream: Arc<Upstream>,
+    pub upstream: Arc<HttpUpstream>,
     /// The source of members.
     pub discovery: watch::Sender<DiscoveryConfig>,
     /// What is counted.
--- a/daemon/src/upstream/attempt.rs
+++ b/daemon/src/upstream/attempt.rs
@@ -1,4 +1,4 @@
-//! One attempt at one box: PROTOCOL's table of what comes back and whether it has run.
+//! One attempt at one server: PROTOCOL's table of what comes back and whether it has run.
 
 use std::error::Error;
 use std::io::ErrorKind;
@@ -45,7 +45,7 @@
     call: &Call,
     wait: Duration,
     permit: &SendPermit,
-) -> Reply<BoxEvents> {
+) -> Reply<ServerEvents> {
     let (written, stop_at) = (Written::counted(pool.sends.clone()), Instant::now() + wait);
     let going = Going { call, stop_at, written: &written, permit };
     match timeout_at(stop_at, run(pool, server, &going)).await {
@@ -56,8 +56,8 @@
 }
 
 /// A kept connection that turns out to have closed before the request was written is replaced by a new
-/// one: the box has not seen the request, so this is still the first copy.
-async fn run(pool: &Arc<Pool>, server: &Id, going: &Going<'_>) -> Reply<BoxEvents> {
+/// one: the server has not seen the request, so this is still the first copy.
+async fn run(pool: &Arc<Pool>, server: &Id, going: &Going<'_>) -> Reply<ServerEvents> {
     if let Some(link) = pool.kept(server).await {
         let (idle, sent_at) = (link.idle_since.elapsed(), Instant::now());
         match send(link, going).await {
@@ -116,13 +116,13 @@
     pool: &Arc<Pool>,
     server: &Id,
     sent: Result<(Link, Response<Incoming>), Unanswered>,
-) -> Reply<BoxEvents> {
+) -> Reply<ServerEvents> {
     let (link, answer) = match sent {
         Ok(sent) => sent,
         Err(Unanswered::Withheld) => return Reply::Ended(Outcome::NotSent, None),
         Err(Unanswered::NeverWritten) => return Reply::Ended(Outcome::NoConnection, None),
         Err(Unanswered::Reset) => return Reply::Ended(Outcome::ConnectionLost, None),
-        // The box runs and answers, if badly: no reason to keep other requests from it.
+        // The server runs and answers, if badly: no reason to keep other requests from it.
         Err(Unanswered::Spoilt) => return Reply::Ended(Outcome::Failed, None),
     };
     let (head, body) = answer.into_parts();
@@ -132,7 +132,7 @@
         StatusCode::OK => {
             let framed =
                 [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| head.headers.contains_key(name));
-            let events = BoxEvents::new(pool.clone(), server.clone(), link, body, framed);
+            let events = ServerEvents::new(pool.clone(), server.clone(), link, body, framed);
             return events.begun(load).await;
         }
         StatusCode::ACCEPTED => return read_done(pool, server, link, body, load).await,
@@ -165,7 +165,7 @@
     link: Link,
     body: Incoming,
     load: Option<Load>,
-) -> Reply<BoxEvents> {
+) -> Reply<ServerEvents> {
     let Ok(body) = Limited::new(body, BODY_MOST).collect().await else {
         return Reply::Ended(Outcome::ConnectionLost, load);
     };
@@ -175,8 +175,8 @@
     Reply::Read { kept_tokens: found.cached_tokens, load }
 }
 
-/// The events of a box's answer as they come.
-pub struct BoxEvents {
+/// The events of a server's answer as they come.
+pub struct ServerEvents {
     pool: Arc<Pool>,
     server: Id,
     link: Option<Link>,
@@ -189,10 +189,10 @@
     ended: bool,
 }
 
-impl BoxEvents {
+impl ServerEvents {
     fn new(pool: Arc<Pool>, server: Id, link: Link, body: Incoming, framed: bool) -> Self {
         let (splitter, first) = (Splitter::default(), None);
-        BoxEvents { pool, server, link: Some(link), body, splitter, first, framed, ended: false }
+        ServerEvents { pool, server, link: Some(link), body, splitter, first, framed, ended: false }
     }
 
     /// Waits for the first event: until it is there, nothing has gone to the client and the request can
@@ -217,14 +217,14 @@
     }
 }
 
-/// Whether a break is the box's words rather than its connection's end.
+/// Whether a break is the server's words rather than its connection's end.
 fn broken(e: &hyper::Error) -> Step {
     let kind = e.source().and_then(|e| e.downcast_ref::<std::io::Error>()).map(std::io::Error::kind);
     let spoilt = matches!(kind, Some(ErrorKind::InvalidInput | ErrorKind::InvalidData));
     Step::Broken(if spoilt || e.is_parse() { Outcome::Failed } else { Outcome::ConnectionLost })
 }
 
-impl Events for BoxEvents {
+impl Events for ServerEvents {
     fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
         if let Some(first) = self.first.take() {
             return Poll::Ready(Step::Data(first));
--- a/daemon/src/upstream/calls.rs
+++ b/daemon/src/upstream/calls.rs
@@ -14,7 +14,7 @@
 use super::link::{Link, Written};
 use super::pool::{Pool, BODY_MOST};
 
-/// A probe that has not come back by then tells that the box does not answer.
+/// A probe that has not come back by then tells that the server does not answer.
 const PROBE: Duration = Duration::from_millis(250);
 
 fn request(method: Method, target: String) -> Option<Request<Bytes>> {
@@ -33,7 +33,7 @@
     Some((link, answer))
 }
 
-/// True once the box has taken the call.
+/// True once the server has taken the call.
 pub(super) async fn release(pool: &Arc<Pool>, server: &Id, id: &Id) -> bool {
     let Some((link, answer)) = call(pool, server, &Method::DELETE, &format!("/state/{id}")).await else {
         return false;
@@ -43,7 +43,7 @@
     taken
 }
 
-/// Asks for a box's load.
+/// Asks for a server's load.
 pub(super) async fn probe(pool: &Arc<Pool>, server: &Id) -> (Outcome, Option<Load>) {
     let asked = async {
         let (link, answer) = call(pool, server, &Method::GET, "/_load").await?;
--- a/daemon/src/upstream/link.rs
+++ b/daemon/src/upstream/link.rs
@@ -1,4 +1,4 @@
-//! One connection to a box, which knows how much of a request has left this machine.
+//! One connection to a server, which knows how much of a request has left this machine.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -31,7 +31,7 @@
 /// No head is larger, and no more is read ahead.
 const BUFFER: usize = 32 << 10;
 
-/// How far one request has got. A box starts on a request with its last byte, so this tells a request
+/// How far one request has got. A server starts on a request with its last byte, so this tells a request
 /// that never ran from one that may have.
 #[derive(Clone, Default)]
 pub(super) struct Written(Arc<Progress>);
--- a/daemon/src/upstream/mod.rs
+++ b/daemon/src/upstream/mod.rs
@@ -1,4 +1,4 @@
-//! The way to the boxes: where they are, connections to them, and the three calls.
+//! The way to the servers: where they are, connections to them, and the three calls.
 
 mod attempt;
 mod calls;
@@ -14,21 +14,21 @@
 
 use bytes::Bytes;
 use frosttrail::{Health, Id, ListForm, Load, Outcome, Settings};
-use frosttrail_core::{Boxes, News, Reply, SendPermit};
+use frosttrail_core::{News, Reply, SendPermit, Upstream};
 use hyper::{HeaderMap, Method, Uri};
 use prometheus::IntCounter;
 use tokio::time::Instant;
 
-pub use attempt::BoxEvents;
+pub use attempt::ServerEvents;
 pub use pool::{Limits, Pool};
 
-/// A box that has gone keeps its last address for this time, as calls that let go of state may still want
+/// A server that has gone keeps its last address for this time, as calls that let go of state may still want
 /// it; they end some seconds after it.
 const GONE_KEPT: Duration = Duration::from_secs(30);
 
-/// Where each box is. Filled by discovery.
+/// Where each server is. Filled by discovery.
 #[derive(Default)]
-pub struct Book(Mutex<HashMap<Id, Entry>>);
+pub struct AddressTable(Mutex<HashMap<Id, Entry>>);
 
 struct Entry {
     address: SocketAddr,
@@ -37,8 +37,8 @@
     round_trip: Option<Duration>,
 }
 
-impl Book {
-    /// Notes where a box is.
+impl AddressTable {
+    /// Notes where a server is.
     pub fn set(&self, server: Id, address: SocketAddr) {
         let mut book = lock(&self.0);
         let same = book.get(&server).filter(|entry| entry.address == address);
@@ -86,7 +86,7 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// A request as it goes to a box.
+/// A request as it goes to a server.
 #[derive(Clone, Debug)]
 pub struct Call {
     /// Its method,
@@ -99,15 +99,15 @@
     pub body: Bytes,
 }
 
-/// The boxes, as the core sees them.
-pub struct Upstream {
+/// The servers, as the core sees them.
+pub struct HttpUpstream {
     pool: Arc<Pool>,
 }
 
-impl Upstream {
-    /// The boxes that the book knows; `sends` counts attempts that are written whole.
-    pub fn new(book: Arc<Book>, limits: Limits, sends: IntCounter) -> Self {
-        Upstream { pool: Arc::new(Pool::new(book, limits, sends)) }
+impl HttpUpstream {
+    /// The servers that the book knows; `sends` counts attempts that are written whole.
+    pub fn new(book: Arc<AddressTable>, limits: Limits, sends: IntCounter) -> Self {
+        HttpUpstream { pool: Arc::new(Pool::new(book, limits, sends)) }
     }
 
     /// Takes the times of connections from new settings.
@@ -117,9 +117,9 @@
     }
 }
 
-impl Boxes for Upstream {
+impl Upstream for HttpUpstream {
     type Call = Call;
-    type Events = BoxEvents;
+    type Events = ServerEvents;
 
     async fn attempt(
         &self,
@@ -128,7 +128,7 @@
         call: &Call,
         wait: Duration,
         permit: &SendPermit,
-    ) -> Reply<BoxEvents> {
+    ) -> Reply<ServerEvents> {
         attempt::attempt(&self.pool, server, call, wait, permit).await
     }
 
--- a/daemon/src/upstream/pool.rs
+++ b/daemon/src/upstream/pool.rs
@@ -13,7 +13,7 @@
 
 use super::idle_age::IdleAges;
 use super::link::Link;
-use super::{lock, Book};
+use super::{lock, AddressTable};
 
 /// Answers' bodies that are read to their end only to keep the connection.
 const TAIL: Duration = Duration::from_millis(500);
@@ -31,14 +31,14 @@
     Local,
 }
 
-/// Bounds on connections to boxes.
+/// Bounds on connections to servers.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Connections in all.
     pub connections: usize,
     /// One that has not come up within this time never will.
     pub connect_timeout: Duration,
-    /// Boxes close one that has been idle this long.
+    /// Servers close one that has been idle this long.
     pub conn_idle: Duration,
     /// One that has brought an answer is left alone for this time: what comes right behind the answer
     /// must not be taken for the next one.
@@ -48,9 +48,9 @@
     pub stale_within: Duration,
 }
 
-/// Idle connections by box, and permits for all.
+/// Idle connections by server, and permits for all.
 pub struct Pool {
-    book: Arc<Book>,
+    book: Arc<AddressTable>,
     limits: Mutex<Limits>,
     permits: Arc<Semaphore>,
     idle: Mutex<HashMap<Id, Vec<Link>>>,
@@ -60,7 +60,7 @@
 }
 
 impl Pool {
-    pub(super) fn new(book: Arc<Book>, limits: Limits, sends: IntCounter) -> Self {
+    pub(super) fn new(book: Arc<AddressTable>, limits: Limits, sends: IntCounter) -> Self {
         let permits = Arc::new(Semaphore::new(limits.connections));
         let (limits, idle, idle_ages) = (Mutex::new(limits), Mutex::default(), Mutex::default());
         Pool { book, limits, permits, idle, idle_ages, sends }
@@ -76,7 +76,7 @@
         (limits.connect_timeout, limits.conn_idle) = (connect_timeout, conn_idle);
     }
 
-    /// A connection that was kept, if one is fit for use: open, and far from the age at which the box
+    /// A connection that was kept, if one is fit for use: open, and far from the age at which the server
     /// may close it, as a request that crosses the close may have run.
     pub(super) async fn kept(&self, server: &Id) -> Option<Link> {
         // Lets what lies in the sockets be heard first: a close of this connection, or the end of the client
@@ -85,7 +85,7 @@
         let address = self.book.get(server);
         let mut idle = lock(&self.idle);
         let links = idle.get_mut(server)?;
-        // A box that is back elsewhere is not where the connection leads.
+        // A server that is back elsewhere is not where the connection leads.
         links.retain(|link| !link.is_spent() && self.is_young(server, link) && Some(link.address) == address);
         let settle = self.limits().settle;
         let settled = |link: &Link| link.is_ready() && link.idle_since.elapsed() >= settle;
@@ -145,7 +145,7 @@
     }
 
     /// Keeps a connection whose answer has come whole, and lets go of those that are past use, also of
-    /// boxes to which nothing goes any more.
+    /// servers to which nothing goes any more.
     pub(super) fn keep(&self, server: &Id, link: Link) {
         self.keep_from(server, link, Instant::now());
     }
@@ -175,7 +175,7 @@
         after < self.limits().stale_within
     }
 
-    /// Far from the age at which the box may close it, and younger than those that were found dead.
+    /// Far from the age at which the server may close it, and younger than those that were found dead.
     fn is_young(&self, server: &Id, link: &Link) -> bool {
         let limit = lock(&self.idle_ages).limit(server, self.limits().conn_idle / 2, Instant::now());
         link.idle_since.elapsed() < limit
--- a/daemon/src/upstream/sse.rs
+++ b/daemon/src/upstream/sse.rs
@@ -1,4 +1,4 @@
-//! Server-sent events as a box sends them: cut at their ends, so that nothing of an event goes on before
+//! Server-sent events as a server sends them: cut at their ends, so that nothing of an event goes on before
 //! all of it is there, and what is no event goes nowhere.
 
 use bytes::{Bytes, BytesMut};
--- a/daemon/tests/chat.rs
+++ b/daemon/tests/chat.rs
@@ -1,4 +1,4 @@
-//! The chat front on loopback, between stand-in clients and boxes of our own: every request gets exactly
+//! The chat front on loopback, between stand-in clients and servers of our own: every request gets exactly
 //! one final answer, and no `book` runs twice.
 
 mod support;
@@ -105,7 +105,7 @@
     }
     drop(client);
     site.writer.given_up.recv().await.unwrap();
-    // The reader was heard last, so it is asked first; any box lets go of state wherever it is.
+    // The reader was heard last, so it is asked first; any server lets go of state wherever it is.
     let released = tokio::time::timeout(Duration::from_secs(30), site.reader.released.recv()).await;
     assert!(released.unwrap().is_some());
     let deletes = |g: &Got| g.line == "DELETE /state/t-9 HTTP/1.1";
--- a/daemon/tests/closes.rs
+++ b/daemon/tests/closes.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use frosttrail_daemon::front::Patience;
+use frosttrail_daemon::front::ClientTimeouts;
 use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -79,7 +79,7 @@
         let (mut answered, mut sent_on) = (0, 0);
         for round in 0..12 {
             let idle = if closes { LATEST } else { Duration::from_millis(40) };
-            let site = Site::with(Patience { idle, ..PATIENCE }).await;
+            let site = Site::with(ClientTimeouts { idle, ..CLIENT_TIMEOUTS }).await;
             let mut asks = JoinSet::new();
             for n in 0..7 {
                 let client = resting(site.platform).await;
@@ -132,7 +132,7 @@
     for evicts in [false, true] {
         let (mut answered, mut sent_on, mut ended) = (0, 0, 0);
         for round in 0..6u64 {
-            let site = Site::with(Patience { idle: Duration::from_secs(1), ..PATIENCE }).await;
+            let site = Site::with(ClientTimeouts { idle: Duration::from_secs(1), ..CLIENT_TIMEOUTS }).await;
             let mut asks = JoinSet::new();
             for n in 0..7u64 {
                 let id = format!("{evicts}-{round}-{n}");
@@ -170,7 +170,7 @@
     let site = Site::start().await;
     let mut client = resting(site.platform).await;
     client.write_all(b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n").await.unwrap();
-    let within = PATIENCE.arrive + Duration::from_millis(700);
+    let within = CLIENT_TIMEOUTS.arrive + Duration::from_millis(700);
     let ended = timeout(within, client.read_to_end(&mut Vec::new())).await;
     assert!(ended.is_ok(), "nothing after {within:?}");
 }
--- a/daemon/tests/connection.rs
+++ b/daemon/tests/connection.rs
@@ -1,5 +1,5 @@
-//! A model of the connections to one box, against which random steps are checked: each attempt has the
-//! outcome that the protocol's table gives it, reaches the box exactly once, and goes out on a kept
+//! A model of the connections to one server, against which random steps are checked: each attempt has the
+//! outcome that the protocol's table gives it, reaches the server exactly once, and goes out on a kept
 //! connection exactly where one is fit for use.
 
 mod support;
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use frosttrail::{Id, Outcome};
-use frosttrail_core::{Boxes, Events, Reply, SendPermit, Step};
-use frosttrail_daemon::upstream::{Call, Upstream};
+use frosttrail_core::{Events, Reply, SendPermit, Step, Upstream};
+use frosttrail_daemon::upstream::{Call, HttpUpstream};
 use hyper::{HeaderMap, Method, Uri};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use support::*;
@@ -166,12 +166,12 @@
 }
 
 /// The attempt's whole way: up to the end of its stream, if it became one.
-async fn attempt(upstream: &Upstream) -> Outcome {
+async fn attempt(upstream: &HttpUpstream) -> Outcome {
     attempt_at(upstream, "box").await
 }
 
 /// The same at a server of another name.
-async fn attempt_at(upstream: &Upstream, server: &str) -> Outcome {
+async fn attempt_at(upstream: &HttpUpstream, server: &str) -> Outcome {
     let (server, id, wait) = (Id::from(server), Id::from("id"), Duration::from_secs(5));
     let reply = upstream.attempt(&server, &id, &call(), wait, &SendPermit::unconditional()).await;
     match reply {
@@ -262,8 +262,8 @@
     assert_eq!(attempt(&upstream(&[])).await, Outcome::NoConnection, "an address that was never told");
 }
 
-/// A probe tells what the box holds, and its connection serves the request that it was for at once: a second
-/// one would cost the box a handshake for each read, and boxes take few.
+/// A probe tells what the server holds, and its connection serves the request that it was for at once: a
+/// second one would cost the server a handshake for each read, and servers take few.
 #[tokio::test]
 async fn the_request_behind_a_probe_goes_out_on_the_probes_connection() {
     let stand_in = StandIn::start(READ).await;
--- a/daemon/tests/crowds.rs
+++ b/daemon/tests/crowds.rs
@@ -18,8 +18,8 @@
 const READY: &str = "GET /_health HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
 const NOBODY: &str = "{\"rev\":9,\"all\":true,\"targets\":[]}\n";
 
-fn config(name: &str, discovery: &str, boxes: &[(&str, &str, &StandIn)]) -> String {
-    let servers: Vec<_> = boxes.iter().map(|(uid, kind, at)| (*uid, *kind, at.address)).collect();
+fn config(name: &str, discovery: &str, servers: &[(&str, &str, &StandIn)]) -> String {
+    let servers: Vec<_> = servers.iter().map(|(uid, kind, at)| (*uid, *kind, at.address)).collect();
     config_of(name, discovery, DESCRIPTORS, &servers, &setup())
 }
 
@@ -39,8 +39,8 @@
     let agent = StandIn::start(Does::StallsAfter(&[NOBODY])).await;
     // It falls silent: the first watch brings nothing, and what hangs is never answered.
     (0..3).for_each(|_| agent.next(Does::Silent));
-    let boxes = [("p", "prefill", &prefill), ("d", "decode", &decode)];
-    let config = config("n1", &agent.address.to_string(), &boxes);
+    let servers = [("p", "prefill", &prefill), ("d", "decode", &decode)];
+    let config = config("n1", &agent.address.to_string(), &servers);
     let running = Running::start(program_with(DESCRIPTORS, "crowds", &config));
     let mut crowd = Vec::new();
     for n in 0..3 * DESCRIPTORS {
@@ -92,8 +92,8 @@
     let begin = Instant::now();
     let mut starting = tokio::task::JoinSet::new();
     for n in 0..20 {
-        let boxes = [("p", "prefill", &prefill), ("d", "decode", &decode)];
-        let config = config(&format!("n{n}"), &agents[n % 3], &boxes);
+        let servers = [("p", "prefill", &prefill), ("d", "decode", &decode)];
+        let config = config(&format!("n{n}"), &agents[n % 3], &servers);
         starting.spawn_blocking(move || {
             Running::start(program_with(DESCRIPTORS, &format!("together-{n}"), &config))
         });
@@ -134,8 +134,8 @@
 #[tokio::test]
 async fn floods_leave_others_served_and_memory_bounded() {
     let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
-    let boxes = [("p", "prefill", &prefill), ("d", "decode", &decode)];
-    let running = Running::start(program_with(DESCRIPTORS, "floods", &config("n1", "127.0.0.1:9", &boxes)));
+    let servers = [("p", "prefill", &prefill), ("d", "decode", &decode)];
+    let running = Running::start(program_with(DESCRIPTORS, "floods", &config("n1", "127.0.0.1:9", &servers)));
     let before = running.memory_kb();
     for round in 0..6 {
         let mut bad = Vec::new();
@@ -173,8 +173,8 @@
 #[tokio::test]
 async fn a_request_beside_answers_that_take_every_place_gets_its_own() {
     let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(Does::StreamsOn).await);
-    let boxes = [("p", "prefill", &prefill), ("d", "decode", &decode)];
-    let running = Running::start(program_with(DESCRIPTORS, "places", &config("n1", "127.0.0.1:9", &boxes)));
+    let servers = [("p", "prefill", &prefill), ("d", "decode", &decode)];
+    let running = Running::start(program_with(DESCRIPTORS, "places", &config("n1", "127.0.0.1:9", &servers)));
     let mut streams = Vec::new();
     for n in 0..(DESCRIPTORS - 48) / 2 {
         let mut client = send(running.listen, &request(&format!("stream-{n}"))).await;
--- a/daemon/tests/discovery.rs
+++ b/daemon/tests/discovery.rs
@@ -11,7 +11,7 @@
 use frosttrail_daemon::config::XdsConfig;
 use frosttrail_daemon::discovery::backoff::TOLD;
 use frosttrail_daemon::discovery::{Backoff, Discovery, DiscoveryConfig, Listing, Xds};
-use frosttrail_daemon::upstream::Book;
+use frosttrail_daemon::upstream::AddressTable;
 use serde_json::{json, Value};
 use support::*;
 use tokio::sync::watch;
@@ -61,7 +61,7 @@
     agent.next(Does::BreaksAfter(&[EMPTY, LEAVES, EMPTY]));
     agent.next(Does::Streams(&[HALF, "\n"]));
     agent.next(Does::StallsAfter(&[WHOLE_LIST_PARTS.0, WHOLE_LIST_PARTS.1]));
-    let book = Arc::new(Book::default());
+    let book = Arc::new(AddressTable::default());
     let (_address, at) = watch::channel(told_agent(agent.address));
     let mut list = Discovery::new(
         at,
@@ -93,7 +93,7 @@
     new.next(Does::StallsAfter(&[LEAVES]));
     old.next(Does::StallsAfter(&[LEAVES]));
     let (address, at) = watch::channel(told_agent(old.address));
-    let book = Arc::new(Book::default());
+    let book = Arc::new(AddressTable::default());
     let mut list =
         Discovery::new(at, known("decode", 0), Backoff::new(2, 7), names(), Clock::new(), book, log());
     let mut forms = vec![list.next().await.unwrap().form, list.next().await.unwrap().form];
@@ -116,7 +116,7 @@
     let moved = StandIn::start(Does::Silent).await;
     moved.next(Does::Says(200, false, INDENTED));
     let (address, at) = watch::channel(told_agent(agent.address));
-    let (book, backoff) = (Arc::new(Book::default()), Backoff::new(2, 7));
+    let (book, backoff) = (Arc::new(AddressTable::default()), Backoff::new(2, 7));
     let mut list = Discovery::new(at, known("decode", 0), backoff, names(), Clock::new(), book, log());
     let mut forms = Vec::new();
     for _ in 0..3 {
@@ -139,7 +139,7 @@
             agent.next(Does::StallsAfter(&[LEAVES]));
             let (_address, at) = watch::channel(told_agent(agent.address));
             // As in a fleet of 300, where waits between calls are longest.
-            let (book, backoff) = (Arc::new(Book::default()), Backoff::new(300, seed));
+            let (book, backoff) = (Arc::new(AddressTable::default()), Backoff::new(300, seed));
             let mut list =
                 Discovery::new(at, known("decode", 0), backoff, names(), Clock::new(), book, log());
             list.next().await.unwrap();
@@ -155,7 +155,7 @@
 
 /// A list that waits for news of this agent, as one of a fleet of 300, past what it was started with.
 async fn started(at: watch::Receiver<DiscoveryConfig>, seed: u64) -> Discovery {
-    let (book, backoff) = (Arc::new(Book::default()), Backoff::new(300, seed));
+    let (book, backoff) = (Arc::new(AddressTable::default()), Backoff::new(300, seed));
     let mut list = Discovery::new(at, known("decode", 0), backoff, names(), Clock::new(), book, log());
     list.next().await.unwrap();
     list
@@ -244,7 +244,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_box_that_has_gone_keeps_its_address_for_a_while_only() {
-    let book = Book::default();
+    let book = AddressTable::default();
     let news = |form, members: &[(&str, Health)]| {
         let entry = |(name, health): &(&str, Health)| Entry {
             server: Id::from(*name),
@@ -306,7 +306,7 @@
     server.next(Does::Says(304, false, ""));
     server.next(Does::Says(200, false, resources("e2", drains)));
     let config = XdsConfig { server: server.address, refresh: Duration::from_millis(1) };
-    let book = Arc::new(Book::default());
+    let book = Arc::new(AddressTable::default());
     let mut list = Xds::new(config, "n1".into(), names(), Clock::new(), book.clone(), log());
     let first = list.next().await.unwrap();
     let up = [("127.0.0.1:11", Health::Up), ("127.0.0.1:12", Health::Up), ("w", Health::Up)];
@@ -341,7 +341,7 @@
     let again: &'static str = Box::leak(format!("{again}\n").into_boxed_str());
     agent.next(Does::StallsAfter(Box::leak(Box::new([again]))));
     let (_address, at) = watch::channel(told_agent(agent.address));
-    let (book, backoff, clock) = (Arc::new(Book::default()), Backoff::new(2, 7), Clock::new());
+    let (book, backoff, clock) = (Arc::new(AddressTable::default()), Backoff::new(2, 7), Clock::new());
     let known = known("decode", boot_ms);
     let mut list = Discovery::new(at, known, backoff, names(), clock, book, log());
     let first = list.next().await.unwrap().entries[0].started;
@@ -360,7 +360,7 @@
     let restarted: &'static str = Box::leak(format!("{restarted}\n").into_boxed_str());
     agent.next(Does::StallsAfter(Box::leak(Box::new([WHOLE_LIST, restarted]))));
     let (_address, at) = watch::channel(told_agent(agent.address));
-    let (book, backoff, clock) = (Arc::new(Book::default()), Backoff::new(2, 7), Clock::new());
+    let (book, backoff, clock) = (Arc::new(AddressTable::default()), Backoff::new(2, 7), Clock::new());
     let mut list = Discovery::new(at, known("decode", 0), backoff, names(), clock, book, log());
     list.next().await.unwrap();
     list.next().await.unwrap();
@@ -375,7 +375,7 @@
     let agent = StandIn::start(Does::Silent).await;
     agent.next(Does::Told);
     let (configured, at) = watch::channel(told_agent(agent.address));
-    let (book, backoff) = (Arc::new(Book::default()), Backoff::new(2, 7));
+    let (book, backoff) = (Arc::new(AddressTable::default()), Backoff::new(2, 7));
     let mut list = Discovery::new(at, known("decode", 0), backoff, names(), Clock::new(), book, log());
     assert_eq!(list.next().await.unwrap().form, ListForm::WarmCopy);
     let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
--- a/daemon/tests/gone.rs
+++ b/daemon/tests/gone.rs
@@ -60,7 +60,7 @@
 async fn while_held() {
     for (name, leaving) in left_unread() {
         let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
-        let site = Open::before(&[("decode", 1, decode.address)], PATIENCE);
+        let site = Open::before(&[("decode", 1, decode.address)], CLIENT_TIMEOUTS);
         let client = send(site.platform, &request("goes")).await;
         until(|| site.conductor.calls() == 1).await;
         let stays = tokio::spawn(async move { exchange(site.platform, &chat("stays", "ask", 7_000)).await });
@@ -84,7 +84,7 @@
     for (name, leaving) in left_unread().into_iter().filter(|(_, leaving)| leaving.len() < 32 << 10) {
         for kept in [false, true] {
             let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
-            let site = Open::before(&[("decode", 1, decode.address)], PATIENCE);
+            let site = Open::before(&[("decode", 1, decode.address)], CLIENT_TIMEOUTS);
             let turns_up = |health| {
                 let entries = vec![entry("prefill", 0, health)];
                 site.news.send(News { form: ListForm::Changes, entries }).unwrap();
@@ -142,7 +142,8 @@
     for (name, leaving) in left_unread() {
         let mut prefill = StandIn::start(READ).await;
         let shut = Shut::start().await;
-        let site = Open::before(&[("prefill", 0, prefill.address), ("decode", 1, shut.address)], PATIENCE);
+        let site =
+            Open::before(&[("prefill", 0, prefill.address), ("decode", 1, shut.address)], CLIENT_TIMEOUTS);
         let client = send(site.platform, &request("goes")).await;
         until(|| attempts(&prefill) == 1).await;
         sleep(Duration::from_millis(30)).await;
--- a/daemon/tests/interleavings.rs
+++ b/daemon/tests/interleavings.rs
@@ -101,13 +101,13 @@
     let mut draws = SmallRng::seed_from_u64(seed);
     let prefill = [StandIn::start(READ).await, StandIn::start(READ).await];
     let decode = [StandIn::start(WHOLE).await, StandIn::start(WHOLE).await];
-    let boxes = [
+    let servers = [
         ("p0", 0, prefill[0].address),
         ("p1", 0, prefill[1].address),
         ("d0", 1, decode[0].address),
         ("d1", 1, decode[1].address),
     ];
-    let site = Open::before(&boxes, PATIENCE);
+    let site = Open::before(&servers, CLIENT_TIMEOUTS);
     let mut clients = JoinSet::new();
     let mut answers = BTreeMap::new();
     for n in 0..REQUESTS {
@@ -118,7 +118,7 @@
         prefill[draws.random_range(0..2)].next(prefill_does(&mut draws));
         decode[draws.random_range(0..2)].next(decode_does(&mut draws));
         if draws.random_range(0..15) == 0 {
-            let (name, kind, _) = boxes[draws.random_range(0..4)];
+            let (name, kind, _) = servers[draws.random_range(0..4)];
             for health in [Health::Draining, Health::Up] {
                 let news = News { form: ListForm::Changes, entries: vec![entry(name, kind, health)] };
                 site.news.send(news).unwrap();
--- a/daemon/tests/platform.rs
+++ b/daemon/tests/platform.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use frosttrail_daemon::front::Patience;
+use frosttrail_daemon::front::ClientTimeouts;
 use frosttrail_membership::gossip::Role;
 use frosttrail_membership::service::{Config as Shared, Membership, View};
 use frosttrail_membership::Terms;
@@ -143,7 +143,7 @@
 
 #[tokio::test]
 async fn a_crowd_that_sends_no_whole_request_keeps_nobody_out_and_ends_nobodys_answer() {
-    let site = Site::with(Patience { arrive: 3 * LATEST, ..PATIENCE }).await;
+    let site = Site::with(ClientTimeouts { arrive: 3 * LATEST, ..CLIENT_TIMEOUTS }).await;
     site.writer.next(Does::StallsAfter(&[EVENT]));
     let mut served = send(site.platform, &post(PATH, HEADERS, "{}")).await;
     let mut seen = Vec::new();
@@ -199,7 +199,7 @@
 
 #[tokio::test]
 async fn a_client_that_keeps_its_connection_and_asks_no_more_is_closed() {
-    let site = Site::with(Patience { idle: Duration::from_millis(30), ..PATIENCE }).await;
+    let site = Site::with(ClientTimeouts { idle: Duration::from_millis(30), ..CLIENT_TIMEOUTS }).await;
     let mut stream = send(site.platform, &READY.replace("connection: close\r\n", "")).await;
     let mut seen = Vec::new();
     let read = tokio::time::timeout(LATEST, stream.read_to_end(&mut seen)).await;
--- a/daemon/tests/processes.rs
+++ b/daemon/tests/processes.rs
@@ -1,6 +1,6 @@
-//! Several processes of the program before one fleet of stand-in boxes, with faults between them: links that
-//! are cut, refuse or go silent, a process that is killed and started anew, one that is paused. What came of
-//! each request is counted at the boxes.
+//! Several processes of the program before one fleet of stand-in servers, with faults between them: links
+//! that are cut, refuse or go silent, a process that is killed and started anew, one that is paused. What
+//! came of each request is counted at the servers.
 
 mod support;
 
@@ -23,7 +23,7 @@
 const ANSWER_MOST: Duration = Duration::from_secs(8 + 4);
 const PAUSE: Duration = Duration::from_millis(700);
 
-/// Boxes of two zones, each behind a link of its own.
+/// Servers of two zones, each behind a link of its own.
 struct Fleet {
     ledger: Ledger,
     links: Vec<(&'static str, &'static str, Link)>,
@@ -63,7 +63,7 @@
         Running::start(program(&format!("processes-{n}"), &self.config.to_string()))
     }
 
-    /// To the links of a zone, or of all boxes of a kind.
+    /// To the links of a zone, or of all servers of a kind.
     fn each(&self, of: &str, what: impl Fn(&Link)) {
         self.links.iter().filter(|(zone, kind, _)| *zone == of || *kind == of).for_each(|l| what(&l.2));
     }
--- a/daemon/tests/servers.rs
+++ b/daemon/tests/servers.rs
@@ -97,13 +97,13 @@
     for class in ["ask", "book"] {
         let (prefill, decode) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
         let (no_prefill, no_decode) = (Shut::start().await, Shut::start().await);
-        let boxes = [
+        let servers = [
             ("p1", 0, no_prefill.address),
             ("p2", 0, prefill.address),
             ("d1", 1, no_decode.address),
             ("d2", 1, decode.address),
         ];
-        let site = Open::before(&boxes, PATIENCE);
+        let site = Open::before(&servers, CLIENT_TIMEOUTS);
         for n in 0..6 {
             let answer = exchange(site.platform, &request(&format!("{class}-{n}"), class)).await;
             assert_eq!((answer.status, answer.answers), (200, 1), "{class}-{n}");
@@ -121,7 +121,7 @@
 /// No server is known at all: each class is refused in time, with an answer, and told when to come back.
 #[tokio::test]
 async fn what_was_never_sent_is_refused_with_an_answer() {
-    let site = Open::before(&[], PATIENCE);
+    let site = Open::before(&[], CLIENT_TIMEOUTS);
     for class in ["ask", "book"] {
         let text = chat(&format!("never-{class}"), class, 900);
         let begin = Instant::now();
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -1,4 +1,4 @@
-//! What the socket tests share: stand-in boxes, clients and a conductor between them, all on loopback.
+//! What the socket tests share: stand-in servers, clients and a conductor between them, all on loopback.
 #![allow(dead_code)]
 
 pub mod operations;
@@ -17,8 +17,8 @@
 use frosttrail_daemon::config::ChatConfig;
 use frosttrail_daemon::front::chat::Chat;
 use frosttrail_daemon::front::platform::Platform;
-use frosttrail_daemon::front::{Doors, Patience};
-use frosttrail_daemon::upstream::{Book, Limits, Upstream};
+use frosttrail_daemon::front::{ClientListeners, ClientTimeouts};
+use frosttrail_daemon::upstream::{AddressTable, HttpUpstream, Limits};
 use serde_json::{json, Value};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -35,7 +35,7 @@
     "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":12,\"completion_tokens\":2,\"total_tokens\":14}}\n\n";
 pub const DONE: &str = "data: [DONE]\n\n";
 
-/// What a stand-in box does with the next request.
+/// What a stand-in server does with the next request.
 #[derive(Clone, Debug)]
 pub enum Does {
     /// Answers with this status, marked as turned away or not, and a body.
@@ -68,7 +68,7 @@
 }
 
 /// How long clients may take.
-pub const PATIENCE: Patience = Patience {
+pub const CLIENT_TIMEOUTS: ClientTimeouts = ClientTimeouts {
     arrive: Duration::from_millis(300),
     idle: Duration::from_secs(60),
     stall: Duration::from_millis(200),
@@ -77,7 +77,7 @@
 pub const READ: Does = Does::Says(202, false, "{\"cached_tokens\":0}");
 pub const WHOLE: Does = Does::Streams(&[EVENT, LAST, USAGE, DONE]);
 
-/// A request as a box got it.
+/// A request as a server got it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Got {
     pub line: String,
@@ -85,7 +85,7 @@
     pub body: String,
 }
 
-/// What a box did with a request, or `None` for a release, in the order in which all boxes of a test got
+/// What a server did with a request, or `None` for a release, in the order in which all servers of a test got
 /// them.
 #[derive(Clone, Debug)]
 pub struct Did {
@@ -96,7 +96,7 @@
 
 static NTH: AtomicU64 = AtomicU64::new(0);
 
-/// A box whose answers are told beforehand; past them it repeats its usual one.
+/// A server whose answers are told beforehand; past them it repeats its usual one.
 pub struct StandIn {
     pub address: SocketAddr,
     pub got: Arc<Mutex<Vec<Got>>>,
@@ -291,7 +291,7 @@
     }
 }
 
-/// A box that takes no connection: those that fill the kernel's queue are in front.
+/// A server that takes no connection: those that fill the kernel's queue are in front.
 pub struct Shut {
     pub address: SocketAddr,
     listener: TcpListener,
@@ -407,20 +407,20 @@
 pub struct Open {
     pub platform: SocketAddr,
     pub chat: SocketAddr,
-    pub conductor: Conductor<Upstream>,
-    pub doors: Doors,
+    pub conductor: Conductor<HttpUpstream>,
+    pub doors: ClientListeners,
     pub news: mpsc::UnboundedSender<News>,
-    /// Where the boxes are.
-    pub book: Arc<Book>,
+    /// Where the servers are.
+    pub book: Arc<AddressTable>,
 }
 
 impl Open {
-    /// Before these boxes: name, kind and address.
-    pub fn before(boxes: &[(&str, usize, SocketAddr)], patience: Patience) -> Self {
+    /// Before these servers: name, kind and address.
+    pub fn before(servers: &[(&str, usize, SocketAddr)], patience: ClientTimeouts) -> Self {
         let names = Names::new(&setup()).unwrap();
         let settings = settings(&setup(), &names).unwrap();
-        let (news, conductor, book) = conductor(&settings, boxes);
-        let doors = Doors::new(8, patience, slog::Logger::root(slog::Discard, slog::o!()));
+        let (news, conductor, book) = conductor(&settings, servers);
+        let doors = ClientListeners::new(8, patience, slog::Logger::root(slog::Discard, slog::o!()));
         let config =
             ChatConfig { listen: any(), models: vec!["chat".into()], class: "book".into(), max_tokens: 400 };
         let platform = Platform::new(conductor.clone());
@@ -436,20 +436,20 @@
     pub chat: SocketAddr,
     pub reader: StandIn,
     pub writer: StandIn,
-    pub conductor: Conductor<Upstream>,
-    pub doors: Doors,
+    pub conductor: Conductor<HttpUpstream>,
+    pub doors: ClientListeners,
     pub news: mpsc::UnboundedSender<News>,
 }
 
 impl Site {
     pub async fn start() -> Self {
-        Site::with(PATIENCE).await
+        Site::with(CLIENT_TIMEOUTS).await
     }
 
-    pub async fn with(patience: Patience) -> Self {
+    pub async fn with(patience: ClientTimeouts) -> Self {
         let (reader, writer) = (StandIn::start(READ).await, StandIn::start(WHOLE).await);
-        let boxes = [("reader", 0, reader.address), ("writer", 1, writer.address)];
-        let Open { platform, chat, conductor, doors, news, .. } = Open::before(&boxes, patience);
+        let servers = [("reader", 0, reader.address), ("writer", 1, writer.address)];
+        let Open { platform, chat, conductor, doors, news, .. } = Open::before(&servers, patience);
         Site { platform, chat, reader, writer, conductor, doors, news }
     }
 }
@@ -463,29 +463,29 @@
     prometheus::IntCounter::new("sends", "Attempts").unwrap()
 }
 
-pub fn upstream(boxes: &[(&str, usize, SocketAddr)]) -> Upstream {
-    upstream_that_settles(boxes, Duration::ZERO)
+pub fn upstream(servers: &[(&str, usize, SocketAddr)]) -> HttpUpstream {
+    upstream_that_settles(servers, Duration::ZERO)
 }
 
 /// One that leaves connections alone for so long after an answer.
-pub fn upstream_that_settles(boxes: &[(&str, usize, SocketAddr)], settle: Duration) -> Upstream {
-    Upstream::new(book(boxes), limits(settle), sends())
+pub fn upstream_that_settles(servers: &[(&str, usize, SocketAddr)], settle: Duration) -> HttpUpstream {
+    HttpUpstream::new(book(servers), limits(settle), sends())
 }
 
 /// One, and where its servers are.
-pub fn upstream_and_book(boxes: &[(&str, usize, SocketAddr)]) -> (Upstream, Arc<Book>) {
-    let book = book(boxes);
-    (Upstream::new(book.clone(), limits(Duration::ZERO), sends()), book)
+pub fn upstream_and_book(servers: &[(&str, usize, SocketAddr)]) -> (HttpUpstream, Arc<AddressTable>) {
+    let book = book(servers);
+    (HttpUpstream::new(book.clone(), limits(Duration::ZERO), sends()), book)
 }
 
 /// One that waits so long for a connection to come up.
-pub fn upstream_that_connects_within(boxes: &[(&str, usize, SocketAddr)], time: Duration) -> Upstream {
-    Upstream::new(book(boxes), Limits { connect_timeout: time, ..limits(Duration::ZERO) }, sends())
+pub fn upstream_that_connects_within(servers: &[(&str, usize, SocketAddr)], time: Duration) -> HttpUpstream {
+    HttpUpstream::new(book(servers), Limits { connect_timeout: time, ..limits(Duration::ZERO) }, sends())
 }
 
-fn book(boxes: &[(&str, usize, SocketAddr)]) -> Arc<Book> {
-    let book = Arc::new(Book::default());
-    for (name, _, address) in boxes {
+fn book(servers: &[(&str, usize, SocketAddr)]) -> Arc<AddressTable> {
+    let book = Arc::new(AddressTable::default());
+    for (name, _, address) in servers {
         book.set(Id::from(*name), *address);
     }
     book
@@ -508,10 +508,10 @@
 
 fn conductor(
     settings: &Settings,
-    boxes: &[(&str, usize, SocketAddr)],
-) -> (mpsc::UnboundedSender<News>, Conductor<Upstream>, Arc<Book>) {
-    let book = book(boxes);
-    let entries = boxes.iter().map(|(name, kind, _)| entry(name, *kind, Health::Up)).collect();
+    servers: &[(&str, usize, SocketAddr)],
+) -> (mpsc::UnboundedSender<News>, Conductor<HttpUpstream>, Arc<AddressTable>) {
+    let book = book(servers);
+    let entries = servers.iter().map(|(name, kind, _)| entry(name, *kind, Health::Up)).collect();
     let (news, told) = mpsc::unbounded_channel();
     let _ = news.send(News { form: ListForm::Full, entries });
     let conductor = start(Parts {
@@ -521,7 +521,7 @@
         settings: settings.clone(),
         seed: 7,
         clock: Clock::new(),
-        boxes: Arc::new(Upstream::new(book.clone(), limits(Duration::ZERO), sends())),
+        upstream: Arc::new(HttpUpstream::new(book.clone(), limits(Duration::ZERO), sends())),
         members: Told(told),
         log: slog::Logger::root(slog::Discard, slog::o!()),
     });
--- a/daemon/tests/unit/link.rs
+++ b/daemon/tests/unit/link.rs
@@ -6,7 +6,7 @@
 
 use super::*;
 
-/// No task runs between the drop and the look at the box's side: whatever the conductor writes next,
+/// No task runs between the drop and the look at the server's side: whatever the conductor writes next,
 /// as a refusal, comes after the end of the attempt.
 #[tokio::test]
 async fn a_dropped_connection_is_closed_before_anything_else_happens() {
--- a/daemon/tests/unit/listener.rs
+++ b/daemon/tests/unit/listener.rs
@@ -2,19 +2,19 @@
 
 use super::*;
 use crate::front::body::whole;
-use crate::upstream::BoxEvents;
+use crate::upstream::ServerEvents;
 
 /// Answers everything at once.
 struct Answers;
 
 impl Service for Answers {
-    type Events = BoxEvents;
+    type Events = ServerEvents;
 
-    async fn answer(&self, _: Request<Incoming>) -> FrontResponse<BoxEvents> {
+    async fn answer(&self, _: Request<Incoming>) -> FrontResponse<ServerEvents> {
         Ok(whole(StatusCode::OK, "text/plain", "here"))
     }
 
-    fn turn_down(&self, error: InputError) -> Response<FrontBody<BoxEvents>> {
+    fn turn_down(&self, error: InputError) -> Response<FrontBody<ServerEvents>> {
         whole(error.status(), "text/plain", "")
     }
 }
@@ -23,12 +23,12 @@
 /// process was held up right after it was accepted.
 #[tokio::test]
 async fn a_connection_that_makes_room_is_looked_at_once_more() {
-    let patience = Patience {
+    let patience = ClientTimeouts {
         arrive: Duration::from_secs(2),
         idle: Duration::from_secs(5),
         stall: Duration::from_secs(20),
     };
-    let doors = Doors::new(1, patience, Logger::root(slog::Discard, slog::o!()));
+    let doors = ClientListeners::new(1, patience, Logger::root(slog::Discard, slog::o!()));
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     client.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
--- a/daemon/tests/whole_path.rs
+++ b/daemon/tests/whole_path.rs
@@ -32,19 +32,19 @@
 impl Path {
     async fn start(readers: usize) -> Self {
         let config = Config { chunk: 16 << 10, ..Config::default() };
-        let (mut boxes, mut links) = (Vec::new(), Vec::new());
+        let (mut servers, mut links) = (Vec::new(), Vec::new());
         for n in 0..readers {
             let reader = Reader::start(config, 10 + n as u64, LENGTH, Duration::from_millis(20), log()).await;
-            boxes.push(reader.unwrap());
-            links.push(Link::start(boxes[n].transfer).await.unwrap());
+            servers.push(reader.unwrap());
+            links.push(Link::start(servers[n].transfer).await.unwrap());
         }
         let from = links.iter().map(|l| l.address).collect();
         let writer = Writer::start(config, 1, from, Duration::from_millis(5), log()).await.unwrap();
         let names: Vec<String> = (0..readers).map(|n| format!("reader-{n}")).collect();
         let mut members: Vec<_> =
-            names.iter().zip(&boxes).map(|(name, b)| (name.as_str(), 0, b.http)).collect();
+            names.iter().zip(&servers).map(|(name, b)| (name.as_str(), 0, b.http)).collect();
         members.push(("writer", 1, writer.http));
-        Path { site: Open::before(&members, PATIENCE), readers: boxes, writer, links }
+        Path { site: Open::before(&members, CLIENT_TIMEOUTS), readers: servers, writer, links }
     }
 
     async fn ask(&self, class: &str, id: &str, body: &str) -> Answer {
@@ -52,7 +52,7 @@
         timeout(LATEST, exchange(self.site.platform, &text)).await.unwrap()
     }
 
-    /// Nothing is held or moves, at any box, within the rule.
+    /// Nothing is held or moves, at any server, within the rule.
     async fn free_in_time(&self) {
         let begin = Instant::now();
         self.site.conductor.released().await;
--- a/rpc/src/client.rs
+++ b/rpc/src/client.rs
@@ -1,4 +1,4 @@
-//! What a program sees that chooses boxes in its own process: a request goes in, a stream of events or a
+//! What a program sees that chooses servers in its own process: a request goes in, a stream of events or a
 //! typed error comes out. Dropping the call, or the stream, gives the request up.
 
 use std::pin::Pin;
@@ -11,7 +11,7 @@
 use futures_core::Stream;
 
 use crate::proto;
-use crate::upstream::{Answer, Call, Upstream};
+use crate::upstream::{Answer, Call, GrpcUpstream};
 
 /// A request.
 #[derive(Clone, Debug, Default)]
@@ -34,7 +34,7 @@
     pub resent: bool,
     /// Back for the rest of a stream that broke.
     pub came_back: bool,
-    /// What the box needs to read.
+    /// What the server needs to read.
     pub body: Bytes,
 }
 
@@ -67,12 +67,12 @@
 /// A conductor in this process.
 #[derive(Clone)]
 pub struct Client {
-    conductor: Conductor<Upstream>,
+    conductor: Conductor<GrpcUpstream>,
 }
 
 impl Client {
     /// Speaks for a conductor.
-    pub fn new(conductor: Conductor<Upstream>) -> Self {
+    pub fn new(conductor: Conductor<GrpcUpstream>) -> Self {
         Client { conductor }
     }
 
@@ -121,7 +121,7 @@
     }
 }
 
-/// The events of an answer as they come. It ends well only where the box's stream did.
+/// The events of an answer as they come. It ends well only where the server's stream did.
 #[derive(Debug)]
 pub struct Events(AnswerStream<Answer>);
 
--- a/rpc/src/members.rs
+++ b/rpc/src/members.rs
@@ -6,7 +6,7 @@
 use frosttrail::{Entry, Health, Id, ListForm, Settings};
 use frosttrail_core::{MemberList, News};
 
-use crate::upstream::Book;
+use crate::upstream::AddressTable;
 
 /// One of them.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,7 +28,7 @@
 
 impl Fixed {
     /// Enters the members into the book.
-    pub fn new(members: &[Member], settings: &Settings, book: &Arc<Book>) -> Self {
+    pub fn new(members: &[Member], settings: &Settings, book: &Arc<AddressTable>) -> Self {
         let known = members.iter().filter_map(|m| Some((m, settings.roles.get(m.kind)?)));
         let entries = known.map(|(m, role)| {
             book.set(Id::from(m.id.as_str()), m.at, *role);
--- a/rpc/src/outcome.rs
+++ b/rpc/src/outcome.rs
@@ -2,7 +2,7 @@
 
 use frosttrail::Outcome;
 
-/// What the box itself said, in a status's details.
+/// What the server itself said, in a status's details.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Said {
     /// It never ran: no room here.
@@ -18,11 +18,11 @@
 pub enum End {
     /// No connection came up, or it broke or was closed.
     Connection,
-    /// The box closed its connection in good order, and named a last stream before this one.
+    /// The server closed its connection in good order, and named a last stream before this one.
     BehindGoaway,
     /// The stream was reset with this code.
     Reset(h2::Reason),
-    /// A status came, good or bad, with what the box said in its details.
+    /// A status came, good or bad, with what the server said in its details.
     Status(Said),
     /// What came is no gRPC: another HTTP status, another type, no trailers, a message that can't be read.
     NoGrpc,
@@ -36,7 +36,7 @@
 /// handed to the connection and flushed; where that can't be told, it is true.
 pub fn outcome(end: End, written: bool) -> Outcome {
     match end {
-        // The box's own word, and HTTP/2's two ways to say that a stream was not worked on.
+        // The server's own word, and HTTP/2's two ways to say that a stream was not worked on.
         End::Status(Said::TurnedAway) | End::BehindGoaway => Outcome::TurnedAway,
         End::Reset(h2::Reason::REFUSED_STREAM) => Outcome::TurnedAway,
         End::Status(Said::StateLost) => Outcome::StateLost,
--- a/rpc/src/upstream/attempt.rs
+++ b/rpc/src/upstream/attempt.rs
@@ -22,10 +22,10 @@
 
 const SERVICE: &str = "frosttrail.box.v1.ModelBox";
 
-/// How an exchange ended that brought no message, and the box's load report, if it sent one.
+/// How an exchange ended that brought no message, and the server's load report, if it sent one.
 type Ended = (Outcome, Option<proto::Load>);
 
-/// Calls to one box.
+/// Calls to one server.
 pub(super) struct Calls {
     pub(super) at: SocketAddr,
     pub(super) pool: Arc<Pool>,
--- a/rpc/src/upstream/connection.rs
+++ b/rpc/src/upstream/connection.rs
@@ -1,4 +1,4 @@
-//! Connections to one box: many streams on each, another where a box allows no more on one.
+//! Connections to one server: many streams on each, another where a server allows no more on one.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -13,9 +13,10 @@
 
 use super::meter::{Meter, Taken};
 
-/// Connections to one box at most: a box holds only a limited number.
+/// Connections to one server at most: a server holds only a limited number.
 const MOST: usize = 4;
-/// What a box may send ahead on one stream, and on all of a connection: a reader who stops is not sent more.
+/// What a server may send ahead on one stream, and on all of a connection: a reader who stops is not sent
+/// more.
 const STREAM_WINDOW: u32 = 256 << 10;
 const CONNECTION_WINDOW: u32 = 8 << 20;
 
@@ -77,7 +78,7 @@
     }
 }
 
-/// All connections to one box.
+/// All connections to one server.
 #[derive(Default)]
 pub(super) struct Pool {
     connections: Mutex<Vec<Connection>>,
@@ -102,7 +103,7 @@
         Some(lent)
     }
 
-    /// Where no box allows more streams, one waits for a place on the connection with the fewest.
+    /// Where no server allows more streams, one waits for a place on the connection with the fewest.
     fn any(&self) -> Option<Lent> {
         let connections = self.connections.lock().unwrap_or_else(|e| e.into_inner());
         connections.iter().min_by_key(|c| c.open.load(Ordering::Relaxed)).map(Connection::lend)
--- a/rpc/src/upstream/messages.rs
+++ b/rpc/src/upstream/messages.rs
@@ -76,7 +76,7 @@
             }
             match ready!(self.stream.poll_data(cx)) {
                 Some(Ok(data)) => {
-                    // Room for as much again; who stops reading stops the box.
+                    // Room for as much again; who stops reading stops the server.
                     let _ = self.stream.flow_control().release_capacity(data.len());
                     self.held.extend_from_slice(&data);
                 }
@@ -113,7 +113,7 @@
     }
 }
 
-/// The status in a head or in trailers: whether it is good, and what the box says if it is not.
+/// The status in a head or in trailers: whether it is good, and what the server says if it is not.
 pub(super) fn status(headers: &HeaderMap) -> Option<Result<(), (Said, Option<crate::proto::Load>)>> {
     let code = headers.get("grpc-status")?.to_str().ok()?.parse::<i32>().ok()?;
     if code == 0 {
@@ -136,7 +136,7 @@
     NeverRan::decode(&detail.value[..]).ok()
 }
 
-/// The header that says that a request never ran here, for a box to put beside its status.
+/// The header that says that a request never ran here, for a server to put beside its status.
 pub fn never_ran(code: i32, message: &str, why: NeverRan) -> String {
     let detail = prost_types::Any { type_url: DETAIL.into(), value: why.encode_to_vec() };
     let status = RpcStatus { code, message: message.into(), details: vec![detail] };
--- a/rpc/src/upstream/mod.rs
+++ b/rpc/src/upstream/mod.rs
@@ -1,4 +1,4 @@
-//! The way to boxes over gRPC: attempts and their outcomes, on HTTP/2.
+//! The way to servers over gRPC: attempts and their outcomes, on HTTP/2.
 
 mod attempt;
 mod connection;
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use frosttrail::{Id, Load, Outcome, Role};
-use frosttrail_core::{Boxes, Reply, SendPermit};
+use frosttrail_core::{Reply, SendPermit, Upstream};
 
 use crate::proto;
 pub use attempt::Answer;
@@ -20,40 +20,40 @@
 use connection::Pool;
 pub use messages::never_ran;
 
-/// A box: where it is and what it does.
+/// A server: where it is and what it does.
 struct Known {
     at: SocketAddr,
     role: Role,
     pool: Arc<Pool>,
 }
 
-/// Which boxes there are, shared by the list of members, which tells of them, and the way to them.
+/// Which servers there are, shared by the list of members, which tells of them, and the way to them.
 #[derive(Default)]
-pub struct Book {
-    boxes: RwLock<HashMap<Id, Known>>,
+pub struct AddressTable {
+    upstream: RwLock<HashMap<Id, Known>>,
 }
 
-impl Book {
-    /// A box is there, or elsewhere than before.
+impl AddressTable {
+    /// A server is there, or elsewhere than before.
     pub fn set(&self, id: Id, at: SocketAddr, role: Role) {
-        let mut boxes = self.boxes.write().unwrap_or_else(|e| e.into_inner());
-        if boxes.get(&id).is_none_or(|known| known.at != at) {
-            boxes.insert(id, Known { at, role, pool: Arc::default() });
+        let mut upstream = self.upstream.write().unwrap_or_else(|e| e.into_inner());
+        if upstream.get(&id).is_none_or(|known| known.at != at) {
+            upstream.insert(id, Known { at, role, pool: Arc::default() });
         }
     }
 
-    /// A box is gone; what runs on its connections goes on.
+    /// A server is gone; what runs on its connections goes on.
     pub fn remove(&self, id: &Id) {
-        self.boxes.write().unwrap_or_else(|e| e.into_inner()).remove(id);
+        self.upstream.write().unwrap_or_else(|e| e.into_inner()).remove(id);
     }
 
     fn get(&self, id: &Id) -> Option<(SocketAddr, Role, Arc<Pool>)> {
-        let boxes = self.boxes.read().unwrap_or_else(|e| e.into_inner());
-        boxes.get(id).map(|known| (known.at, known.role, known.pool.clone()))
+        let upstream = self.upstream.read().unwrap_or_else(|e| e.into_inner());
+        upstream.get(id).map(|known| (known.at, known.role, known.pool.clone()))
     }
 }
 
-/// A request as it travels to boxes, written out once.
+/// A request as it travels to servers, written out once.
 #[derive(Clone, Debug)]
 pub struct Call {
     framed: Bytes,
@@ -70,16 +70,16 @@
 /// The longest request, as on the platform's wire.
 const MOST_REQUEST: usize = 256 << 10;
 
-/// The way to boxes.
-pub struct Upstream {
-    book: Arc<Book>,
+/// The way to servers.
+pub struct GrpcUpstream {
+    book: Arc<AddressTable>,
     connect: Duration,
 }
 
-impl Upstream {
+impl GrpcUpstream {
     /// `connect`: a connection that has not come up within this time never will.
-    pub fn new(book: Arc<Book>, connect: Duration) -> Self {
-        Upstream { book, connect }
+    pub fn new(book: Arc<AddressTable>, connect: Duration) -> Self {
+        GrpcUpstream { book, connect }
     }
 
     fn calls(&self, server: &Id, permit: SendPermit) -> Option<(Calls, Role)> {
@@ -88,7 +88,7 @@
     }
 }
 
-impl Boxes for Upstream {
+impl Upstream for GrpcUpstream {
     type Call = Call;
     type Events = Answer;
 
@@ -125,7 +125,7 @@
     }
 }
 
-/// For one box to take a release; whoever asks has less patience.
+/// For one server to take a release; whoever asks has less patience.
 const RELEASE: Duration = Duration::from_millis(500);
 /// For a probe.
 const PROBE: Duration = Duration::from_millis(500);
--- a/rpc/tests/outcomes.rs
+++ b/rpc/tests/outcomes.rs
@@ -1,4 +1,4 @@
-//! Attempts against a scripted box: whatever HTTP/2 and gRPC can say, the outcome is the table's.
+//! Attempts against a scripted server: whatever HTTP/2 and gRPC can say, the outcome is the table's.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -6,9 +6,9 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use frosttrail::{Id, Outcome, Role};
-use frosttrail_core::{Boxes, Events, Reply, SendPermit, Step};
+use frosttrail_core::{Events, Reply, SendPermit, Step, Upstream};
 use frosttrail_rpc::proto::{never_ran::Why, Event, NeverRan, ReadDone, Request};
-use frosttrail_rpc::upstream::{never_ran, Answer, Book, Call, Upstream};
+use frosttrail_rpc::upstream::{never_ran, AddressTable, Answer, Call, GrpcUpstream};
 use h2::server::SendResponse;
 use h2::{Reason, SendStream};
 use http::{HeaderMap, Response};
@@ -20,7 +20,7 @@
 const WAIT: Duration = Duration::from_millis(300);
 const LATEST: Duration = Duration::from_secs(20);
 
-/// What the box does with a stream.
+/// What the server does with a stream.
 #[derive(Clone, Debug)]
 enum Does {
     /// Answers with a reader's message.
@@ -142,7 +142,7 @@
 }
 
 struct Stand {
-    upstream: Arc<Upstream>,
+    upstream: Arc<GrpcUpstream>,
     does: Arc<Mutex<Does>>,
     connections: Arc<Mutex<u32>>,
     /// Requests that came whole.
@@ -174,17 +174,17 @@
     }
 }
 
-fn upstream(at: SocketAddr) -> Arc<Upstream> {
-    let book = Arc::new(Book::default());
+fn upstream(at: SocketAddr) -> Arc<GrpcUpstream> {
+    let book = Arc::new(AddressTable::default());
     book.set(Id::from("reader"), at, Role::Read);
     book.set(Id::from("writer"), at, Role::Write);
-    Arc::new(Upstream::new(book, Duration::from_millis(250)))
+    Arc::new(GrpcUpstream::new(book, Duration::from_millis(250)))
 }
 
-/// More than a box takes before it has opened its window.
+/// More than a server takes before it has opened its window.
 const LARGE: usize = 100_000;
 
-async fn attempt(upstream: &Upstream, server: &str, body: usize) -> Reply<Answer> {
+async fn attempt(upstream: &GrpcUpstream, server: &str, body: usize) -> Reply<Answer> {
     let request = Request { id: "r-1".into(), body: vec![7; body], ..Request::default() };
     let call = Call::new(&request).unwrap();
     let (server, id) = (Id::from(server), Id::from("r-1"));
@@ -287,7 +287,7 @@
         }
         assert_eq!(step(&mut answer).await, end, "{does:?}");
     }
-    // Reader and writer are two boxes here, with a connection each.
+    // Reader and writer are two servers here, with a connection each.
     assert_eq!(*stand.connections.lock().unwrap(), 2);
 }
 
@@ -295,7 +295,7 @@
     timeout(LATEST, std::future::poll_fn(|cx| answer.poll_step(cx))).await.unwrap()
 }
 
-/// A box that speaks frames by hand.
+/// A server that speaks frames by hand.
 async fn by_hand(frames: &'static [u8]) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let at = listener.local_addr().unwrap();
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -1,4 +1,4 @@
-//! The platform's protocol as stand-in boxes serve it.
+//! The platform's protocol as stand-in servers serve it.
 
 use std::convert::Infallible;
 use std::io;
@@ -17,7 +17,7 @@
 
 pub(crate) type Body = BoxBody<Bytes, Infallible>;
 
-/// Serves the protocol: requests by what this box does, and the call that lets go of a state.
+/// Serves the protocol: requests by what this server does, and the call that lets go of a state.
 pub(crate) async fn serve<L, F, R>(lets_go: L, does: F) -> io::Result<(SocketAddr, AbortOnDropHandle<()>)>
 where
     L: Fn(&Id) + Clone + Send + Sync + 'static,
--- a/standins/src/ledger.rs
+++ b/standins/src/ledger.rs
@@ -1,4 +1,4 @@
-//! Stand-in boxes that keep one account for all of a fleet: what was held for each request, for how long
+//! Stand-in servers that keep one account for all of a fleet: what was held for each request, for how long
 //! nobody had taken it or let it go, and how often a writer ran it. What conductors did is counted here, not
 //! asked of them.
 
@@ -45,13 +45,13 @@
         f(self.0.lock().unwrap_or_else(|e| e.into_inner()).entry(id.clone()).or_default())
     }
 
-    /// All requests that reached a box.
+    /// All requests that reached a server.
     pub fn accounts(&self) -> HashMap<Id, Account> {
         self.0.lock().unwrap_or_else(|e| e.into_inner()).clone()
     }
 }
 
-/// A box of the fleet. Dropping it ends it, as a crash would.
+/// A server of the fleet. Dropping it ends it, as a crash would.
 pub struct Member {
     /// Where conductors send requests.
     pub http: SocketAddr,
--- a/standins/src/split.rs
+++ b/standins/src/split.rs
@@ -1,4 +1,4 @@
-//! Stand-in boxes whose state really moves: a reader that makes a state from the prompt and holds it in a
+//! Stand-in servers whose state really moves: a reader that makes a state from the prompt and holds it in a
 //! transfer node, and a writer that fetches it and answers with what it finds in it. Both speak the
 //! platform's protocol to the conductor.
 
@@ -146,7 +146,7 @@
     })
 }
 
-/// What the call that lets go of a state does at a box with this node.
+/// What the call that lets go of a state does at a server with this node.
 fn releases(node: &Arc<Node>) -> impl Fn(&Id) + Clone + Send + Sync + 'static {
     let node = node.clone();
     move |id| node.release_unclaimed(id)
--- a/transfer/benches/transfer.rs
+++ b/transfer/benches/transfer.rs
@@ -1,5 +1,5 @@
 //! What the page on transfer quotes: `cargo bench -p frosttrail-transfer`, some two minutes. Each end has a
-//! thread and a runtime of its own, as two boxes have.
+//! thread and a runtime of its own, as two servers have.
 
 use std::alloc::System;
 use std::net::SocketAddr;
@@ -129,7 +129,7 @@
         let (at, _end) = beside(move || holder(config, states));
         ours.push(runtime().block_on(async {
             let node = Node::new(config, 8, log());
-            // A connection is there, as it is between boxes that work.
+            // A connection is there, as it is between servers that work.
             drop(node.fetch(&id("warm"), &[at], None).await.unwrap());
             let begin = Instant::now();
             let whole = node.fetch(&id("r"), &[at], None).await.unwrap();
--- a/transfer/src/cause.rs
+++ b/transfer/src/cause.rs
@@ -16,7 +16,7 @@
     /// Released by whoever conducts the request.
     #[error("released")]
     Released = 4,
-    /// The box that held it has drained.
+    /// The server that held it has drained.
     #[error("its box has drained")]
     Drained = 5,
     /// Chunks stayed unproven as often as is allowed.
--- a/transfer/src/lease.rs
+++ b/transfer/src/lease.rs
@@ -1,4 +1,4 @@
-//! Who owns a state that was read here, and until when. One owner at any moment: this box until the taker
+//! Who owns a state that was read here, and until when. One owner at any moment: this server until the taker
 //! has said that the whole is there and proven, that taker from then on. No I/O, no clock.
 
 use crate::cause::Cause;
@@ -96,7 +96,7 @@
         }
     }
 
-    /// Whether the state is this box's.
+    /// Whether the state is this server's.
     pub fn holds(&self) -> bool {
         !matches!(self.owner, Owner::Given { .. })
     }
--- a/transfer/src/lib.rs
+++ b/transfer/src/lib.rs
@@ -1,4 +1,4 @@
-//! Moves read state from the box that read a prompt to the box that writes the answer: in chunks, each
+//! Moves read state from the server that read a prompt to the server that writes the answer: in chunks, each
 //! proven before it counts, resumed after a cut, and owned by one side at any moment. `docs/transfer.md`
 //! describes the wire and the service, `docs/design/transfer.md` says why it is made this way.
 //!
--- a/transfer/src/service/mod.rs
+++ b/transfer/src/service/mod.rs
@@ -1,4 +1,4 @@
-//! The service: the machines on sockets. A [`Node`] is both sides at once; a box embeds one, or runs one
+//! The service: the machines on sockets. A [`Node`] is both sides at once; a server embeds one, or runs one
 //! beside itself.
 
 mod connection;
--- a/transfer/src/service/node.rs
+++ b/transfer/src/service/node.rs
@@ -1,4 +1,4 @@
-//! What an embedding box sees: states are put, fetched, pushed and released. Dropping a read, a fetch or a
+//! What an embedding server sees: states are put, fetched, pushed and released. Dropping a read, a fetch or a
 //! state gives it up.
 
 use std::future::Future;
--- a/transfer/tests/service.rs
+++ b/transfer/tests/service.rs
@@ -270,7 +270,7 @@
         }
         pair.free_in_time().await;
     }
-    // A box that knows nothing of it passes the word on to those it is connected with.
+    // A server that knows nothing of it passes the word on to those it is connected with.
     let pair = Pair::start().await;
     pair.put("r1", &state).await;
     let third = Node::new(config(), 3, log());
