--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -15,7 +15,7 @@
 use frosttrail_daemon::front::{ClientListeners, ClientTimeouts};
 use frosttrail_daemon::listener_handover::ListenerHandover;
 use frosttrail_daemon::reload::Reload;
-use frosttrail_daemon::transient::{await_resources, is_shortage, retry_at_start};
+use frosttrail_daemon::transient::{await_socket_pairs, await_threads, is_shortage, retry_at_start};
 use frosttrail_daemon::upstream::{AddressTable, HttpUpstream, Limits};
 use frosttrail_membership::service::{self, Membership};
 use slog::{info, Logger};
@@ -62,7 +62,7 @@
 
 /// Runs the conductor until SIGTERM.
 pub fn serve(options: Options) -> Result<(), ServeError> {
-    await_resources()?;
+    await_socket_pairs()?;
     let runtime = retry_at_start(is_shortage, runtime)?;
     // Before all else: a signal that comes early must find its handler.
     let signals = {
@@ -73,6 +73,7 @@
     let chat = options.chat.map(|file| ChatConfig::read(&file, &config.settings)).transpose()?;
     let xds = options.xds.map(|file| XdsConfig::read(&file)).transpose()?;
     let membership = options.membership.map(|file| config::membership(&file)).transpose()?;
+    await_threads()?;
     let (log, _guard) = logger(&config.name);
     runtime.block_on(run(signals, config, OptionalFeatures { chat, xds, membership }, log))
 }
--- a/daemon/src/transient.rs
+++ b/daemon/src/transient.rs
@@ -55,17 +55,25 @@
     }
 }
 
-/// Waits until threads and pairs of sockets can be made: libraries that need them at once panic where they
-/// can't.
+/// Waits until pairs of sockets can be made: the runtime's signal handlers need one and panic without.
 ///
 /// # Errors
 ///
 /// The last error, after [`START_WITHIN`].
-pub fn await_resources() -> std::io::Result<()> {
+pub fn await_socket_pairs() -> std::io::Result<()> {
+    retry_at_start(is_shortage, UnixStream::pair).map(drop)
+}
+
+/// Waits until threads can be made: the log's writer needs one and panics without.
+///
+/// # Errors
+///
+/// The last error, after [`START_WITHIN`].
+pub fn await_threads() -> std::io::Result<()> {
     let thread = retry_at_start(is_shortage, || thread::Builder::new().spawn(|| {}))?;
     // It does nothing that could fail.
     let _ = thread.join();
-    retry_at_start(is_shortage, UnixStream::pair).map(drop)
+    Ok(())
 }
 
 #[cfg(test)]
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -5,6 +5,8 @@
 use std::time::{Duration, Instant};
 
 use frosttrail_standins::link::Link;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use serde_json::{json, Value};
 
 use crate::agent::{Agent, List};
@@ -14,18 +16,22 @@
 use crate::server::Server;
 use crate::shim::{Faults, COUNTERS};
 
-/// What the settings say.
-pub const LIMITS: Limits = Limits {
-    release: Duration::from_secs(1),
-    drain_grace: Duration::from_millis(250),
-    slow_start: SlowStart {
-        capacity: 20.0,
-        from: 0.25,
-        multiple: 3.0,
-        window: Duration::from_secs(2),
-        warm_within: Duration::from_secs(3),
-    },
+/// What a server in slow start may be sent.
+const SLOW_START: SlowStart = SlowStart {
+    capacity: 20.0,
+    from: 0.25,
+    multiple: 3.0,
+    window: Duration::from_secs(2),
+    warm_within: Duration::from_secs(3),
 };
+
+/// What the settings of a run say: deployments differ in these times.
+pub fn limits(seed: u64) -> Limits {
+    let mut draws = SmallRng::seed_from_u64(seed);
+    let release = Duration::from_millis([300, 500, 1_000][draws.random_range(0..3)]);
+    let drain_grace = Duration::from_millis([150, 250, 1_000][draws.random_range(0..3)]);
+    Limits { release, drain_grace, slow_start: SLOW_START }
+}
 /// The longest deadline of a class, and what follows it before SIGKILL.
 pub(crate) const KILL_AFTER: Duration = Duration::from_millis(3_000 + 700);
 
@@ -59,15 +65,15 @@
 }
 
 /// The limits, as settings have them.
-fn rules() -> Value {
+fn rules(limits: &Limits) -> Value {
     let micros = |time: Duration| time.as_micros() as u64;
-    let SlowStart { from, multiple, window, warm_within, .. } = LIMITS.slow_start;
-    json!({"cold-from": from, "drain-grace": micros(LIMITS.drain_grace), "fall": micros(window),
+    let SlowStart { from, multiple, window, warm_within, .. } = limits.slow_start;
+    json!({"cold-from": from, "drain-grace": micros(limits.drain_grace), "fall": micros(window),
         "fall-multiple": multiple, "grace-to-answer": 8_000, "warm-within": micros(warm_within)})
 }
 
 /// Settings for so many conductors.
-pub fn settings(conductors: usize) -> Value {
+pub fn settings(conductors: usize, limits: &Limits) -> Value {
     let class = |name: &str, effect: &str| {
         json!({"name": name, "slo": 1_500_000, "deadline": 3_000_000, "effect": effect, "late-share": 0.2,
             "points": 1.0, "dedup-scope": "all", "dedup-window": 0})
@@ -78,16 +84,16 @@
             "retry-after": true, "max-retry-after": 2_000_000, "connect-timeout": 250_000,
             "conn-idle": 10_000_000},
         "membership-mode": "push", "over-share-worth": 0.1,
-        "rules": rules(),
+        "rules": rules(limits),
         "specifics": {"aim-us-per-1000-prompt-tokens": [40_000.0, 40_000.0], "holds-allowed": false,
             "kind-role": ["read", "write"], "kv-tokens": [200_000, 150_000],
-            "release": LIMITS.release.as_micros() as u64, "resume": true, "self-prefill": false,
+            "release": limits.release.as_micros() as u64, "resume": true, "self-prefill": false,
             "token-aim": [60_000.0, 80_000.0]}})
 }
 
 impl World {
     pub(crate) async fn start(options: &Options) -> std::io::Result<Self> {
-        let oracle = Oracle::new(LIMITS);
+        let oracle = Oracle::new(limits(options.seed));
         let mut servers = Vec::new();
         for index in 0..2 * options.servers {
             servers.push(Server::start(index, index >= options.servers, oracle.clone()).await?);
@@ -156,7 +162,7 @@
         let config = json!({"name": name, "listen": listen, "discovery": agents[0].address,
             "seed": format!("{:x}", options.seed.wrapping_add(nth as u64)),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512}, "ops": "127.0.0.1:0",
-            "known": {"rev": 1, "all": true, "targets": targets}, "settings": settings(options.conductors)});
+            "known": {"rev": 1, "all": true, "targets": targets}, "settings": settings(options.conductors, &limits(options.seed))});
         let program = options.program.clone();
         let site = Mutex::new(Site { program, folder, config, listen });
         let process = tokio::sync::Mutex::new(None);
--- a/soak/tests/support/mod.rs
+++ b/soak/tests/support/mod.rs
@@ -12,9 +12,11 @@
 use frosttrail_soak::oracle::{Oracle, Report};
 use frosttrail_soak::server::Server;
 use frosttrail_soak::shim::Faults;
-use frosttrail_soak::world::{settings, LIMITS};
+use frosttrail_soak::world::{limits, settings};
 use serde_json::{json, Value};
 
+/// Decides the times of the settings.
+const SEED: u64 = 1;
 /// No wait in a test is longer.
 pub const LATEST: Duration = Duration::from_secs(20);
 
@@ -47,7 +49,7 @@
 impl Surroundings {
     /// For a conductor of this name, which no other test has.
     pub async fn start(name: &str) -> Self {
-        let oracle = Oracle::new(LIMITS);
+        let oracle = Oracle::new(limits(SEED));
         let mut servers = Vec::new();
         for (index, decode) in [false, true].into_iter().enumerate() {
             servers.push(Server::start(index, decode, oracle.clone()).await.unwrap());
@@ -63,7 +65,7 @@
         std::fs::create_dir_all(&folder).unwrap();
         let config = json!({"name": name, "listen": listen, "discovery": agent.address, "seed": "1f",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512}, "ops": "127.0.0.1:0",
-            "known": {"rev": 1, "all": true, "targets": targets}, "settings": settings(1)});
+            "known": {"rev": 1, "all": true, "targets": targets}, "settings": settings(1, &limits(SEED))});
         let site = Site { program: program(), folder, config, listen };
         Surroundings { oracle, site, ops, servers, agent, starts: 0, asked: 0 }
     }
