--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -159,10 +159,11 @@
         let (name, listen) = (format!("n{nth}"), free_address()?);
         let folder = options.folder.join(&name);
         std::fs::create_dir_all(&folder)?;
+        let settings = settings(options.conductors, &limits(options.seed));
         let config = json!({"name": name, "listen": listen, "discovery": agents[0].address,
             "seed": format!("{:x}", options.seed.wrapping_add(nth as u64)),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512}, "ops": "127.0.0.1:0",
-            "known": {"rev": 1, "all": true, "targets": targets}, "settings": settings(options.conductors, &limits(options.seed))});
+            "known": {"rev": 1, "all": true, "targets": targets}, "settings": settings});
         let program = options.program.clone();
         let site = Mutex::new(Site { program, folder, config, listen });
         let process = tokio::sync::Mutex::new(None);
