Show by a test that fails what a release beside an attempt in a queue leaves held

A release takes only what no attempt waits for; the attempt had arrived and waited in that server's queue, so nothing was let go, and the decisions counted it gone. tests/rules.rs: the test, and the random model no longer lets a release take what an attempt waits for.

--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -150,6 +150,21 @@
     assert!(dropped(&b.wait(480 * MS), "a"));
 }
 
+/// The release beside an attempt that has not been heard of takes nothing where the attempt had arrived and
+/// waits in its server's queue; once it is given up, what it waited for is still held.
+#[test]
+fn a_release_beside_an_attempt_that_had_arrived_is_made_again_at_its_end() {
+    for outcome in [Outcome::NoAnswer, Outcome::ConnectionLost, Outcome::TurnedAway, Outcome::NoConnection] {
+        let mut b = Bench::new(Settings::example(), &[("r", 0), ("w", 1)]);
+        b.ask(query("a", 900));
+        b.end("a", 0, "r", Outcome::ReadDone);
+        assert!(dropped(&b.wait(800 * MS), "a"), "in time for an attempt that never arrived");
+        // Nobody takes it from here on: no other attempt can begin.
+        b.list(ListForm::Full, Vec::new());
+        assert!(dropped(&b.end("a", 1, "w", outcome), "a"), "{outcome:?}");
+    }
+}
+
 #[test]
 fn a_state_is_let_go_when_the_client_left_during_the_read() {
     let mut b = Bench::new(Settings::example(), &FLEET);
@@ -258,7 +273,12 @@
                     "{id} refused unsafely"
                 );
             }
-            Action::DropState { id } => self.seen.get_mut(&**id).expect("known").state = None,
+            Action::DropState { id } => {
+                // Takes only what no attempt waits for.
+                let seen = self.seen.get_mut(&**id).expect("known");
+                let waits = seen.out.is_some_and(|(w, ..)| self.fleet[w].kind != 0);
+                seen.state = seen.state.filter(|_| waits);
+            }
             Action::Cancel { id, attempt } => {
                 let due = now + self.below(5) * MS;
                 let seen = self.seen.get_mut(&**id).expect("known");
