Keep what an attempt waited for where its server has been heard of meanwhile

Change: after such a release the state is taken to be there still where the server turned the attempt away, or was heard of since it went out and let it wait; else it counts as gone and is released once more. forget_gone keeps the place of a server that is named so.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -121,9 +121,9 @@
     state: Option<(usize, Micros)>,
     /// Some reader may hold something for it.
     holds: bool,
-    /// A release went out beside the attempt that is out, which has not been heard of. It took nothing if that
-    /// had arrived and waits, so that what it waits for is still held when it ends.
-    released_beside: bool,
+    /// The server whose state a release went out for, beside the attempt that is out and has not been heard of.
+    /// It took nothing if that attempt had arrived and waits; what it waits for is still held when it ends.
+    released_beside: Option<usize>,
     /// Server and send time of the first attempt that may have run.
     ran: Option<(usize, Micros)>,
     /// Servers that failed it.
@@ -339,7 +339,8 @@
         let mut named = vec![false; self.servers.len()];
         for r in self.requests.values() {
             let first = [r.out.map(|out| out.0), r.state.map(|s| s.0), r.ran.map(|ran| ran.0)];
-            first.into_iter().flatten().chain(r.failed.iter().copied()).for_each(|w| named[w] = true);
+            let named_by = first.into_iter().flatten().chain(r.released_beside);
+            named_by.chain(r.failed.iter().copied()).for_each(|w| named[w] = true);
         }
         let gone = |w: &usize| !self.servers[*w].up && !named[*w] && !self.servers[*w].id.is_empty();
         let gone: BTreeSet<usize> = (0..self.servers.len()).filter(gone).collect();
@@ -399,7 +400,7 @@
             return;
         }
         request.phase = Phase::Streaming;
-        (request.state, request.released_beside) = (None, false);
+        (request.state, request.released_beside) = (None, None);
         let stage = request.stage;
         let Some((w, ..)) = request.out else { return };
         let tokens = request.query.prompt_tokens;
@@ -428,13 +429,18 @@
         if !reading && !outcome.never_ran() && request.ran.is_none() {
             request.ran = Some((w, sent));
         }
-        let released_beside = std::mem::take(&mut request.released_beside);
+        let released_beside = request.released_beside.take();
+        // Heard of meanwhile, so that the attempt is likely to have arrived.
+        let alive = self.servers[w].pending.is_some_and(|pending| pending > sent);
+        if outcome == Outcome::TurnedAway || (alive && outcome == Outcome::NoAnswer) {
+            request.state = request.state.or(released_beside.map(|at| (at, self.now)));
+        }
         request.holds |= reading && (outcome == Outcome::ReadDone || !outcome.never_ran());
         if outcome == Outcome::ReadDone {
             (request.phase, request.state) = (Phase::Read, Some((w, self.now)));
         } else if (phase == Phase::Reading && request.holds)
             || matches!(outcome, Outcome::StateLost | Outcome::Failed)
-            || (released_beside && outcome != Outcome::Served)
+            || (released_beside.is_some() && request.state.is_none() && outcome != Outcome::Served)
         {
             // A reader that broke off or is cut off from the writer may still hold the state. A writer that
             // answered, though badly, had fetched it: another would only turn the request away.
@@ -1081,7 +1087,7 @@
         for (id, request) in &mut self.requests {
             let unheard = request.phase == Phase::Writing && request.silent;
             if unheard && request.state.is_some_and(|(_, since)| self.now >= since + limit) {
-                (request.state, request.released_beside) = (None, true);
+                request.released_beside = request.state.take().map(|state| state.0);
                 out.push(Action::DropState { id: id.clone() });
             }
         }
