--- a/daemon/src/upstream/mod.rs
+++ b/daemon/src/upstream/mod.rs
@@ -1,4 +1,4 @@
-//! The way to the boxes: where they are, connections to them, and the three calls.
+//! The way to the servers: where they are, connections to them, and the three calls.
 
 mod attempt;
 mod calls;
@@ -14,21 +14,21 @@
 
 use bytes::Bytes;
 use frosttrail::{Health, Id, ListForm, Load, Outcome, Settings};
-use frosttrail_core::{Boxes, News, Reply, SendPermit};
+use frosttrail_core::{News, Reply, SendPermit, Upstream};
 use hyper::{HeaderMap, Method, Uri};
 use prometheus::IntCounter;
 use tokio::time::Instant;
 
-pub use attempt::BoxEvents;
+pub use attempt::ServerEvents;
 pub use pool::{Limits, Pool};
 
-/// A box that has gone keeps its last address for this time, as calls that let go of state may still want
+/// A server that has gone keeps its last address for this time, as calls that let go of state may still want
 /// it; they end some seconds after it.
 const GONE_KEPT: Duration = Duration::from_secs(30);
 
-/// Where each box is. Filled by discovery.
+/// Where each server is. Filled by discovery.
 #[derive(Default)]
-pub struct Book(Mutex<HashMap<Id, Entry>>);
+pub struct AddressTable(Mutex<HashMap<Id, Entry>>);
 
 struct Entry {
     address: SocketAddr,
@@ -37,32 +37,32 @@
     round_trip: Option<Duration>,
 }
 
-impl Book {
-    /// Notes where a box is.
-    pub fn set(&self, worker: Id, address: SocketAddr) {
+impl AddressTable {
+    /// Notes where a server is.
+    pub fn set(&self, server: Id, address: SocketAddr) {
         let mut book = lock(&self.0);
-        let same = book.get(&worker).filter(|entry| entry.address == address);
+        let same = book.get(&server).filter(|entry| entry.address == address);
         let round_trip = same.and_then(|entry| entry.round_trip);
-        book.insert(worker, Entry { address, gone: None, round_trip });
+        book.insert(server, Entry { address, gone: None, round_trip });
     }
 
     /// Notes how long a connection to it took to come up.
-    fn came_up(&self, worker: &Id, took: Duration) {
-        if let Some(entry) = lock(&self.0).get_mut(worker) {
+    fn came_up(&self, server: &Id, took: Duration) {
+        if let Some(entry) = lock(&self.0).get_mut(server) {
             entry.round_trip = Some(entry.round_trip.map_or(took, |least| least.min(took)));
         }
     }
 
     /// How long a connection's end may be on its way there: two round trips, as one way may be four times as
     /// slow as half of the shortest. Nothing where no connection has come up.
-    fn end_takes(&self, worker: &Id) -> Duration {
-        let round_trip = lock(&self.0).get(worker).and_then(|entry| entry.round_trip);
+    fn end_takes(&self, server: &Id) -> Duration {
+        let round_trip = lock(&self.0).get(server).and_then(|entry| entry.round_trip);
         round_trip.unwrap_or_default() * 2
     }
 
     /// Where it is.
-    pub fn get(&self, worker: &Id) -> Option<SocketAddr> {
-        lock(&self.0).get(worker).map(|entry| entry.address)
+    pub fn get(&self, server: &Id) -> Option<SocketAddr> {
+        lock(&self.0).get(server).map(|entry| entry.address)
     }
 
     /// Follows the list of members: what has left it is forgotten after a while.
@@ -72,7 +72,7 @@
             book.values_mut().for_each(|entry| entry.gone = entry.gone.or(Some(now)));
         }
         for member in &news.entries {
-            if let Some(entry) = book.get_mut(&member.worker) {
+            if let Some(entry) = book.get_mut(&member.server) {
                 let gone = member.health == Health::Gone;
                 entry.gone = gone.then_some(entry.gone.unwrap_or(now));
             }
@@ -86,7 +86,7 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// A request as it goes to a box.
+/// A request as it goes to a server.
 #[derive(Clone, Debug)]
 pub struct Call {
     /// Its method,
@@ -99,15 +99,15 @@
     pub body: Bytes,
 }
 
-/// The boxes, as the core sees them.
-pub struct Upstream {
+/// The servers, as the core sees them.
+pub struct HttpUpstream {
     pool: Arc<Pool>,
 }
 
-impl Upstream {
-    /// The boxes that the book knows; `sends` counts attempts that are written whole.
-    pub fn new(book: Arc<Book>, limits: Limits, sends: IntCounter) -> Self {
-        Upstream { pool: Arc::new(Pool::new(book, limits, sends)) }
+impl HttpUpstream {
+    /// The servers that the book knows; `sends` counts attempts that are written whole.
+    pub fn new(book: Arc<AddressTable>, limits: Limits, sends: IntCounter) -> Self {
+        HttpUpstream { pool: Arc::new(Pool::new(book, limits, sends)) }
     }
 
     /// Takes the times of connections from new settings.
@@ -117,30 +117,30 @@
     }
 }
 
-impl Boxes for Upstream {
+impl Upstream for HttpUpstream {
     type Call = Call;
-    type Events = BoxEvents;
+    type Events = ServerEvents;
 
     async fn attempt(
         &self,
-        worker: &Id,
+        server: &Id,
         _: &Id,
         call: &Call,
         wait: Duration,
         permit: &SendPermit,
-    ) -> Reply<BoxEvents> {
-        attempt::attempt(&self.pool, worker, call, wait, permit).await
+    ) -> Reply<ServerEvents> {
+        attempt::attempt(&self.pool, server, call, wait, permit).await
     }
 
-    fn end_takes(&self, worker: &Id) -> Duration {
-        self.pool.end_takes(worker)
+    fn end_takes(&self, server: &Id) -> Duration {
+        self.pool.end_takes(server)
     }
 
-    async fn release(&self, worker: &Id, request: &Id) -> bool {
-        calls::release(&self.pool, worker, request).await
+    async fn release(&self, server: &Id, request: &Id) -> bool {
+        calls::release(&self.pool, server, request).await
     }
 
-    async fn probe(&self, worker: &Id) -> (Outcome, Option<Load>) {
-        calls::probe(&self.pool, worker).await
+    async fn probe(&self, server: &Id) -> (Outcome, Option<Load>) {
+        calls::probe(&self.pool, server).await
     }
 }
