--- /dev/null
+++ b/core/src/conductor.rs
@@ -0,0 +1,202 @@
+//! The handle by which fronts and operators speak to a running conductor.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use frosttrail::{Id, Micros, OpenWork, Settings, Snapshot};
+use serde::{Deserialize, Serialize};
+use slog::Logger;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio_util::task::TaskTracker;
+
+use crate::clock::Clock;
+use crate::exclusion::{ExclusionError, Exclusions};
+use crate::figures::Figures;
+use crate::owner::{Message, Ticket};
+use crate::permit::Admissions;
+use crate::traits::Upstream;
+
+/// Share of the settings' time for what is held that the request's next attempt waits for a release to end.
+const RELEASE_WAIT: u32 = 2;
+
+/// What a conductor has learned, for the process that takes its place.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Learned {
+    /// The decisions' part.
+    pub(crate) decisions: Snapshot,
+    /// Instances that were put back by hand, and how many microseconds before.
+    pub(crate) included: Vec<(Id, Micros)>,
+}
+
+/// What a conductor is made of.
+pub struct Parts<B, M> {
+    /// The settings.
+    pub settings: Settings,
+    /// For random numbers, new with each start.
+    pub seed: u64,
+    /// The clock, also of whoever converts start times of members.
+    pub clock: Clock,
+    /// The way to the servers.
+    pub upstream: Arc<B>,
+    /// The list of members.
+    pub members: M,
+    /// Instances that operators have taken out of use before.
+    pub excluded: Vec<Id>,
+    /// What is counted.
+    pub figures: Figures,
+    /// What the process before has learned, and how long ago it said so.
+    pub learned: Option<(Learned, Duration)>,
+    /// The log.
+    pub log: Logger,
+}
+
+/// A handle on a running conductor; clones are cheap and speak to the same one.
+pub struct Conductor<B> {
+    pub(crate) tell: mpsc::UnboundedSender<Message>,
+    pub(crate) upstream: Arc<B>,
+    pub(crate) clock: Clock,
+    /// The settings in force.
+    pub(crate) settings: Arc<watch::Sender<Arc<Settings>>>,
+    pub(crate) tickets: Arc<AtomicU64>,
+    pub(crate) able: watch::Receiver<bool>,
+    pub(crate) releases: TaskTracker,
+    pub(crate) exclusions: Arc<Mutex<Exclusions>>,
+    pub(crate) admissions: Admissions,
+    pub(crate) figures: Figures,
+}
+
+/// Whole between any two statements, so that a panic elsewhere does no harm to it.
+pub(crate) fn lock(exclusions: &Mutex<Exclusions>) -> MutexGuard<'_, Exclusions> {
+    exclusions.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl<B> Clone for Conductor<B> {
+    fn clone(&self) -> Self {
+        Conductor {
+            tell: self.tell.clone(),
+            upstream: self.upstream.clone(),
+            clock: self.clock,
+            settings: self.settings.clone(),
+            tickets: self.tickets.clone(),
+            able: self.able.clone(),
+            releases: self.releases.clone(),
+            exclusions: self.exclusions.clone(),
+            admissions: self.admissions.clone(),
+            figures: self.figures.clone(),
+        }
+    }
+}
+
+impl<B: Upstream> Conductor<B> {
+    pub(crate) fn ticket(&self) -> Ticket {
+        self.tickets.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// How many requests have come since the start.
+    pub fn calls(&self) -> u64 {
+        self.tickets.load(Ordering::Relaxed)
+    }
+
+    /// A front has refused a request of this class by itself.
+    pub fn note_refused(&self, class: &str) {
+        self.figures.open(class).deferred();
+    }
+
+    /// Whether there is a member to send to.
+    pub fn able(&self) -> bool {
+        *self.able.borrow()
+    }
+
+    /// Answers every request that has not begun to stream: the conductor is about to stop.
+    pub fn close(&self) {
+        let _ = self.tell.send(Message::Close);
+    }
+
+    /// This conductor's part of what all that send to the same servers share: of 1. Until it is told, that is
+    /// one of the number in the settings.
+    pub fn share(&self, part: f64) {
+        let _ = self.tell.send(Message::Share(part));
+    }
+
+    /// The settings in force, for requests that come now.
+    pub fn settings(&self) -> Arc<Settings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Puts new settings in force. Requests that are open keep the classes with which they came.
+    pub fn reconfigure(&self, settings: Settings) {
+        let settings = Arc::new(settings);
+        // The decisions first: who reads the new settings may ask at once.
+        let _ = self.tell.send(Message::Settings(settings.clone()));
+        self.settings.send_replace(settings);
+    }
+
+    /// How long an attempt waits for the release before it.
+    pub(crate) fn release_wait(&self) -> Duration {
+        Duration::from_micros(self.settings.borrow().release) / RELEASE_WAIT
+    }
+
+    /// Fails for an id that no instance has, in the list or among those taken out.
+    pub fn check_known(&self, instance: &Id) -> Result<(), ExclusionError> {
+        lock(&self.exclusions).check_known(instance)
+    }
+
+    /// Takes an instance out of use until [`Conductor::include`], whatever the list says of it meanwhile.
+    pub fn exclude(&self, instance: &Id) -> Result<(), ExclusionError> {
+        lock(&self.exclusions).exclude(instance)?;
+        // Holds from the answer on, also for attempts that have been decided and not begun.
+        self.admissions.close(instance);
+        let _ = self.tell.send(Message::ExclusionChanged(instance.clone()));
+        Ok(())
+    }
+
+    /// Puts an instance back into use. It counts as started now; one that was not out stays as it is.
+    pub fn include(&self, instance: &Id) -> Result<(), ExclusionError> {
+        lock(&self.exclusions).include(self.clock.now(), instance)?;
+        let _ = self.tell.send(Message::ExclusionChanged(instance.clone()));
+        Ok(())
+    }
+
+    /// What it has learned up to now; `None` once it has ended.
+    pub async fn learned(&self) -> Option<Learned> {
+        let (to, snapshot) = oneshot::channel();
+        let _ = self.tell.send(Message::Snapshot(to));
+        let decisions = snapshot.await.ok()?;
+        let included = lock(&self.exclusions).included_before(self.clock.now());
+        Some(Learned { decisions, included })
+    }
+
+    /// What is open at instances; `None` once it has ended.
+    pub async fn open_work(&self) -> Option<OpenWork> {
+        let (to, work) = oneshot::channel();
+        let _ = self.tell.send(Message::OpenWork(to));
+        work.await.ok()
+    }
+
+    /// What other processes of the same conductor have open at instances counts as its own.
+    pub fn set_foreign_work(&self, work: OpenWork) {
+        let _ = self.tell.send(Message::ForeignWork(work));
+    }
+
+    /// Makes these the excluded instances, as another process of the same conductor was told.
+    pub fn replace_excluded(&self, excluded: BTreeSet<Id>) {
+        let changed = lock(&self.exclusions).replace(self.clock.now(), excluded);
+        for instance in changed {
+            let _ = self.tell.send(Message::ExclusionChanged(instance));
+        }
+    }
+
+    /// Resolves once every release that was asked for has arrived or been given up. Requests must have
+    /// ended before.
+    pub async fn released(&self) {
+        // What the last requests reported lies before this in the owner's inbox.
+        let (seen, all_seen) = oneshot::channel();
+        let _ = self.tell.send(Message::Seen(seen));
+        let _ = all_seen.await;
+        self.releases.close();
+        self.releases.wait().await;
+        self.releases.reopen();
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -5,13 +5,14 @@
 //! [`tower_service::Service`] for use as a client-side plug-in within an RPC library.
 //!
 //! Who owns what: one task owns the decisions ([`frosttrail::Facade`]); each request is one future
-//! that owns its single final answer, its attempt and its seat at the owner. Dropping that future, as
-//! a front does when its client has gone, drops the attempt, and the seat tells the owner.
+//! that owns its single final answer, its attempt and its entry at the owner. Dropping that future, as
+//! a front does when its client has gone, drops the attempt, and the owner is told.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod clock;
+mod conductor;
 mod exclusion;
 mod figures;
 mod owner;
@@ -22,9 +23,10 @@
 mod traits;
 
 pub use clock::Clock;
+pub use conductor::{Conductor, Learned, Parts};
 pub use exclusion::{ExclusionError, Exclusions};
 pub use figures::Figures;
-pub use owner::{start, Conductor, Learned, Parts};
+pub use owner::start;
 pub use permit::{SendPermit, Withheld};
 pub use request::{Answer, AnswerStream, Broken, CallError, Request};
 pub use traits::{Events, MemberList, News, Reply, Step, Upstream};
--- a/core/src/owner.rs
+++ b/core/src/owner.rs
@@ -1,15 +1,13 @@
-//! The task that owns the decisions, and the handle by which others speak to it.
+//! The task that owns the decisions: it hears what becomes of requests, and hands out what is decided.
 
-use std::collections::{BTreeSet, HashMap};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use frosttrail::{
     Facade, Id, ListForm, Load, Micros, OpenWork, Outcome, Query, Report, Settings, Snapshot, Verdict,
     Verdicts,
 };
-use serde::{Deserialize, Serialize};
 use slog::{debug, info, warn, Logger};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{yield_now, AbortHandle};
@@ -17,7 +15,8 @@
 use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
-use crate::exclusion::{ExclusionError, Exclusions};
+use crate::conductor::{lock, Conductor, Parts};
+use crate::exclusion::Exclusions;
 use crate::figures::Figures;
 use crate::permit::{Admissions, SendPermit};
 use crate::reachability::Reachability;
@@ -28,8 +27,6 @@
 const RELEASE_MORE: Duration = Duration::from_secs(4);
 /// Share of the settings' time after which the next server is asked beside one that has not answered.
 const RELEASE_PACE: u32 = 10;
-/// Share of it that the request's next attempt waits for a release to end.
-const RELEASE_WAIT: u32 = 2;
 
 /// What the process before has learned is of use for this long.
 const INHERIT_WITHIN: Micros = 10_000_000;
@@ -76,192 +73,12 @@
     Seen(oneshot::Sender<()>),
 }
 
-/// What a conductor has learned, for the process that takes its place.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Learned {
-    /// The decisions' part.
-    decisions: Snapshot,
-    /// Instances that were put back by hand, and how many microseconds before.
-    included: Vec<(Id, Micros)>,
-}
-
 /// What is still to be taken over from the process before, and when that was said.
 struct PendingSnapshot {
     snapshot: Snapshot,
     at: Micros,
 }
 
-/// What a conductor is made of.
-pub struct Parts<B, M> {
-    /// The settings.
-    pub settings: Settings,
-    /// For random numbers, new with each start.
-    pub seed: u64,
-    /// The clock, also of whoever converts start times of members.
-    pub clock: Clock,
-    /// The way to the servers.
-    pub upstream: Arc<B>,
-    /// The list of members.
-    pub members: M,
-    /// Instances that operators have taken out of use before.
-    pub excluded: Vec<Id>,
-    /// What is counted.
-    pub figures: Figures,
-    /// What the process before has learned, and how long ago it said so.
-    pub learned: Option<(Learned, Duration)>,
-    /// The log.
-    pub log: Logger,
-}
-
-/// A handle on a running conductor; clones are cheap and speak to the same one.
-pub struct Conductor<B> {
-    pub(crate) tell: mpsc::UnboundedSender<Message>,
-    pub(crate) upstream: Arc<B>,
-    pub(crate) clock: Clock,
-    /// The settings in force.
-    settings: Arc<watch::Sender<Arc<Settings>>>,
-    tickets: Arc<AtomicU64>,
-    able: watch::Receiver<bool>,
-    releases: TaskTracker,
-    exclusions: Arc<Mutex<Exclusions>>,
-    admissions: Admissions,
-    pub(crate) figures: Figures,
-}
-
-/// Whole between any two statements, so that a panic elsewhere does no harm to it.
-fn lock(exclusions: &Mutex<Exclusions>) -> MutexGuard<'_, Exclusions> {
-    exclusions.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-impl<B> Clone for Conductor<B> {
-    fn clone(&self) -> Self {
-        Conductor {
-            tell: self.tell.clone(),
-            upstream: self.upstream.clone(),
-            clock: self.clock,
-            settings: self.settings.clone(),
-            tickets: self.tickets.clone(),
-            able: self.able.clone(),
-            releases: self.releases.clone(),
-            exclusions: self.exclusions.clone(),
-            admissions: self.admissions.clone(),
-            figures: self.figures.clone(),
-        }
-    }
-}
-
-impl<B: Upstream> Conductor<B> {
-    pub(crate) fn ticket(&self) -> Ticket {
-        self.tickets.fetch_add(1, Ordering::Relaxed)
-    }
-
-    /// How many requests have come since the start.
-    pub fn calls(&self) -> u64 {
-        self.tickets.load(Ordering::Relaxed)
-    }
-
-    /// A front has refused a request of this class by itself.
-    pub fn note_refused(&self, class: &str) {
-        self.figures.open(class).deferred();
-    }
-
-    /// Whether there is a member to send to.
-    pub fn able(&self) -> bool {
-        *self.able.borrow()
-    }
-
-    /// Answers every request that has not begun to stream: the conductor is about to stop.
-    pub fn close(&self) {
-        let _ = self.tell.send(Message::Close);
-    }
-
-    /// This conductor's part of what all that send to the same servers share: of 1. Until it is told, that is
-    /// one of the number in the settings.
-    pub fn share(&self, part: f64) {
-        let _ = self.tell.send(Message::Share(part));
-    }
-
-    /// The settings in force, for requests that come now.
-    pub fn settings(&self) -> Arc<Settings> {
-        self.settings.borrow().clone()
-    }
-
-    /// Puts new settings in force. Requests that are open keep the classes with which they came.
-    pub fn reconfigure(&self, settings: Settings) {
-        let settings = Arc::new(settings);
-        // The decisions first: who reads the new settings may ask at once.
-        let _ = self.tell.send(Message::Settings(settings.clone()));
-        self.settings.send_replace(settings);
-    }
-
-    /// How long an attempt waits for the release before it.
-    pub(crate) fn release_wait(&self) -> Duration {
-        Duration::from_micros(self.settings.borrow().release) / RELEASE_WAIT
-    }
-
-    /// Fails for an id that no instance has, in the list or among those taken out.
-    pub fn check_known(&self, instance: &Id) -> Result<(), ExclusionError> {
-        lock(&self.exclusions).check_known(instance)
-    }
-
-    /// Takes an instance out of use until [`Conductor::include`], whatever the list says of it meanwhile.
-    pub fn exclude(&self, instance: &Id) -> Result<(), ExclusionError> {
-        lock(&self.exclusions).exclude(instance)?;
-        // Holds from the answer on, also for attempts that have been decided and not begun.
-        self.admissions.close(instance);
-        let _ = self.tell.send(Message::ExclusionChanged(instance.clone()));
-        Ok(())
-    }
-
-    /// Puts an instance back into use. It counts as started now; one that was not out stays as it is.
-    pub fn include(&self, instance: &Id) -> Result<(), ExclusionError> {
-        lock(&self.exclusions).include(self.clock.now(), instance)?;
-        let _ = self.tell.send(Message::ExclusionChanged(instance.clone()));
-        Ok(())
-    }
-
-    /// What it has learned up to now; `None` once it has ended.
-    pub async fn learned(&self) -> Option<Learned> {
-        let (to, snapshot) = oneshot::channel();
-        let _ = self.tell.send(Message::Snapshot(to));
-        let decisions = snapshot.await.ok()?;
-        let included = lock(&self.exclusions).included_before(self.clock.now());
-        Some(Learned { decisions, included })
-    }
-
-    /// What is open at instances; `None` once it has ended.
-    pub async fn open_work(&self) -> Option<OpenWork> {
-        let (to, work) = oneshot::channel();
-        let _ = self.tell.send(Message::OpenWork(to));
-        work.await.ok()
-    }
-
-    /// What other processes of the same conductor have open at instances counts as its own.
-    pub fn set_foreign_work(&self, work: OpenWork) {
-        let _ = self.tell.send(Message::ForeignWork(work));
-    }
-
-    /// Makes these the excluded instances, as another process of the same conductor was told.
-    pub fn replace_excluded(&self, excluded: BTreeSet<Id>) {
-        let changed = lock(&self.exclusions).replace(self.clock.now(), excluded);
-        for instance in changed {
-            let _ = self.tell.send(Message::ExclusionChanged(instance));
-        }
-    }
-
-    /// Resolves once every release that was asked for has arrived or been given up. Requests must have
-    /// ended before.
-    pub async fn released(&self) {
-        // What the last requests reported lies before this in the owner's inbox.
-        let (seen, all_seen) = oneshot::channel();
-        let _ = self.tell.send(Message::Seen(seen));
-        let _ = all_seen.await;
-        self.releases.close();
-        self.releases.wait().await;
-        self.releases.reopen();
-    }
-}
-
 /// Starts a conductor on the current runtime. It runs until every handle has gone.
 pub fn start<B: Upstream, M: MemberList>(parts: Parts<B, M>) -> Conductor<B> {
     let Parts { settings, seed, clock, upstream, mut members, excluded, figures, learned, log } = parts;
@@ -282,7 +99,7 @@
         clock,
         upstream: upstream.clone(),
         tell: tell.downgrade(),
-        seats: HashMap::new(),
+        open: HashMap::new(),
         reachability: Reachability::default(),
         able: able_tx,
         releases: releases.clone(),
@@ -318,7 +135,7 @@
 }
 
 /// A request that is open: where its verdicts go, and the servers it went to, latest first.
-struct Seat {
+struct OpenRequest {
     ticket: Ticket,
     verdicts: mpsc::UnboundedSender<Order>,
     sent_to: Vec<Id>,
@@ -328,7 +145,7 @@
     release: Option<(AbortHandle, Option<oneshot::Receiver<()>>)>,
 }
 
-impl Seat {
+impl OpenRequest {
     /// A release that is late would take the state of the attempt that has just ended well. What it was for
     /// goes with the first event, or with the release that follows.
     fn call_off_release(&mut self) {
@@ -343,7 +160,7 @@
     clock: Clock,
     upstream: Arc<B>,
     tell: mpsc::WeakUnboundedSender<Message>,
-    seats: HashMap<Id, Seat>,
+    open: HashMap<Id, OpenRequest>,
     /// The members, for releases.
     reachability: Reachability,
     able: watch::Sender<bool>,
@@ -404,12 +221,14 @@
                 debug!(self.log, "request"; "id" => %id, "class" => %query.class.name,
                     "budget" => query.budget, "tokens" => query.prompt_tokens, "again" => query.resent);
                 let Some(picked) = self.facade.pick(now, query) else { return };
-                self.seats
-                    .insert(id, Seat { ticket, verdicts, sent_to: Vec::new(), release: None, last: None });
+                self.open.insert(
+                    id,
+                    OpenRequest { ticket, verdicts, sent_to: Vec::new(), release: None, last: None },
+                );
                 picked
             }
             Message::Report(id, ticket, report) => {
-                let Some(seat) = self.seats.get_mut(&id).filter(|seat| seat.ticket == ticket) else { return };
+                let Some(seat) = self.open.get_mut(&id).filter(|seat| seat.ticket == ticket) else { return };
                 let outcome = match &report {
                     Report::Started => Outcome::Served,
                     Report::Ended { outcome, .. } => *outcome,
@@ -428,7 +247,7 @@
                 self.carry_out(verdicts);
                 if left {
                     // Its last verdicts, releases among them, have been carried out.
-                    self.seats.remove(&id);
+                    self.open.remove(&id);
                 }
                 return;
             }
@@ -524,14 +343,14 @@
         }
         for (id, verdict) in verdicts.requests {
             debug!(self.log, "verdict"; "id" => %id, "is" => ?verdict);
-            let Some(seat) = self.seats.get_mut(&id) else { continue };
+            let Some(seat) = self.open.get_mut(&id) else { continue };
             let mut permit = SendPermit::unconditional();
             let after = match verdict {
                 Verdict::Release => {
                     seat.call_off_release();
                     let order = self.reachability.order(&seat.sent_to);
                     let (task, end) = self.release(id.clone(), order);
-                    if let Some(seat) = self.seats.get_mut(&id) {
+                    if let Some(seat) = self.open.get_mut(&id) {
                         seat.release = Some((task, Some(end)));
                     }
                     continue;
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -10,8 +10,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout, Instant};
 
+use crate::conductor::Conductor;
 use crate::figures::Account;
-use crate::owner::{Conductor, Message, Order, Ticket};
+use crate::owner::{Message, Order, Ticket};
 use crate::permit::SendPermit;
 use crate::traits::{Events, Reply, Step, Upstream};
 
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -109,6 +109,8 @@
     requests: HashMap<String, Record>,
     /// When conductors may count as told that a server takes nothing new, and until when that holds.
     closed: Vec<Closed>,
+    /// Servers from which nothing comes, each as often as it was silenced.
+    silent: Vec<usize>,
     /// When servers have started.
     starts: Vec<(usize, Instant)>,
     outages: Outages,
@@ -201,9 +203,28 @@
         }
     }
 
-    /// A prompt has been read: its state waits.
-    pub fn held(&self, id: &str) {
-        self.seen().requests.entry(id.into()).or_default().held_since = Some(Instant::now());
+    /// Nothing comes from a server any more, or something does again.
+    pub fn silent(&self, server: usize, silent: bool) {
+        let mut seen = self.seen();
+        match silent {
+            true => seen.silent.push(server),
+            false => {
+                let known = seen.silent.iter().position(|known| *known == server);
+                known.map(|at| seen.silent.swap_remove(at));
+            }
+        }
+    }
+
+    /// A prompt has been read by this attempt: its state waits. An attempt whose answer is lost in silence
+    /// is out for as long as its conductor has said that it waits.
+    pub fn held(&self, id: &str, attempt: usize) {
+        let mut seen = self.seen();
+        let Seen { requests, silent, .. } = &mut *seen;
+        let Some(record) = requests.get_mut(id) else { return };
+        let Some(read) = record.attempts.get(attempt) else { return };
+        let now = Instant::now();
+        let out_until = if silent.contains(&read.server) { read.arrived + read.told } else { now };
+        record.held_since = Some(now.max(out_until));
     }
 
     /// What is held is taken or let go; false where nothing was.
--- a/soak/src/server.rs
+++ b/soak/src/server.rs
@@ -136,7 +136,7 @@
             Mode::Errs => response(500, false, ""),
             Mode::Well | Mode::Breaks => {
                 sleep(READ_TAKES).await;
-                self.oracle.held(&attempt.id);
+                self.oracle.held(&attempt.id, attempt.nth);
                 response(202, false, "{\"cached_tokens\":0}")
             }
         }
--- a/soak/src/strike.rs
+++ b/soak/src/strike.rs
@@ -55,8 +55,8 @@
             }
             Trouble::SilentServer => self.silence_servers(&[server], event.lasts).await,
             Trouble::SilentHalf => {
-                let half: Vec<usize> =
-                    (0..self.servers.len()).filter(|index| index % 2 == server % 2).collect();
+                // Always the same: where all are silent at once, nobody could let go of anything.
+                let half: Vec<usize> = (0..self.servers.len()).step_by(2).collect();
                 self.silence_servers(&half, event.lasts).await
             }
             Trouble::ResetServer => self.links(server, Link::cut, Duration::ZERO, |_| {}).await,
@@ -182,11 +182,13 @@
     async fn silence_servers(&self, servers: &[usize], lasts: Duration) {
         let all = || self.conductors.iter().flat_map(|c| servers.iter().map(|server| &c.links[*server]));
         all().for_each(|link| link.stall(true));
+        servers.iter().for_each(|server| self.oracle.silent(*server, true));
         sleep(lasts).await;
         all().for_each(|link| {
             link.cut();
             link.stall(false);
         });
+        servers.iter().for_each(|server| self.oracle.silent(*server, false));
     }
 
     async fn links(&self, server: usize, on: impl Fn(&Link), lasts: Duration, off: impl Fn(&Link)) {
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -121,8 +121,9 @@
     state: Option<(usize, Micros)>,
     /// Some reader may hold something for it.
     holds: bool,
-    /// The server whose state a release went out for, beside the attempt that is out and has not been heard of.
-    /// It took nothing if that attempt had arrived and waits; what it waits for is still held when it ends.
+    /// The server whose state a release went out for, beside the attempt that is out and has not been heard
+    /// of. It took nothing if that attempt had arrived and waits; what it waits for is still held when it
+    /// ends.
     released_beside: Option<usize>,
     /// Server and send time of the first attempt that may have run.
     ran: Option<(usize, Micros)>,
