Reproduce the incident with real processes: 3,200 servers, a quarter of them replaced

A real conductor before 16 sockets that stand for 3,200 servers; a quarter of the ids goes and comes back restarted, batch after batch, at 80 requests a second.

--- a/soak/src/agent.rs
+++ b/soak/src/agent.rs
@@ -24,6 +24,14 @@
     pub targets: Vec<Value>,
 }
 
+impl List {
+    /// The whole list as discovery words it: without the servers that are not listed for now.
+    pub fn whole(&self) -> Value {
+        let targets: Vec<&Value> = self.targets.iter().filter(|line| line["state"] != "left").collect();
+        json!({"rev": self.rev, "all": true, "targets": targets})
+    }
+}
+
 /// An agent. Dropping it ends it.
 pub struct Agent {
     /// Where it listens.
@@ -76,6 +84,14 @@
     }
 }
 
+/// The lines that have changed, as the watch tells them. Lists hold the same servers in the same order; one
+/// that is not listed for now has the state `left`.
+fn changes(before: &List, now: &List) -> Value {
+    let changed = now.targets.iter().zip(&before.targets).filter(|(now, before)| now != before);
+    let targets: Vec<&Value> = changed.map(|(now, _)| now).collect();
+    json!({"rev": now.rev, "all": false, "targets": targets})
+}
+
 async fn serve(
     mut stream: TcpStream,
     mut list: watch::Receiver<List>,
@@ -89,8 +105,9 @@
     }
     let watches = String::from_utf8_lossy(&head).contains("stream=1");
     let _ = silent.wait_for(|silent| !silent).await;
-    let whole = |list: &List| json!({"rev": list.rev, "all": true, "targets": list.targets}).to_string();
-    let first = whole(&list.borrow_and_update());
+    let whole = |list: &List| list.whole().to_string();
+    let mut told = list.borrow_and_update().clone();
+    let first = whole(&told);
     if !watches {
         let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{first}", first.len());
         return stream.write_all(answer.as_bytes()).await;
@@ -107,7 +124,9 @@
         };
         let _ = silent.wait_for(|silent| !silent).await;
         if !line.is_empty() {
-            line = whole(&list.borrow_and_update());
+            let now = list.borrow_and_update().clone();
+            line = changes(&told, &now).to_string();
+            told = now;
         }
     }
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -8,6 +8,7 @@
 
 use clap::Parser;
 use frosttrail_soak::conductor::check_program;
+use frosttrail_soak::plan::Plan;
 use frosttrail_soak::run::{run, Options};
 
 /// Real conductors under faults that overlap, for many seeds.
@@ -25,6 +26,15 @@
     /// Servers of each role.
     #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u64).range(1..=16))]
     servers: u64,
+    /// Under so many ids each server is listed: a large fleet.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=800))]
+    ids_per_server: u64,
+    /// How many conductors the settings name; as many as there are where nothing is said.
+    #[arg(long, value_parser = clap::value_parser!(u64).range(1..=900))]
+    listed_conductors: Option<u64>,
+    /// Replace a quarter of all ids, batch after batch, beside the other troubles.
+    #[arg(long)]
+    turnover: bool,
     /// How long troubles come, in seconds.
     #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u64).range(3..=600))]
     seconds: u64,
@@ -60,6 +70,9 @@
             seed,
             conductors: cli.conductors as usize,
             servers: cli.servers as usize,
+            ids_per_server: cli.ids_per_server as usize,
+            listed_conductors: cli.listed_conductors.unwrap_or(cli.conductors) as usize,
+            plan: if cli.turnover { Plan::DrawnAndTurnover } else { Plan::Drawn },
             length: Duration::from_secs(cli.seconds),
             rate: cli.rate,
             short_per_mille: cli.short_io,
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -48,6 +48,51 @@
     Drain,
     /// Operators take a server out of one conductor's use, and put it back.
     Exclusion,
+    /// A part of all ids, as many as stand for one in [`TURNOVER_BATCHES`], goes and comes back restarted.
+    Turnover,
+}
+
+/// In so many batches all ids are replaced.
+pub const TURNOVER_BATCHES: usize = 48;
+/// A batch goes this often, and comes back restarted so much later.
+const TURNOVER_EVERY: Duration = Duration::from_millis(450);
+
+/// Which troubles a run has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plan {
+    /// Those that the seed draws.
+    Drawn,
+    /// None but the replacement of a quarter of all ids, batch after batch, in the midst of the run.
+    Turnover,
+    /// Both.
+    DrawnAndTurnover,
+}
+
+impl Plan {
+    /// The troubles of a run, in the order in which they begin.
+    pub fn events(self, seed: u64, length: Duration) -> Vec<Event> {
+        let mut events = match self {
+            Plan::Drawn | Plan::DrawnAndTurnover => draw(seed, length),
+            Plan::Turnover => Vec::new(),
+        };
+        if self != Plan::Drawn {
+            events.extend(turnover(length));
+            events.sort_by_key(|event| event.at);
+        }
+        events
+    }
+}
+
+/// A quarter of all ids in turn, from a sixth of the run on.
+fn turnover(length: Duration) -> Vec<Event> {
+    let batches = TURNOVER_BATCHES / 4;
+    let event = |nth: usize| Event {
+        trouble: Trouble::Turnover,
+        whom: nth,
+        at: length / 6 + TURNOVER_EVERY * nth as u32,
+        lasts: TURNOVER_EVERY,
+    };
+    (0..batches).map(event).collect()
 }
 
 /// A trouble, whom it strikes and when.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -12,7 +12,7 @@
 
 use crate::client::{Ask, Manner};
 use crate::oracle::Report;
-use crate::plan::draw;
+use crate::plan::Plan;
 use crate::shim::COUNTERS;
 use crate::world::{lock, World};
 
@@ -27,6 +27,12 @@
     pub conductors: usize,
     /// Servers of each role.
     pub servers: usize,
+    /// Under so many ids each of them is listed: few sockets stand for a large fleet.
+    pub ids_per_server: usize,
+    /// How many conductors the settings name.
+    pub listed_conductors: usize,
+    /// Which troubles come.
+    pub plan: Plan,
     /// How long troubles and clients come.
     pub length: Duration,
     /// Requests a second at each conductor.
@@ -97,7 +103,7 @@
         asking.spawn(clients(world.clone(), nth, options.clone(), begin + options.length));
     }
     let (mut troubles, mut counts) = (JoinSet::new(), BTreeMap::new());
-    for event in draw(options.seed, options.length) {
+    for event in options.plan.events(options.seed, options.length) {
         sleep_until((begin + event.at).into()).await;
         for nth in 0..options.conductors {
             world.check_alive(nth).await;
--- a/soak/src/strike.rs
+++ b/soak/src/strike.rs
@@ -10,7 +10,7 @@
 
 use crate::conductor::{call, Process};
 use crate::oracle::Closed;
-use crate::plan::{Event, Trouble};
+use crate::plan::{Event, Trouble, TURNOVER_BATCHES};
 use crate::server::Mode;
 use crate::shim::Faults;
 use crate::world::{lock, World, KILL_AFTER};
@@ -69,6 +69,7 @@
             Trouble::BreakingServer => self.mode(server, Mode::Breaks, event.lasts).await,
             Trouble::Drain => self.drain(server, event.lasts).await,
             Trouble::Exclusion => self.exclude(nth, server, event.lasts, draws).await,
+            Trouble::Turnover => self.turn_over(event.whom, event.lasts).await,
         }
     }
 
@@ -203,18 +204,35 @@
         self.servers[server].set(Mode::Well);
     }
 
-    /// Tells all agents of a server's state.
+    /// Tells all agents of a server's state, under each of its ids.
     fn tell(&self, server: usize, state: &str, boot_ms: Option<u64>) {
+        let servers = self.servers.len();
+        self.tell_ids(|id| id % servers == server, state, boot_ms);
+    }
+
+    /// Tells all agents of the state of some ids.
+    fn tell_ids(&self, whom: impl Fn(usize) -> bool, state: &str, boot_ms: Option<u64>) {
         for agent in self.conductors.iter().flat_map(|conductor| &conductor.agents) {
             agent.change(|list| {
-                list.targets[server]["state"] = json!(state);
-                if let Some(boot_ms) = boot_ms {
-                    list.targets[server]["boot_ms"] = json!(boot_ms);
+                for (_, target) in list.targets.iter_mut().enumerate().filter(|(id, _)| whom(*id)) {
+                    target["state"] = json!(state);
+                    if let Some(boot_ms) = boot_ms {
+                        target["boot_ms"] = json!(boot_ms);
+                    }
                 }
             });
         }
     }
 
+    /// A batch of ids goes, and comes back restarted.
+    async fn turn_over(&self, nth: usize, lasts: Duration) {
+        // Neighbours among the ids have different sockets.
+        let batch = |id: usize| id / self.servers.len() % TURNOVER_BATCHES == nth;
+        self.tell_ids(batch, "left", None);
+        sleep(lasts).await;
+        self.tell_ids(batch, "active", Some(unix_ms()));
+    }
+
     async fn drain(&self, server: usize, lasts: Duration) {
         let now = Instant::now();
         self.tell(server, "leaving", None);
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -25,6 +25,9 @@
     warm_within: Duration::from_secs(3),
 };
 
+/// With thousands of ids a server takes longer to warm up, so that many do so at once.
+const LARGE_WARM_WITHIN: Duration = Duration::from_secs(13);
+
 /// What the settings of a run say: deployments differ in these times.
 pub fn limits(seed: u64) -> Limits {
     let mut draws = SmallRng::seed_from_u64(seed);
@@ -32,9 +35,25 @@
     let drain_grace = Duration::from_millis([150, 250, 1_000][draws.random_range(0..3)]);
     Limits { release, drain_grace, slow_start: SLOW_START }
 }
+
+impl Options {
+    /// The limits of this run: each socket stands for as many servers as it has ids.
+    pub(crate) fn limits(&self) -> Limits {
+        let mut limits = limits(self.seed);
+        if self.ids_per_server > 1 {
+            limits.slow_start.capacity *= self.ids_per_server as f64;
+            limits.slow_start.warm_within = LARGE_WARM_WITHIN;
+        }
+        limits
+    }
+}
+
 /// The longest deadline of a class, and what follows it before SIGKILL.
 pub(crate) const KILL_AFTER: Duration = Duration::from_millis(3_000 + 700);
 
+/// Descriptors of a conductor's process.
+const SOCKETS: u64 = 512;
+
 /// A conductor, whichever process runs it.
 pub(crate) struct Conductor {
     pub(crate) site: Mutex<Site>,
@@ -93,7 +112,7 @@
 
 impl World {
     pub(crate) async fn start(options: &Options) -> std::io::Result<Self> {
-        let oracle = Oracle::new(limits(options.seed));
+        let oracle = Oracle::new(options.limits());
         let mut servers = Vec::new();
         for index in 0..2 * options.servers {
             servers.push(Server::start(index, index >= options.servers, oracle.clone()).await?);
@@ -145,24 +164,26 @@
     async fn new(options: &Options, nth: usize, servers: &[Server]) -> std::io::Result<Self> {
         let mut links = Vec::new();
         let mut targets = Vec::new();
-        for (index, server) in servers.iter().enumerate() {
-            let link = Link::start(server.address).await?;
+        for server in servers {
+            links.push(Link::start(server.address).await?);
+        }
+        for id in 0..servers.len() * options.ids_per_server {
+            let index = id % servers.len();
             let model = if index < options.servers { "prefill" } else { "decode" };
             targets.push(
-                json!({"uid": format!("s{index}"), "endpoint": link.address, "az": "z", "model": model,
+                json!({"uid": format!("s{id}"), "endpoint": links[index].address, "az": "z", "model": model,
                 "pod_group": 0, "state": "active", "capacity_hint": 1.0, "boot_ms": 0}),
             );
-            links.push(link);
         }
         let list = List { rev: 1, targets: targets.clone() };
         let agents = [Agent::start(list.clone()).await?, Agent::start(list).await?];
         let (name, listen) = (format!("n{nth}"), free_address()?);
         let folder = options.folder.join(&name);
         std::fs::create_dir_all(&folder)?;
-        let settings = settings(options.conductors, &limits(options.seed));
+        let settings = settings(options.listed_conductors, &options.limits());
         let config = json!({"name": name, "listen": listen, "discovery": agents[0].address,
             "seed": format!("{:x}", options.seed.wrapping_add(nth as u64)),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512}, "ops": "127.0.0.1:0",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS}, "ops": "127.0.0.1:0",
             "known": {"rev": 1, "all": true, "targets": targets}, "settings": settings});
         let program = options.program.clone();
         let site = Mutex::new(Site { program, folder, config, listen });
@@ -179,8 +200,7 @@
             *starts
         };
         let mut site = lock(&self.site);
-        let List { rev, targets } = self.agents[*lock(&self.agent)].list();
-        site.config["known"] = json!({"rev": rev, "all": true, "targets": targets});
+        site.config["known"] = self.agents[*lock(&self.agent)].list().whole();
         site.start(nth, free_address()?, *lock(&self.faults))
     }
 }
