--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod fleet;
+pub mod history;
 pub mod side;
 
 use std::sync::Arc;
