--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -6,86 +6,47 @@
 
 mod figures;
 pub mod handover;
+mod health;
+mod placement;
+mod queue;
 mod reconfigure;
+mod slow_start;
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::hash::{hash, mix, share_of};
+use crate::hash::{hash, share_of};
 use crate::interface::*;
-use crate::rate::decay;
 
-/// Reads of all routers together at one reader (and what waits at a mixed server), and the tokens past
-/// which the next takes over: some tenths of a second of reading, so that the order of leaving is ours.
+/// Reads of all routers together at one reader (and what waits at a mixed server): some tenths of a second
+/// of reading, so that the order of leaving is ours.
 const READ_SLOTS: f64 = 12.0;
-const READ_TOKENS: f64 = 12_000.0;
-/// Own requests that may wait at one writer or mixed server to begin: a queue there helps nobody.
-const BEGIN_CAP: f64 = 4.0;
 /// A server rests after `full`, at first this long, doubling up to the most.
 const FULL_REST: Micros = 200_000;
 const REST_MOST: Micros = 12_000_000;
-/// Where parts are below one request: a wait of over this share of the aim rests the server, and all routers
-/// together want this many to wait at one server.
-const REST_AIM: f64 = 0.25;
+/// Where parts are below one request, all routers together want this many to wait at one server.
 const WAIT_SLOTS: f64 = 4.0;
-/// Share of its part of the writers for its part of the readers that a cell keeps of what it reads.
-const CELL_SHARE: f64 = 1.5;
-/// Streams of all routers together at one writer, and at a mixed server, whose reads stall its streams.
-const WRITE_SLOTS: f64 = 80.0;
-const MIXED_SLOTS: f64 = 30.0;
-/// Own streams are compared in steps of this share of the part. Within one they hardly slow each other, and
-/// a state stays in its rack, whose link carries little more than its readers send.
-const STREAM_STEP: f64 = 1.0 / 3.0;
-/// Readers that a prefix hashes to where parts are below one request; the session's hash picks one.
-const HOMES: usize = 3;
-/// Share of a server's memory that all routers together plan to fill.
-const MEMORY_SHARE: f64 = 0.9;
-/// A writer takes this much of what a mixed server takes whole: a mixed server also reads.
-const MIXED_WEIGHT: f64 = 1.5;
-/// More tokens than this to read are not for a mixed server while there are readers.
-const LONG_READ: u64 = 3_000;
 /// A session's last reader is remembered this long: about as long as a server's memory keeps it.
 const KEEP: Micros = 60_000_000;
-/// Held this long is starved, or for this share of the time after which it is given up.
-const STARVED: Micros = 2_000_000;
-const STARVED_SHARE: f64 = 0.7;
 /// Share of the release time after which what is held is let go, also while an attempt is out that has not
 /// been heard of. It may never have arrived, and then the time of what is held goes on; to one that has
 /// arrived the release does nothing, as it takes only what no attempt waits for.
 const UNHEARD_SHARE: f64 = 0.75;
 /// Share of a client's patience after which a held request beyond its customer's quota is refused.
 const SURPLUS_SHARE: f64 = 0.1;
-/// One starved request leaves ahead in this time, in more where parts are below one request.
-const PROMOTE_EVERY: Micros = 100_000;
 /// A request that has used up its attempts is told to come back within this time.
 const SPENT_RETRY: Micros = 200_000;
 const SWEEP: Micros = 10_000;
 /// A process may be held up for so long between reading its clock and writing.
 const HELD_UP: Micros = 150_000;
-const BLEND: f64 = 0.1;
-/// Tokens' worth of fixed cost in a stage's pace.
-const FIXED_TOKENS: f64 = 500.0;
 /// Stop waiting after this many times the usual, and never before the floor.
 const PATIENCE: f64 = 6.0;
 const PATIENCE_FLOOR: Micros = 700_000;
-/// Quiet for this many times the usual while a peer answers: suspect.
-const QUIET: f64 = 4.0;
-const QUIET_FLOOR: Micros = 400_000;
-/// Circuit breaker: failures in a row that open it, first and longest time open.
+/// Circuit breaker: failures in a row that open it, and the first time for which it is open.
 const TRIP: u32 = 2;
 const OPEN_FIRST: Micros = 500_000;
-const OPEN_MOST: Micros = 8_000_000;
-/// Share of a role that may be out of use before its breakers are passed over (panic threshold).
-const PANIC_SHARE: f64 = 0.5;
-/// Servers of one zone that fail in a row, with no answer from there, before it is cut off.
-const ZONE_TRIP: usize = 3;
-/// Slow start: share of a cold server's budget that is used, the rest is for chance. A router that has
-/// measured nothing yet takes its part of one send a second.
-const COLD_SHARE: f64 = 0.5;
-const COLD_LEAST: f64 = 1.0;
 /// Where parts are below one request: what a reader says that it holds counts for this long, as long as a
-/// probe may take, and so many that a prefix hashes to are asked before the least full of them is taken.
+/// probe may take.
 const SAID_FOR: Micros = 250_000;
-const ASK_MOST: usize = 3;
 
 /// Where a request stands.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -661,399 +622,6 @@
         query.prompt_tokens.saturating_sub(query.prefix_tokens.max(last))
     }
 
-    // Leaving: shortest prompt first, starved ones ahead, one at a time.
-
-    fn release(&mut self, out: &mut Vec<Action>) {
-        if self.held.is_empty() {
-            return;
-        }
-        let line = |id: &Id| {
-            let r = self.requests.get(id)?;
-            let last = self.last_start(r);
-            Some((self.now >= last, r.query.prompt_tokens, r.arrived, id.clone(), last))
-        };
-        let mut order: Vec<(bool, u64, Micros, Id, Micros)> = self.held.iter().filter_map(line).collect();
-        order.sort();
-        if self.now >= self.promoted + (PROMOTE_EVERY as f64 / self.part(READ_SLOTS).min(1.0)) as Micros {
-            let starved = |(late, _, arrived, _, last): &(bool, u64, Micros, Id, Micros)| {
-                let time = last.saturating_sub(*arrived) as f64 * STARVED_SHARE;
-                !late && self.now >= arrived + STARVED.min(time as Micros)
-            };
-            // The longest of them, as no other way leads past the shorter ones.
-            if let Some(i) = (0..order.len()).rev().find(|&i| starved(&order[i])) {
-                order[..=i].rotate_right(1);
-            }
-        }
-        let ahead = order.first().map(|o| o.3.clone());
-        for (_, _, arrived, id, _) in order {
-            let Some(request) = self.requests.get(&id) else { continue };
-            let Some(w) = self.place(request) else { continue };
-            if self.asks() && self.servers[w].role == Stage::Read && self.known(w).is_none() {
-                if !std::mem::replace(&mut self.servers[w].asked, true) {
-                    out.push(Action::Probe { server: self.servers[w].id.clone() });
-                }
-                continue;
-            }
-            if self.send(&id, w, out) {
-                self.held.retain(|h| *h != id);
-                if Some(&id) == ahead.as_ref() && self.now > arrived + STARVED / 4 {
-                    self.promoted = self.now;
-                }
-            }
-        }
-    }
-
-    /// The server with which a held request leaves now, if any.
-    fn place(&self, request: &Request) -> Option<usize> {
-        let two_stages = request.attempts + 2 <= request.query.class.max_attempts;
-        let room = |w: &usize| self.has_room(*w, request);
-        // What is being read will want a writer soon: its place is counted as taken.
-        let writers = self.candidates(request, Stage::Write);
-        let spare: f64 = writers.iter().map(|&w| self.spare(w, request)).sum();
-        // Reads at a server that is silent or failing may never come.
-        let reads = |w: usize| if self.healthy(w) { self.servers[w].reads } else { 0 };
-        let coming: u32 = (0..self.servers.len()).map(reads).sum();
-        let full = self.part_full(&writers, Stage::Write);
-        let writer = writers.into_iter().filter(room).min_by_key(|&w| self.servers[w].streams);
-        let writer = writer.filter(|_| !full && (coming == 0 || spare >= f64::from(coming + 1)));
-        let readers = self.candidates(request, Stage::Read);
-        let no_readers = readers.is_empty();
-        let short = |w: &usize| no_readers || self.cost(&request.query, *w) <= LONG_READ;
-        let last = self.kept.get(&request.query.session).map(|k| k.0);
-        let home = |all: Vec<usize>| self.homes(request, all).into_iter().find(room);
-        let mut mixed = self.candidates(request, Stage::Whole);
-        mixed.retain(short);
-        let mixed = if self.part_full(&mixed, Stage::Whole) { None } else { home(mixed) };
-        let reader = match self.asks() {
-            _ if !two_stages || self.part_full(&readers, Stage::Read) => None,
-            true => self.least_full(request, readers),
-            false => home(readers),
-        };
-        match (reader, writer, mixed) {
-            (Some(r), Some(_), _) if Some(r) == last => Some(r),
-            (_, _, Some(m)) if Some(m) == last => Some(m),
-            (Some(r), Some(_), Some(m)) => {
-                // By a hash of the session, so that all its turns fall alike at every router.
-                let count = |role| self.listed(role).count() as f64;
-                let share = count(Stage::Whole) / (count(Stage::Whole) + count(Stage::Write) * MIXED_WEIGHT);
-                let whole = share_of(hash(&request.query.session, 1)) < share;
-                Some(if whole { m } else { r })
-            }
-            (Some(r), Some(_), None) => Some(r),
-            (_, _, Some(m)) => Some(m),
-            // Readers are gone or full: a writer that can read by itself takes a short prompt whole.
-            (None, Some(_), None) if self.settings.self_prefill => {
-                let waited = self.now - request.arrived > request.query.class.aim / 4;
-                let mut able = self.candidates(request, Stage::Write);
-                able.retain(|w| !two_stages || no_readers || (waited && short(w)));
-                home(able)
-            }
-            _ => None,
-        }
-    }
-
-    /// The first home that is not known to be full, else the least full of those that were asked.
-    fn least_full(&self, request: &Request, readers: Vec<usize>) -> Option<usize> {
-        let full = |w: usize| self.known(w).unwrap_or(0.0);
-        let room = |&w: &usize| self.has_room(w, request) && full(w) < READ_SLOTS;
-        let all: Vec<usize> = self.homes(request, readers).into_iter().filter(room).take(ASK_MOST).collect();
-        let first = all.iter().copied().find(|&w| full(w) < WAIT_SLOTS);
-        first.or_else(|| all.into_iter().min_by(|&a, &b| full(a).total_cmp(&full(b))))
-    }
-
-    /// Servers in the order in which a prefix hashes to them, the one with the session's last prompt first.
-    /// Many routers see a session's turns at one each: by its hash they meet at one of the prefix's homes.
-    fn homes(&self, request: &Request, mut all: Vec<usize>) -> Vec<usize> {
-        let session = hash(&request.query.session, 2);
-        let score = |w: usize, key: u64| std::cmp::Reverse(mix(self.servers[w].hash ^ key));
-        all.sort_by_cached_key(|&w| score(w, request.key));
-        let homes = if self.many() { HOMES } else { 1 }.min(all.len());
-        all[..homes].sort_by_cached_key(|&w| score(w, session));
-        let last = self.kept.get(&request.query.session).map(|k| k.0);
-        all.sort_by_key(|&w| Some(w) != last);
-        all
-    }
-
-    /// The writer for a state: fewest own streams in steps, then the reader's cell, writers before mixed
-    /// servers, its zone, and fewest of all.
-    fn pick_writer(&self, request: &Request) -> Option<usize> {
-        let near = self.nearness(request, request.state?.0);
-        let writers = self.candidates(request, Stage::Write);
-        let mixed = self.candidates(request, Stage::Whole);
-        // Those with room first; if all are at cap it goes and queues, where it rests the shortest.
-        let rank = |&w: &usize| {
-            let v = &self.servers[w];
-            let full = if self.has_room(w, request) { 0 } else { v.rest.max(self.now) };
-            let whole = v.role == Stage::Whole;
-            let slots = self.part(if whole { MIXED_SLOTS } else { WRITE_SLOTS });
-            let step = (f64::from(v.streams) / (slots * STREAM_STEP).max(1.0)) as u32;
-            let (far, zone, draw) = near(v);
-            (request.failed.contains(&w), full > 0, full, step, far, whole, zone, v.streams, draw)
-        };
-        writers.into_iter().chain(mixed).min_by_key(rank)
-    }
-
-    fn nearness(&self, request: &Request, at: usize) -> impl Fn(&Server) -> (bool, bool, u64) + '_ {
-        let at = &self.servers[at];
-        let draw = if self.many() { hash(&request.query.id, self.seed) } else { self.seed };
-        let keeps = self.cell_shares();
-        let keeps = move |cell: u64| keeps.get(&cell).copied().unwrap_or(1.0);
-        let stays = !self.many() || share_of(draw) < keeps(at.cell);
-        let near = move |cell: u64| if stays { cell == at.cell } else { keeps(cell) > 1.0 };
-        move |v| (!near(v.cell), v.zone != at.zone, mix(v.hash ^ draw))
-    }
-
-    /// Share of what it reads that each cell's own writers can take. Many routers have no stream at most
-    /// writers, so that a cell with many readers would pile all that they read on its few writers.
-    fn cell_shares(&self) -> BTreeMap<u64, f64> {
-        let mut cells: BTreeMap<u64, [f64; 3]> = BTreeMap::new();
-        for v in self.servers.iter().filter(|v| v.up) {
-            cells.entry(v.cell).or_default()[v.role as usize] += 1.0;
-        }
-        let all = cells.values().fold((0.0, 0.0), |sum, c| (sum.0 + c[0], sum.1 + c[1]));
-        let share = |c: [f64; 3]| CELL_SHARE * c[1] * all.0 / (c[0] * all.1).max(0.1);
-        cells.into_iter().map(|(cell, c)| (cell, share(c))).collect()
-    }
-
-    /// Where a part of one server is less than one request, the parts of all of a role together bound
-    /// what waits there: else a router always finds one more server that it has nothing out at.
-    fn part_full(&self, peers: &[usize], stage: Stage) -> bool {
-        let waits = || peers.iter().map(|&w| self.servers[w].silent).sum::<u32>();
-        let over = |n| n > 0 && f64::from(n + 1) > self.part(READ_SLOTS) * peers.len() as f64;
-        self.many() && !self.asks() && (self.now < self.ready[stage as usize] || over(waits()))
-    }
-
-    /// Under the own cap, in number and in tokens; an empty server always has room for one.
-    fn has_room(&self, w: usize, request: &Request) -> bool {
-        let server = &self.servers[w];
-        let empty = server.reads + server.streams == 0;
-        self.now >= server.rest && (empty || self.spare(w, request) >= 1.0)
-    }
-
-    fn part(&self, all: f64) -> f64 {
-        all / self.routers
-    }
-
-    /// So many routers that each one's part of a server is less than one request.
-    fn many(&self) -> bool {
-        self.part(READ_SLOTS) < 1.0
-    }
-
-    fn spare(&self, w: usize, request: &Request) -> f64 {
-        let server = &self.servers[w];
-        let slots = [READ_SLOTS, WRITE_SLOTS, MIXED_SLOTS][server.role as usize];
-        let count = self.part(slots).max(1.0).floor() - f64::from(server.reads + server.streams);
-        let (bound, each) = if server.role == Stage::Read {
-            (self.part(READ_TOKENS), self.cost(&request.query, w))
-        } else {
-            let memory = self.settings.memory_tokens.get(server.kind).copied().filter(|&m| m > 0);
-            let all = memory.map_or(f64::INFINITY, |m| m as f64 * MEMORY_SHARE);
-            (self.part(all), footprint(&request.query))
-        };
-        // Those that wait there to begin show a queue at once, whatever makes it.
-        let begin = if server.role == Stage::Read { f64::INFINITY } else { BEGIN_CAP };
-        count
-            .min(begin - f64::from(server.silent))
-            .min((bound - server.tokens as f64) / each.max(1) as f64)
-            .max(0.0)
-    }
-
-    // Health.
-
-    fn listed(&self, role: Stage) -> impl Iterator<Item = usize> + '_ {
-        (0..self.servers.len()).filter(move |&w| self.servers[w].up && self.servers[w].role == role)
-    }
-
-    /// Servers of a role that may take this request: usable ones, or in a panic all listed.
-    fn candidates(&self, request: &Request, role: Stage) -> Vec<usize> {
-        let listed = || self.listed(role);
-        // What cannot be reached is no part of what a panic may pass over, while other zones answer.
-        let cut = |w: usize| self.cut_off(&self.servers[w].zone);
-        let whole = listed().all(cut);
-        let all = || listed().filter(|&w| whole || !cut(w));
-        let up = all().count();
-        let good: Vec<usize> = all().filter(|&w| self.healthy(w)).collect();
-        let panic = (good.len() as f64) < up as f64 * (1.0 - PANIC_SHARE);
-        let pool: Vec<usize> = if panic { all().collect() } else { good };
-        let mut pool: Vec<usize> = pool.into_iter().filter(|&w| self.may_take(request, w)).collect();
-        if pool.iter().any(|w| !request.failed.contains(w)) {
-            pool.retain(|w| !request.failed.contains(w));
-        }
-        pool
-    }
-
-    /// The rules' guards on a send: drain, effect, cold.
-    fn may_take(&self, request: &Request, w: usize) -> bool {
-        let server = &self.servers[w];
-        let cold = self.cold_gap(w).is_some() && self.now < server.cold_next;
-        if !server.up || (cold && !self.warms(request, w)) {
-            return false;
-        }
-        match (request.query.class.effect, request.ran) {
-            (Effect::Safe, _) | (_, None) => true,
-            (Effect::Unsafe, Some(_)) => false,
-            (Effect::Keyed { scope, window }, Some((first, sent))) => {
-                let first = &self.servers[first];
-                let group = match scope {
-                    Scope::All => true,
-                    Scope::Zone => first.zone == server.zone,
-                    Scope::Cell => first.cell == server.cell,
-                };
-                group && self.now + self.settings.connect_timeout < sent + window
-            }
-        }
-    }
-
-    /// Some servers of this zone failed one after another and none answered: rather the zone's network or
-    /// power than each of them. One trial at a time is for all of the zone.
-    fn cut_off(&self, zone: &usize) -> bool {
-        self.zones.get(zone).is_some_and(|z| z.failed.len() >= ZONE_TRIP && self.now < z.next)
-    }
-
-    /// A time with up to half more or less of it, so that routers do not try again in step.
-    fn spread(&self, span: Micros, w: usize) -> Micros {
-        (span as f64 * (0.5 + share_of(mix(self.servers[w].hash ^ self.seed ^ self.now)))) as Micros
-    }
-
-    fn await_zone(&mut self, w: usize) {
-        let (now, spread) = (self.now, self.spread(OPEN_FIRST, w));
-        let zone = self.zones.entry(self.servers[w].zone).or_default();
-        if zone.failed.len() >= ZONE_TRIP && now >= zone.next {
-            zone.next = now + (spread << zone.trials.min(4));
-            zone.trials += 1;
-        }
-    }
-
-    /// Breaker closed, or open long enough for one trial; not quiet while peers answer.
-    fn healthy(&self, w: usize) -> bool {
-        let server = &self.servers[w];
-        if server.fails >= TRIP {
-            return self.now >= server.open_until && server.reads + server.streams == 0;
-        }
-        let Some(pending) = server.pending else { return true };
-        let limit = self.patience(server.role, 2_000, QUIET).max(QUIET_FLOOR);
-        self.now < pending + limit || self.heard[server.role as usize] <= pending + limit / 2
-    }
-
-    fn patience(&self, stage: Stage, tokens: u64, times: f64) -> Micros {
-        (self.pace[stage as usize] * (tokens as f64 + FIXED_TOKENS) * times) as Micros
-    }
-
-    fn sample(&mut self, stage: Stage, elapsed: Micros, tokens: u64) {
-        let usual = &mut self.pace[stage as usize];
-        *usual += (elapsed as f64 / (tokens as f64 + FIXED_TOKENS) - *usual) * BLEND;
-    }
-
-    fn succeeded(&mut self, id: &Id, w: usize, stage: Stage, elapsed: Micros, tokens: u64) {
-        if stage != Stage::Write {
-            self.keep(id, w);
-        }
-        self.sample(stage, elapsed, tokens);
-        self.ease(w, elapsed);
-        let server = &mut self.servers[w];
-        server.full = 0;
-        server.rate = decay(server.rate, self.now - server.rate_at) + 1.0 / 4.0;
-        server.rate_at = self.now;
-        self.heard(w);
-    }
-
-    /// Parts of less than one request are kept in time. A server rests where the wait cost much of the aim;
-    /// for routers that can't ask, a role whose parts together are below one rests after each wait until, on
-    /// average, no more of this router's wait there than its part: by twice the usual wait at most.
-    fn ease(&mut self, w: usize, elapsed: Micros) {
-        if !self.many() {
-            return;
-        }
-        let rest = |t: Micros, part: f64| REST_MOST.min((t as f64 * (1.0 / part - 1.0).max(0.0)) as Micros);
-        if !self.asks() && self.servers[w].fails < TRIP {
-            let role = self.servers[w].role;
-            let usual = elapsed.min(self.patience(role, 2_000, 2.0));
-            let all = self.now + rest(usual, self.part(WAIT_SLOTS) * self.listed(role).count() as f64);
-            self.ready[role as usize] = self.ready[role as usize].max(all);
-        }
-        let aim = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0);
-        if elapsed as f64 > aim as f64 * REST_AIM {
-            self.servers[w].rest = self.servers[w].rest.max(self.now + rest(elapsed, self.part(READ_SLOTS)));
-        }
-    }
-
-    fn heard(&mut self, w: usize) {
-        let (now, server) = (self.now, &mut self.servers[w]);
-        self.zones.insert(server.zone, Zone::default());
-        self.heard[server.role as usize] = now;
-        server.pending = (server.silent > 0).then_some(now);
-        server.fails = 0;
-    }
-
-    fn failed(&mut self, w: usize, weight: u32, out: &mut Vec<Action>) {
-        let now = self.now;
-        self.zones.entry(self.servers[w].zone).or_default().failed.insert(w);
-        self.await_zone(w);
-        let spread = self.spread(OPEN_FIRST, w);
-        let server = &mut self.servers[w];
-        server.fails = server.fails.saturating_add(weight);
-        if server.silent == 0 {
-            server.pending = None;
-        }
-        if server.fails >= TRIP {
-            let times = (server.fails - TRIP).min(6);
-            if now >= server.open_until {
-                out.push(Action::Log(format!("open {}: {} failures in a row", server.id, server.fails)));
-            }
-            server.open_until = now + (spread << times).min(OPEN_MOST);
-        }
-    }
-
-    // The budget of a cold server.
-
-    /// Time between sends to a server that started a short while ago; `None` for a warm one.
-    fn cold_gap(&self, w: usize) -> Option<Micros> {
-        let server = &self.servers[w];
-        if server.started == 0 || self.now >= server.started + self.settings.warm_within {
-            return None;
-        }
-        let least = COLD_LEAST / self.routers;
-        if self.many() {
-            return Some((1e6 / least) as Micros);
-        }
-        // What warm peers of the role take from here bounds from below what it can do when warm.
-        let warm = |v: &&Server| v.started + self.settings.warm_within < self.now;
-        let warm = self.listed(server.role).map(|v| &self.servers[v]).filter(warm);
-        let rates = warm.map(|v| decay(v.rate, self.now - v.rate_at));
-        let (sum, n) = rates.fold((0.0, 0.0_f64), |(s, n), r| (s + r, n + 1.0));
-        let per_s = sum / n.max(1.0) * self.settings.cold_from * self.settings.fall_multiple * COLD_SHARE;
-        Some((1e6 / per_s.max(least)) as Micros)
-    }
-
-    /// Where parts are below one request, a router's time between sends to a cold server is longer than it
-    /// stays cold. There, of what it would get if it were warm, a share goes at once: of what has just come,
-    /// as all that is held would come together, and no overflow, which has no bound.
-    fn warms(&self, request: &Request, w: usize) -> bool {
-        let share = self.settings.cold_from * self.settings.fall_multiple * COLD_SHARE;
-        let server = &self.servers[w];
-        let drawn = || share_of(hash(&request.query.session, server.hash)) < share;
-        let wait = if self.asks() { SAID_FOR } else { 0 };
-        if !self.many() || self.now > request.since + wait || !drawn() {
-            return false;
-        }
-        let first = match request.state {
-            Some((at, _)) => {
-                let near = self.nearness(request, at);
-                self.listed(server.role).min_by_key(|&v| near(&self.servers[v]))
-            }
-            None => self.homes(request, self.listed(server.role).collect()).first().copied(),
-        };
-        first == Some(w)
-    }
-
-    /// A server that turns up is empty to every router at once: each waits for a moment of its own
-    /// within its time between sends, so that the first sends do not fall together.
-    fn warm_up(&mut self, w: usize) {
-        let gap = self.cold_gap(w).unwrap_or(0) as f64;
-        let share = share_of(mix(self.servers[w].hash ^ self.seed));
-        self.servers[w].cold_next = self.now + (gap * share) as Micros;
-    }
-
     // Timers.
 
     fn sweep(&mut self, out: &mut Vec<Action>) {
