Keep the promises of a request without the decisions, however late those are

Root cause of the incident's class: each promise hung on one task that works off one queue in order of arrival. Change: a request gives its own final answer at its deadline (by what may have run), lets go of what is held by its own clock and as it ends, and its permit knows its deadline and its end; the time that it waited for the dispatcher is its client's. Releases are begun through one account for each request, and name a bounded number of servers.

--- a/core/src/conductor.rs
+++ b/core/src/conductor.rs
@@ -2,20 +2,21 @@
 
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use frosttrail::{Id, Micros, OpenWork, Settings, Snapshot};
 use serde::{Deserialize, Serialize};
 use slog::Logger;
-use tokio::sync::{mpsc, oneshot, watch};
-use tokio_util::task::TaskTracker;
+use tokio::sync::{oneshot, watch};
 
 use crate::clock::Clock;
+use crate::command::{Command, Ticket};
+use crate::command_queue::CommandSender;
 use crate::exclusion::{ExclusionError, Exclusions};
 use crate::figures::Figures;
-use crate::owner::{Message, Ticket};
 use crate::permit::Admissions;
+use crate::release::{lock, Releases};
 use crate::traits::Upstream;
 
 /// Share of the settings' time for what is held that the request's next attempt waits for a release to end.
@@ -54,28 +55,23 @@
 
 /// A handle on a running conductor; clones are cheap and speak to the same one.
 pub struct Conductor<B> {
-    pub(crate) tell: mpsc::UnboundedSender<Message>,
+    pub(crate) commands: CommandSender,
     pub(crate) upstream: Arc<B>,
     pub(crate) clock: Clock,
     /// The settings in force.
     pub(crate) settings: Arc<watch::Sender<Arc<Settings>>>,
     pub(crate) tickets: Arc<AtomicU64>,
     pub(crate) able: watch::Receiver<bool>,
-    pub(crate) releases: TaskTracker,
+    pub(crate) releases: Arc<Releases<B>>,
     pub(crate) exclusions: Arc<Mutex<Exclusions>>,
     pub(crate) admissions: Admissions,
     pub(crate) figures: Figures,
 }
 
-/// Whole between any two statements, so that a panic elsewhere does no harm to it.
-pub(crate) fn lock(exclusions: &Mutex<Exclusions>) -> MutexGuard<'_, Exclusions> {
-    exclusions.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl<B> Clone for Conductor<B> {
     fn clone(&self) -> Self {
         Conductor {
-            tell: self.tell.clone(),
+            commands: self.commands.clone(),
             upstream: self.upstream.clone(),
             clock: self.clock,
             settings: self.settings.clone(),
@@ -111,13 +107,13 @@
 
     /// Answers every request that has not begun to stream: the conductor is about to stop.
     pub fn close(&self) {
-        let _ = self.tell.send(Message::Close);
+        self.commands.send(Command::Close);
     }
 
     /// This conductor's part of what all that send to the same servers share: of 1. Until it is told, that is
     /// one of the number in the settings.
     pub fn share(&self, part: f64) {
-        let _ = self.tell.send(Message::Share(part));
+        self.commands.send(Command::Share(part));
     }
 
     /// The settings in force, for requests that come now.
@@ -129,7 +125,7 @@
     pub fn reconfigure(&self, settings: Settings) {
         let settings = Arc::new(settings);
         // The decisions first: who reads the new settings may ask at once.
-        let _ = self.tell.send(Message::Settings(settings.clone()));
+        self.commands.send(Command::Settings(settings.clone()));
         self.settings.send_replace(settings);
     }
 
@@ -148,21 +144,21 @@
         lock(&self.exclusions).exclude(instance)?;
         // Holds from the answer on, also for attempts that have been decided and not begun.
         self.admissions.close(instance);
-        let _ = self.tell.send(Message::ExclusionChanged(instance.clone()));
+        self.commands.send(Command::ExclusionChanged(instance.clone()));
         Ok(())
     }
 
     /// Puts an instance back into use. It counts as started now; one that was not out stays as it is.
     pub fn include(&self, instance: &Id) -> Result<(), ExclusionError> {
         lock(&self.exclusions).include(self.clock.now(), instance)?;
-        let _ = self.tell.send(Message::ExclusionChanged(instance.clone()));
+        self.commands.send(Command::ExclusionChanged(instance.clone()));
         Ok(())
     }
 
     /// What it has learned up to now; `None` once it has ended.
     pub async fn learned(&self) -> Option<Learned> {
         let (to, snapshot) = oneshot::channel();
-        let _ = self.tell.send(Message::Snapshot(to));
+        self.commands.send(Command::Snapshot(to));
         let decisions = snapshot.await.ok()?;
         let included = lock(&self.exclusions).included_before(self.clock.now());
         Some(Learned { decisions, included })
@@ -171,32 +167,33 @@
     /// What is open at instances; `None` once it has ended.
     pub async fn open_work(&self) -> Option<OpenWork> {
         let (to, work) = oneshot::channel();
-        let _ = self.tell.send(Message::OpenWork(to));
+        self.commands.send(Command::OpenWork(to));
         work.await.ok()
     }
 
     /// What other processes of the same conductor have open at instances counts as its own.
     pub fn set_foreign_work(&self, work: OpenWork) {
-        let _ = self.tell.send(Message::ForeignWork(work));
+        self.commands.send(Command::ForeignWork(work));
     }
 
     /// Makes these the excluded instances, as another process of the same conductor was told.
     pub fn replace_excluded(&self, excluded: BTreeSet<Id>) {
         let changed = lock(&self.exclusions).replace(self.clock.now(), excluded);
         for instance in changed {
-            let _ = self.tell.send(Message::ExclusionChanged(instance));
+            self.commands.send(Command::ExclusionChanged(instance));
         }
     }
 
     /// Resolves once every release that was asked for has arrived or been given up. Requests must have
     /// ended before.
     pub async fn released(&self) {
-        // What the last requests reported lies before this in the owner's inbox.
+        // What the last requests reported lies before this in the queue.
         let (seen, all_seen) = oneshot::channel();
-        let _ = self.tell.send(Message::Seen(seen));
+        self.commands.send(Command::Seen(seen));
         let _ = all_seen.await;
-        self.releases.close();
-        self.releases.wait().await;
-        self.releases.reopen();
+        let tasks = self.releases.tasks();
+        tasks.close();
+        tasks.wait().await;
+        tasks.reopen();
     }
 }
--- a/core/src/figures.rs
+++ b/core/src/figures.rs
@@ -1,10 +1,14 @@
 //! What a conductor counts of itself, in the text form that Prometheus reads.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use crate::permit::Withheld;
 use frosttrail::{Outcome, Settings, Violation};
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
 
 /// Names begin with this.
 const NAMESPACE: &str = "svc";
@@ -17,6 +21,11 @@
 /// The label that holds why something was done, or was not.
 const REASON: &str = "reason";
 
+/// Refused before any decision, as those were too slow.
+const AT_THE_DOOR: &str = "at_the_door";
+/// Bounds of the histograms of decisions, in seconds.
+const DECISION_SECONDS: [f64; 8] = [0.0001, 0.0005, 0.002, 0.01, 0.05, 0.2, 1.0, 5.0];
+
 /// Counters and gauges. Clones count together.
 #[derive(Clone)]
 pub struct Figures {
@@ -35,6 +44,15 @@
     retries: IntCounterVec,
     /// Refusals, by how the last attempt had ended.
     refusals: IntCounterVec,
+    /// Final answers that requests gave themselves, as no decision came in their time, by kind.
+    overdue: IntCounterVec,
+    /// What one command has cost the decisions.
+    decisions: Histogram,
+    /// How long commands have waited for the decisions.
+    waits: Histogram,
+    /// The age of the oldest command that waits, in seconds, and how many wait.
+    lag: Gauge,
+    backlog: IntGauge,
     /// Attempts written whole to instances.
     pub sends: IntCounter,
     /// Instances in the list.
@@ -66,7 +84,22 @@
             registry.register(Box::new(gauge.clone()))?;
             prometheus::Result::Ok(gauge)
         };
+        let seconds = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).namespace(NAMESPACE);
+            let histogram = Histogram::with_opts(options.buckets(DECISION_SECONDS.to_vec()))?;
+            registry.register(Box::new(histogram.clone()))?;
+            prometheus::Result::Ok(histogram)
+        };
+        let lag = Gauge::with_opts(
+            Opts::new("decision_lag_seconds", "Age of the oldest command that waits.").namespace(NAMESPACE),
+        )?;
+        registry.register(Box::new(lag.clone()))?;
         Ok(Figures {
+            overdue: by_label("overdue", "Final answers without a decision in time.", REASON)?,
+            decisions: seconds("decision_seconds", "What a command costs the decisions.")?,
+            waits: seconds("decision_wait_seconds", "How long commands wait for the decisions.")?,
+            lag,
+            backlog: gauge("decision_backlog", "Commands that wait for the decisions.")?,
             answered: by_label("answered", "Requests served to their last chunk.", CLASS)?,
             deferred: by_label("deferred", "Requests refused.", CLASS)?,
             errored: by_label("errored", "Requests that failed, or whose client left.", CLASS)?,
@@ -116,6 +149,32 @@
         self.refusals.with_label_values(&[last.map_or(UNSENT, label)]).inc();
     }
 
+    /// A request is refused before any decision.
+    pub(crate) fn refused_at_the_door(&self) {
+        self.refusals.with_label_values(&[AT_THE_DOOR]).inc();
+    }
+
+    /// A request has answered itself, with a refusal or a failure.
+    pub(crate) fn overdue(&self, refused: bool) {
+        self.overdue.with_label_values(&[if refused { "refused" } else { "failed" }]).inc();
+    }
+
+    /// A command has cost the decisions so much.
+    pub(crate) fn decided(&self, took: Duration) {
+        self.decisions.observe(took.as_secs_f64());
+    }
+
+    /// A command has waited for so long.
+    pub(crate) fn waited(&self, wait: Duration) {
+        self.waits.observe(wait.as_secs_f64());
+    }
+
+    /// So many commands wait, the oldest for so long.
+    pub(crate) fn set_backlog(&self, waiting: usize, age: Duration) {
+        self.backlog.set(waiting as i64);
+        self.lag.set(age.as_secs_f64());
+    }
+
     /// Each class has its figures before its first request.
     pub(crate) fn add_classes(&self, settings: &Settings) {
         for class in &settings.classes {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,11 +11,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod cache_clock;
 mod clock;
+mod command;
+mod command_queue;
 mod conductor;
+mod dispatcher;
 mod exclusion;
 mod figures;
-mod owner;
 mod permit;
 mod reachability;
 mod release;
@@ -24,9 +27,9 @@
 
 pub use clock::Clock;
 pub use conductor::{Conductor, Learned, Parts};
+pub use dispatcher::start;
 pub use exclusion::{ExclusionError, Exclusions};
 pub use figures::Figures;
-pub use owner::start;
 pub use permit::{SendPermit, Withheld};
 pub use request::{Answer, AnswerStream, Broken, CallError, Request};
 pub use traits::{Events, MemberList, News, Reply, Step, Upstream};
--- a/core/src/permit.rs
+++ b/core/src/permit.rs
@@ -5,6 +5,7 @@
 //! in which a request may be repeated may end.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 
 use frosttrail::{Entry, Health, Id, ListForm, Micros};
@@ -24,6 +25,12 @@
     /// The window in which the request may be repeated is over.
     #[error("the window for a repeat is over")]
     WindowOver,
+    /// Its client stops waiting by now.
+    #[error("the request's time is over")]
+    DeadlineOver,
+    /// The request has its final answer, or its client has gone.
+    #[error("the request has ended")]
+    RequestEnded,
 }
 
 impl Withheld {
@@ -33,6 +40,8 @@
             Withheld::ServerClosed => "server_closed",
             Withheld::ServerRestarted => "server_restarted",
             Withheld::WindowOver => "window_over",
+            Withheld::DeadlineOver => "deadline_over",
+            Withheld::RequestEnded => "request_ended",
         }
     }
 }
@@ -65,33 +74,33 @@
         self.0.read().unwrap_or_else(PoisonError::into_inner).get(server).copied()
     }
 
-    /// Leave for an attempt at a server, as it has been decided now.
-    pub(crate) fn permit(
-        &self,
-        server: &Id,
-        send_by: Option<Micros>,
-        clock: Clock,
-        figures: Figures,
-    ) -> SendPermit {
-        let (admissions, server) = (self.clone(), server.clone());
-        let started = admissions.started(&server);
-        let conditions = Conditions { admissions, server, started, send_by, clock, figures };
-        SendPermit(Some(Arc::new(conditions)))
+    /// Leave for an attempt under these conditions.
+    pub(crate) fn permit(&self, conditions: Conditions, clock: Clock, figures: Figures) -> SendPermit {
+        SendPermit(Some(Arc::new(Permit { admissions: self.clone(), conditions, clock, figures })))
     }
 }
 
+/// Under which an attempt was decided.
+#[derive(Debug)]
+pub(crate) struct Conditions {
+    pub(crate) server: Id,
+    /// The start of the server as the decisions knew it; `None` where it took nothing new by then.
+    pub(crate) started: Option<Micros>,
+    /// Nothing is written from then on, as it would be a repeat outside of its window.
+    pub(crate) send_by: Option<Micros>,
+    /// When the request's client stops waiting.
+    pub(crate) deadline: Micros,
+    /// Set once the request has ended.
+    pub(crate) ended: Arc<AtomicBool>,
+}
+
 /// Leave to begin one attempt.
 #[derive(Clone)]
-pub struct SendPermit(Option<Arc<Conditions>>);
+pub struct SendPermit(Option<Arc<Permit>>);
 
-/// Under which an attempt was decided.
-struct Conditions {
+struct Permit {
     admissions: Admissions,
-    server: Id,
-    /// When the server had started then; `None` where it was closed already.
-    started: Option<Micros>,
-    /// Nothing is written from then on.
-    send_by: Option<Micros>,
+    conditions: Conditions,
     clock: Clock,
     figures: Figures,
 }
@@ -100,7 +109,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match &self.0 {
             None => f.write_str("SendPermit(unconditional)"),
-            Some(conditions) => write!(f, "SendPermit({}, by {:?})", conditions.server, conditions.send_by),
+            Some(permit) => write!(f, "SendPermit({:?})", permit.conditions),
         }
     }
 }
@@ -114,22 +123,30 @@
     /// To be asked directly before the first byte is written. An attempt that is withheld has not been sent,
     /// and its server is not to blame.
     pub fn check(&self) -> Result<(), Withheld> {
-        let Some(conditions) = &self.0 else { return Ok(()) };
-        conditions.check().inspect_err(|withheld| conditions.figures.withheld(*withheld))
+        let Some(permit) = &self.0 else { return Ok(()) };
+        permit.check().inspect_err(|withheld| permit.figures.withheld(*withheld))
     }
 }
 
-impl Conditions {
+impl Permit {
     fn check(&self) -> Result<(), Withheld> {
-        let started = self.admissions.started(&self.server);
-        if started.is_none() {
+        let Conditions { server, started, send_by, deadline, ended } = &self.conditions;
+        if ended.load(Ordering::Relaxed) {
+            return Err(Withheld::RequestEnded);
+        }
+        let now = self.clock.now();
+        if now >= *deadline {
+            return Err(Withheld::DeadlineOver);
+        }
+        let listed = self.admissions.started(server);
+        if listed.is_none() {
             return Err(Withheld::ServerClosed);
         }
-        if started != self.started {
+        if listed != *started {
             return Err(Withheld::ServerRestarted);
         }
-        match self.send_by {
-            Some(by) if self.clock.now() >= by => Err(Withheld::WindowOver),
+        match send_by {
+            Some(by) if now >= *by => Err(Withheld::WindowOver),
             _ => Ok(()),
         }
     }
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -2,18 +2,24 @@
 
 use std::future::Future;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
+use frosttrail::admission::{self, RunAccount};
 use frosttrail::{Id, Load, Micros, Outcome, Query, Report, Verdict};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
+use crate::cache_clock::CacheClock;
+use crate::command::{Command, NewRequest, Order, Ticket};
+use crate::command_queue::CommandSender;
 use crate::conductor::Conductor;
-use crate::figures::Account;
-use crate::owner::{Message, Order, Ticket};
+use crate::figures::{Account, Figures};
 use crate::permit::SendPermit;
+use crate::release::{lock, Cleanup, Releaser};
 use crate::traits::{Events, Reply, Step, Upstream};
 
 /// A stream that says nothing for this long has lost its server: a machine that vanished ends no
@@ -64,103 +70,251 @@
 #[error("the answer broke off")]
 pub struct Broken;
 
-/// A request's place at the owner. Whatever way the request ends, dropping the seat is the last word on
-/// it: an attempt that is still out is called off and what is held is let go.
-#[derive(Debug)]
-struct Seat {
+/// A request's entry at the dispatcher. Whatever way the request ends, dropping it is the last word on it: an
+/// attempt that is still out is called off and what is held is let go.
+struct Entry {
     id: Id,
     ticket: Ticket,
-    verdicts: mpsc::UnboundedReceiver<Order>,
-    tell: mpsc::UnboundedSender<Message>,
+    orders: mpsc::UnboundedReceiver<Order>,
+    commands: CommandSender,
     account: Account,
+    /// Set with the end, for what has been decided meanwhile.
+    ended: Arc<AtomicBool>,
+    cleanup: Arc<Mutex<Cleanup>>,
+    releaser: Arc<dyn Releaser>,
+    cache: CacheClock,
+    attempt_is_out: bool,
+    /// Its answer has begun: nothing is held any more.
+    streams: bool,
+}
+
+impl std::fmt::Debug for Entry {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Entry").field("id", &self.id).field("ticket", &self.ticket).finish_non_exhaustive()
+    }
 }
 
-impl Seat {
+impl Entry {
     fn report(&self, report: Report) {
-        // The owner runs for as long as there is a sender, and this is one.
-        let _ = self.tell.send(Message::Report(self.id.clone(), self.ticket, report));
+        self.commands.send(Command::Report(self.id.clone(), self.ticket, report));
     }
 
     fn ended(&self, outcome: Outcome, kept_tokens: u64, load: Option<Load>) {
         self.report(Report::Ended { outcome, kept_tokens, load });
     }
+
+    /// Lets go of what is held, where the decisions have not done so in time.
+    fn release(&mut self, beside: bool) {
+        let under_way = lock(&self.cleanup).is_under_way();
+        if !under_way {
+            self.releaser.release(&self.id, &self.cleanup);
+        }
+        self.cache.released(beside);
+    }
+
+    /// Waits until what is held has to be let go.
+    async fn release_due(cache: CacheClock, within: Duration) {
+        match cache.due(within) {
+            Some(at) => sleep_until(at).await,
+            None => std::future::pending().await,
+        }
+    }
 }
 
-impl Drop for Seat {
+impl Drop for Entry {
     fn drop(&mut self) {
+        self.ended.store(true, Ordering::Relaxed);
+        let mut cleanup = lock(&self.cleanup);
+        if self.attempt_is_out {
+            cleanup.left_something();
+        }
+        let was_sent = cleanup.was_sent();
+        drop(cleanup);
+        if was_sent && !self.streams {
+            self.releaser.release(&self.id, &self.cleanup);
+        }
         self.report(Report::Left);
     }
 }
 
+/// A request on the way to its final answer.
+struct OpenCall {
+    entry: Entry,
+    /// When it answers itself, unless a decision has come.
+    answer_by: Instant,
+    /// What is held is let go after this time.
+    release_within: Duration,
+    run: RunAccount,
+    last: Option<Outcome>,
+}
+
 /// An attempt as it has been decided.
 struct Prepared {
+    server: Id,
     /// Resolves once the release before it has ended.
     after: Option<oneshot::Receiver<()>>,
     permit: SendPermit,
     stop_at: Micros,
+    takes_effect: bool,
 }
 
 /// What an attempt leaves to be done.
 enum Next<E> {
     Stream(E),
-    /// The outcome has been reported; more verdicts follow.
-    Again(Outcome),
+    /// The outcome has been reported; more orders follow.
+    Again,
     /// The decisions have ended it while it was out.
     Order(Order),
+    /// Its time is over.
+    Overdue,
 }
 
+/// How the wait for an attempt ended.
+enum Waited<E> {
+    Order(Option<Order>),
+    Reply(Reply<E>),
+    Overdue,
+}
+
+impl OpenCall {
+    /// The next order; `None` where the dispatcher has none, `Err` once the request's time is over.
+    async fn order(&mut self) -> Result<Option<Order>, Overdue> {
+        loop {
+            let release_due = Entry::release_due(self.entry.cache, self.release_within);
+            tokio::select! {
+                biased;
+                order = self.entry.orders.recv() => return Ok(order),
+                () = release_due => self.entry.release(false),
+                () = sleep_until(self.answer_by) => return Err(Overdue),
+            }
+        }
+    }
+
+    /// Waits for an attempt's reply, an order or the end of the request's time.
+    async fn reply<E>(&mut self, attempt: impl Future<Output = Reply<E>>) -> Waited<E> {
+        tokio::pin!(attempt);
+        loop {
+            let release_due = Entry::release_due(self.entry.cache, self.release_within);
+            // What has been decided stands, also where a reply lies ready beside it: the decisions have let
+            // go of the request, and what would begin to stream now might be cut by the conductor's end.
+            tokio::select! {
+                biased;
+                order = self.entry.orders.recv() => return Waited::Order(order),
+                reply = &mut attempt => return Waited::Reply(reply),
+                // Where the attempt has arrived, this takes nothing.
+                () = release_due => self.entry.release(true),
+                () = sleep_until(self.answer_by) => return Waited::Overdue,
+            }
+        }
+    }
+
+    /// The final answer without a decision, and without a look at where others stand.
+    fn overdue<E: Events>(&mut self, figures: &Figures) -> Answer<E> {
+        let refused = self.run.may_be_refused();
+        figures.overdue(refused);
+        if refused {
+            self.entry.account.deferred();
+            return Answer::Refused { retry_after: Duration::ZERO, last: self.last };
+        }
+        Answer::Failed { last: self.last }
+    }
+}
+
+/// A request's time is over, and no decision has come.
+struct Overdue;
+
 impl<B: Upstream> Conductor<B> {
     /// Takes a request to its final answer. Dropping the future gives the request up.
     pub async fn call(&self, request: Request<B::Call>) -> Result<Answer<B::Events>, CallError> {
         let Request { query, call } = request;
-        let (to_seat, verdicts) = mpsc::unbounded_channel();
-        let ticket = self.ticket();
-        let account = self.figures.open(&query.class.name);
-        let mut seat = Seat { id: query.id.clone(), ticket, verdicts, tell: self.tell.clone(), account };
-        // Cannot fail: the owner runs for as long as there is a handle.
-        let _ = self.tell.send(Message::Pick(query, ticket, to_seat));
-        let mut next = seat.verdicts.recv().await;
-        if next.is_none() {
-            seat.account.not_taken();
+        if !admission::admits(self.commands.backlog().expected_wait(), query.budget) {
+            return Ok(self.refuse_at_the_door(&query));
+        }
+        let mut open = self.open(query);
+        let mut next = open.order().await;
+        if matches!(next, Ok(None)) {
+            open.entry.account.not_taken();
             return Err(CallError::IdInUse);
         }
-        let mut last = None;
-        while let Some(Order { verdict, after, permit }) = next {
+        loop {
+            let order = match next {
+                Ok(Some(order)) => order,
+                Ok(None) => return Ok(Answer::Failed { last: open.last }),
+                Err(Overdue) => return Ok(open.overdue(&self.figures)),
+            };
+            let Order { verdict, after, permit, takes_effect } = order;
             next = match verdict {
                 Verdict::Send { server, stop_at, .. } => {
-                    let prepared = Prepared { after, permit, stop_at };
-                    match self.attempt(&mut seat, &server, prepared, &call).await {
-                        Next::Stream(events) => return Ok(Answer::Served(AnswerStream::new(seat, events))),
-                        Next::Order(order) => Some(order),
-                        Next::Again(outcome) => {
-                            last = Some(outcome);
-                            seat.verdicts.recv().await
+                    let prepared = Prepared { server, after, permit, stop_at, takes_effect };
+                    match self.attempt(&mut open, prepared, &call).await {
+                        Next::Stream(events) => {
+                            return Ok(Answer::Served(AnswerStream::new(open.entry, events)));
                         }
+                        Next::Order(order) => Ok(Some(order)),
+                        Next::Again => open.order().await,
+                        Next::Overdue => Err(Overdue),
                     }
                 }
                 Verdict::Refuse { retry_after } => {
-                    seat.account.deferred();
-                    return Ok(Answer::Refused { retry_after: Duration::from_micros(retry_after), last });
+                    open.entry.account.deferred();
+                    let retry_after = Duration::from_micros(retry_after);
+                    return Ok(Answer::Refused { retry_after, last: open.last });
                 }
-                Verdict::Fail => return Ok(Answer::Failed { last }),
-                // Nothing is out, nothing runs; the owner sees to releases itself.
-                Verdict::Cancel | Verdict::Move | Verdict::Release => seat.verdicts.recv().await,
+                Verdict::Fail => return Ok(Answer::Failed { last: open.last }),
+                // Nothing is out, nothing runs; the dispatcher sees to releases itself.
+                Verdict::Cancel | Verdict::Move | Verdict::Release => open.order().await,
             };
         }
-        Ok(Answer::Failed { last })
+    }
+
+    fn refuse_at_the_door(&self, query: &Query) -> Answer<B::Events> {
+        self.figures.open(&query.class.name).deferred();
+        self.figures.refused_at_the_door();
+        let retry_after = admission::retry_after(self.settings.borrow().max_retry_after, query);
+        Answer::Refused { retry_after: Duration::from_micros(retry_after), last: None }
+    }
+
+    /// Tells the dispatcher of a request.
+    fn open(&self, query: Query) -> OpenCall {
+        let (to_entry, orders) = mpsc::unbounded_channel();
+        let (ended, cleanup) = (Arc::new(AtomicBool::default()), Arc::new(Mutex::default()));
+        let (ticket, arrived) = (self.ticket(), self.clock.now());
+        let entry = Entry {
+            id: query.id.clone(),
+            ticket,
+            orders,
+            commands: self.commands.clone(),
+            account: self.figures.open(&query.class.name),
+            ended: ended.clone(),
+            cleanup: cleanup.clone(),
+            releaser: self.releases.clone(),
+            cache: CacheClock::default(),
+            attempt_is_out: false,
+            streams: false,
+        };
+        let within = Duration::from_micros(admission::answer_within(query.budget));
+        let release = admission::release_within(self.settings.borrow().release);
+        let open = OpenCall {
+            entry,
+            answer_by: Instant::now() + within,
+            release_within: Duration::from_micros(release),
+            run: RunAccount::new(&query),
+            last: None,
+        };
+        let deadline = arrived.saturating_add(query.budget);
+        let new = NewRequest { query, ticket, arrived, deadline, orders: to_entry, ended, cleanup };
+        self.commands.send(Command::Open(Box::new(new)));
+        open
     }
 
     /// One attempt, until it ends, by its time at the latest, or the decisions end it. What was held for the
     /// request before is let go first: a late release would take what this attempt leaves.
-    async fn attempt(
-        &self,
-        seat: &mut Seat,
-        server: &Id,
-        Prepared { after, permit, stop_at }: Prepared,
-        call: &B::Call,
-    ) -> Next<B::Events> {
-        let reply = {
-            let id = seat.id.clone();
+    async fn attempt(&self, open: &mut OpenCall, prepared: Prepared, call: &B::Call) -> Next<B::Events> {
+        let Prepared { server, after, permit, stop_at, takes_effect } = prepared;
+        let id = open.entry.id.clone();
+        open.run.sent(takes_effect);
+        open.entry.attempt_is_out = true;
+        let waited = {
             let attempt = async {
                 if let Some(released) = after {
                     // An error is an end too: the task that has it has gone.
@@ -170,49 +324,73 @@
                     return Reply::Ended(Outcome::NotSent, None);
                 }
                 let wait = Duration::from_micros(stop_at.saturating_sub(self.clock.now()));
-                self.upstream.attempt(server, &id, call, wait, &permit).await
+                self.upstream.attempt(&server, &id, call, wait, &permit).await
             };
-            // What has been decided stands, also where a reply lies ready beside it: the decisions have let
-            // go of the request, and what would begin to stream now might be cut by the conductor's end.
-            tokio::select! {
-                biased;
-                order = seat.verdicts.recv() => Err(order),
-                reply = attempt => Ok(reply),
-            }
+            open.reply(attempt).await
         };
-        let ended_here = match &reply {
-            Ok(Reply::Ended(outcome, _)) => {
+        let ended_here = match &waited {
+            Waited::Reply(Reply::Ended(outcome, _)) => {
                 matches!(outcome, Outcome::NoAnswer | Outcome::Failed | Outcome::CalledOff)
             }
-            Ok(_) => false,
-            Err(_) => true,
+            Waited::Reply(_) => false,
+            Waited::Order(_) | Waited::Overdue => true,
         };
         if ended_here {
             // Neither another attempt nor an answer may overtake its end.
-            let takes = self.upstream.end_takes(server);
+            let takes = self.upstream.end_takes(&server);
             if !takes.is_zero() {
                 sleep(takes).await;
             }
         }
-        let reply = match reply {
-            Ok(reply) => reply,
-            Err(None | Some(Order { verdict: Verdict::Cancel, .. })) => {
+        let reply = match waited {
+            Waited::Reply(reply) => reply,
+            Waited::Order(None | Some(Order { verdict: Verdict::Cancel, .. })) => {
                 Reply::Ended(Outcome::CalledOff, None)
             }
-            Err(Some(order)) => return Next::Order(order),
+            Waited::Order(Some(order)) => return Next::Order(order),
+            Waited::Overdue => return Next::Overdue,
+        };
+        self.replied(open, &server, takes_effect, reply)
+    }
+
+    /// Notes what came of an attempt, and reports it.
+    fn replied(
+        &self,
+        open: &mut OpenCall,
+        server: &Id,
+        takes_effect: bool,
+        reply: Reply<B::Events>,
+    ) -> Next<B::Events> {
+        let outcome = match &reply {
+            Reply::Stream(_) => Outcome::Served,
+            Reply::Read { .. } => Outcome::ReadDone,
+            Reply::Ended(outcome, _) => *outcome,
         };
+        let entry = &mut open.entry;
+        self.releases.told(server, outcome, self.clock.now());
+        open.run.ended(outcome);
+        entry.attempt_is_out = false;
         match reply {
             Reply::Stream(events) => {
-                seat.report(Report::Started);
+                lock(&entry.cleanup).call_off();
+                entry.cache.taken();
+                entry.streams = true;
+                entry.report(Report::Started);
                 Next::Stream(events)
             }
             Reply::Read { kept_tokens, load } => {
-                seat.ended(Outcome::ReadDone, kept_tokens, load);
-                Next::Again(Outcome::ReadDone)
+                lock(&entry.cleanup).call_off();
+                entry.cache.prefilled(Instant::now());
+                entry.ended(outcome, kept_tokens, load);
+                open.last = Some(outcome);
+                Next::Again
             }
-            Reply::Ended(outcome, load) => {
-                seat.ended(outcome, 0, load);
-                Next::Again(outcome)
+            Reply::Ended(_, load) => {
+                lock(&entry.cleanup).left_something();
+                entry.cache.attempt_ended(outcome, !takes_effect, Instant::now());
+                entry.ended(outcome, 0, load);
+                open.last = Some(outcome);
+                Next::Again
             }
         }
     }
@@ -222,7 +400,7 @@
 /// server's stream did; a break is an error, so that a front never completes it.
 #[derive(Debug)]
 pub struct AnswerStream<E: Events> {
-    seat: Option<Seat>,
+    entry: Option<Entry>,
     events: E,
     silence: Pin<Box<tokio::time::Sleep>>,
     /// The client waits for the next event; it took the last one a while ago, or just now.
@@ -231,8 +409,8 @@
 
 /// Whether the stream has been given to another. A final answer that crossed the first event comes too late:
 /// that event is the final answer. All there is gets read, so that the next order wakes the stream.
-fn moved(verdicts: &mut mpsc::UnboundedReceiver<Order>, cx: &mut Context<'_>) -> bool {
-    while let Poll::Ready(order) = verdicts.poll_recv(cx) {
+fn moved(orders: &mut mpsc::UnboundedReceiver<Order>, cx: &mut Context<'_>) -> bool {
+    while let Poll::Ready(order) = orders.poll_recv(cx) {
         if order.is_none_or(|order| order.verdict == Verdict::Move) {
             return true;
         }
@@ -241,15 +419,15 @@
 }
 
 impl<E: Events> AnswerStream<E> {
-    fn new(seat: Seat, events: E) -> Self {
+    fn new(entry: Entry, events: E) -> Self {
         let silence = Box::pin(tokio::time::sleep(SILENCE));
-        AnswerStream { seat: Some(seat), events, silence, awaited: false }
+        AnswerStream { entry: Some(entry), events, silence, awaited: false }
     }
 
     /// The next events; `None` at the end.
     pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
-        let Some(seat) = &mut self.seat else { return Poll::Ready(None) };
-        let moved = moved(&mut seat.verdicts, cx);
+        let Some(entry) = &mut self.entry else { return Poll::Ready(None) };
+        let moved = moved(&mut entry.orders, cx);
         let step = match self.events.poll_step(cx) {
             // Another goes on from here: nothing more may come of this one, whatever lies ready.
             _ if moved => Step::Broken(Outcome::CalledOff),
@@ -275,14 +453,14 @@
                 Some(Ok(bytes))
             }
             Step::End => {
-                seat.account.answered();
-                seat.ended(Outcome::Served, 0, None);
-                self.seat = None;
+                entry.account.answered();
+                entry.ended(Outcome::Served, 0, None);
+                self.entry = None;
                 None
             }
             Step::Broken(outcome) => {
-                seat.ended(outcome, 0, None);
-                self.seat = None;
+                entry.ended(outcome, 0, None);
+                self.entry = None;
                 Some(Err(Broken))
             }
         })
@@ -290,7 +468,7 @@
 
     /// True once the end, good or bad, has been given.
     pub fn is_over(&self) -> bool {
-        self.seat.is_none()
+        self.entry.is_none()
     }
 }
 
--- a/core/tests/unit/reachability.rs
+++ b/core/tests/unit/reachability.rs
@@ -81,3 +81,19 @@
     let gen = Gen::from_size_and_seed(24, 0x0b0e);
     QuickCheck::new().rng(gen).tests(400).quickcheck(holds as fn(Vec<(u8, bool)>) -> bool);
 }
+
+/// With thousands of servers as well, a call has servers of all zones to try, and not more than it needs.
+#[test]
+fn a_large_list_names_a_few_of_each_zone_and_those_it_went_to() {
+    let mut reachability = Reachability::default();
+    let entries: Vec<Entry> = (0..3_000).map(|n| entry(&format!("s{n:04}"), n % 3)).collect();
+    reachability.members(ListForm::Full, &entries);
+    reachability.told(&"s2999".into(), Outcome::Served, 10);
+    reachability.told(&"s0001".into(), Outcome::NoAnswer, 20);
+    let order = order(&reachability, &["s2000", "s0001"]);
+    assert_eq!(order[0], "s2999");
+    assert!(order.contains(&"s2000".to_string()) && order.last() == Some(&"s0001".to_string()));
+    let zones: Vec<usize> = order.iter().map(|id| reachability.servers[&Id::from(&**id)].zone).collect();
+    assert!([0, 1, 2].iter().all(|zone| zones[..3].contains(zone)), "zones take turns: {zones:?}");
+    assert!(order.len() <= 3 * NAMED_OF_ZONE + 3, "{}", order.len());
+}
--- a/core/tests/unit/request.rs
+++ b/core/tests/unit/request.rs
@@ -3,6 +3,19 @@
 use std::future::poll_fn;
 
 use super::*;
+use crate::clock::Clock;
+use crate::command_queue::{commands, CommandReceiver};
+
+/// A stream holds nothing.
+struct NoReleases;
+
+impl Releaser for NoReleases {
+    fn release(&self, _: &Id, _: &Mutex<Cleanup>) {
+        panic!("nothing is held");
+    }
+
+    fn told(&self, _: &Id, _: Outcome, _: Micros) {}
+}
 
 /// Events that lie ready, or come later.
 struct Told(mpsc::UnboundedReceiver<Step>);
@@ -16,20 +29,31 @@
 struct Ends {
     orders: mpsc::UnboundedSender<Order>,
     events: mpsc::UnboundedSender<Step>,
-    reports: mpsc::UnboundedReceiver<Message>,
+    reports: CommandReceiver,
 }
 
 fn stream() -> (AnswerStream<Told>, Ends) {
     let (orders, verdicts) = mpsc::unbounded_channel();
     let (events, told) = mpsc::unbounded_channel();
-    let (tell, reports) = mpsc::unbounded_channel();
-    let account = crate::Figures::new().unwrap().open("ask");
-    let seat = Seat { id: "id".into(), ticket: 0, verdicts, tell, account };
-    (AnswerStream::new(seat, Told(told)), Ends { orders, events, reports })
+    let (commands, reports) = commands(Clock::new());
+    let entry = Entry {
+        id: "id".into(),
+        ticket: 0,
+        orders: verdicts,
+        commands,
+        account: crate::Figures::new().unwrap().open("ask"),
+        ended: Arc::default(),
+        cleanup: Arc::default(),
+        releaser: Arc::new(NoReleases),
+        cache: CacheClock::default(),
+        attempt_is_out: false,
+        streams: true,
+    };
+    (AnswerStream::new(entry, Told(told)), Ends { orders, events, reports })
 }
 
 fn order(verdict: Verdict) -> Order {
-    Order { verdict, after: None, permit: SendPermit::unconditional() }
+    Order { verdict, after: None, permit: SendPermit::unconditional(), takes_effect: true }
 }
 
 fn event() -> Step {
@@ -38,8 +62,10 @@
 
 fn outcomes(ends: &mut Ends) -> Vec<Outcome> {
     let mut all = Vec::new();
-    while let Ok(message) = ends.reports.try_recv() {
-        if let Message::Report(_, _, Report::Ended { outcome, .. }) = message {
+    let mut cx = Context::from_waker(std::task::Waker::noop());
+    while let Poll::Ready(Some((command, taken))) = std::pin::pin!(ends.reports.recv()).poll(&mut cx) {
+        taken.done(Duration::ZERO);
+        if let Command::Report(_, _, Report::Ended { outcome, .. }) = command {
             all.push(outcome);
         }
     }
--- /dev/null
+++ b/src/admission.rs
@@ -0,0 +1,73 @@
+//! Decisions that wait for no other: whether a request is taken while decisions are slow, and what it is
+//! answered where none has come in its time. Pure functions of what the request itself knows.
+
+use crate::hash::{hash, share_of};
+use crate::interface::{Effect, Micros, Outcome, Query, Scope};
+
+/// A request is refused at the door where its first decision is expected to take more than this share of
+/// the time that its client waits.
+const WAIT_SHARE: f64 = 0.25;
+/// A wait that is shorter than this refuses nobody.
+const WAIT_LEAST: Micros = 50_000;
+/// Share of the release time after which a request lets go of its KV cache by itself. The decisions do so
+/// earlier, where they are in time.
+const RELEASE_SHARE: f64 = 0.9;
+/// A final answer is not given before this time has passed, however little the client had left: the decisions
+/// give theirs at once then.
+const ANSWER_LEAST: Micros = 50_000;
+
+/// Whether a request is taken whose client waits for `budget` more.
+pub fn admits(expected_wait: Micros, budget: Micros) -> bool {
+    expected_wait <= WAIT_LEAST || expected_wait as f64 <= budget as f64 * WAIT_SHARE
+}
+
+/// When a client that was refused without a decision should come back: those that are refused together must
+/// not come back together.
+pub fn retry_after(most: Micros, query: &Query) -> Micros {
+    (most as f64 * (0.5 + 0.5 * share_of(hash(&query.id, 0)))) as Micros
+}
+
+/// After how long a request whose client waits for `budget` is answered without a decision.
+pub fn answer_within(budget: Micros) -> Micros {
+    budget.max(ANSWER_LEAST)
+}
+
+/// After how long a request lets go of its KV cache by itself.
+pub fn release_within(release: Micros) -> Micros {
+    (release as f64 * RELEASE_SHARE) as Micros
+}
+
+/// What a request knows of whether it may have run.
+#[derive(Clone, Copy, Debug)]
+pub struct RunAccount {
+    effect: Effect,
+    came_back: bool,
+    /// An attempt that takes effect is out.
+    out: bool,
+    may_have_run: bool,
+}
+
+impl RunAccount {
+    /// Nothing has been sent yet.
+    pub fn new(query: &Query) -> Self {
+        let (effect, came_back) = (query.class.effect, query.came_back);
+        RunAccount { effect, came_back, out: false, may_have_run: false }
+    }
+
+    /// An attempt goes out, to a server at which it takes effect or not.
+    pub fn sent(&mut self, takes_effect: bool) {
+        self.out = takes_effect;
+    }
+
+    /// It has ended.
+    pub fn ended(&mut self, outcome: Outcome) {
+        let out = std::mem::take(&mut self.out);
+        self.may_have_run |= out && !outcome.never_ran();
+    }
+
+    /// Whether a refusal's promise, that trying again is harmless, would be true.
+    pub fn may_be_refused(&self) -> bool {
+        let harmless = matches!(self.effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. });
+        harmless || !(self.may_have_run || self.out || self.came_back)
+    }
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -161,6 +161,16 @@
         self.router.restore(now, age, snapshot);
     }
 
+    /// The server's start as the decisions know it; `None` where it takes nothing new.
+    pub fn server_started(&self, server: &Id) -> Option<Micros> {
+        self.guard.started(server)
+    }
+
+    /// Whether an attempt at a server may take effect: it does more there than a prefill.
+    pub fn takes_effect(&self, server: &Id) -> bool {
+        self.guard.takes_effect(server)
+    }
+
     /// Servers that requests may go to now.
     pub fn usable(&self) -> usize {
         self.router.usable()
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -62,6 +62,7 @@
     zone: usize,
     cell: u64,
     decodes: bool,
+    started: Micros,
 }
 
 struct Account {
@@ -101,7 +102,7 @@
         }
         for entry in entries {
             let decodes = self.roles.get(entry.kind).is_none_or(|role| *role != Role::Read);
-            let place = Place { zone: entry.zone, cell: entry.cell, decodes };
+            let place = Place { zone: entry.zone, cell: entry.cell, decodes, started: entry.started };
             match entry.health {
                 Health::Up => {
                     self.open.insert(entry.server.clone());
@@ -114,6 +115,16 @@
         }
     }
 
+    /// When a server that takes something new was told to have started.
+    pub fn started(&self, server: &Id) -> Option<Micros> {
+        self.open.get(server).and_then(|server| self.places.get(server)).map(|place| place.started)
+    }
+
+    /// Whether an attempt at a server may take effect: it does more there than a prefill.
+    pub fn takes_effect(&self, server: &Id) -> bool {
+        self.places.get(server).is_none_or(|place| place.decodes)
+    }
+
     /// A request has come.
     pub fn asked(&mut self, query: &Query) {
         let class = &query.class;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod admission;
 mod facade;
 mod guard;
 mod hash;
--- /dev/null
+++ b/tests/admission.rs
@@ -0,0 +1,57 @@
+//! What is decided without the decisions: at the door, and at the end of a request's time.
+
+mod support;
+use frosttrail::admission::{admits, answer_within, release_within, retry_after, RunAccount};
+use frosttrail::*;
+use support::{query, MS, SEC};
+
+fn account(effect: Effect) -> RunAccount {
+    let class = std::sync::Arc::new(Class { effect, ..Class::example() });
+    RunAccount::new(&Query { class, ..query("q", 100) })
+}
+
+#[test]
+fn a_request_is_refused_at_the_door_once_its_decision_would_eat_a_quarter_of_its_time() {
+    assert!(admits(0, 0) && admits(50 * MS, 0) && admits(250 * MS, SEC));
+    assert!(!admits(251 * MS, SEC) && !admits(51 * MS, 0));
+}
+
+#[test]
+fn those_that_are_refused_together_do_not_come_back_together() {
+    let times: std::collections::BTreeSet<Micros> =
+        (0..50).map(|n| retry_after(SEC, &query(&format!("q{n}"), 100))).collect();
+    assert!(times.len() > 45 && times.iter().all(|at| (SEC / 2..=SEC).contains(at)));
+    assert_eq!(retry_after(0, &query("q", 100)), 0);
+}
+
+#[test]
+fn an_answer_and_a_release_come_within_their_times() {
+    assert_eq!((answer_within(2 * SEC), answer_within(0)), (2 * SEC, 50 * MS));
+    assert!(release_within(SEC) < SEC && release_within(SEC) > SEC * 3 / 4);
+}
+
+#[test]
+fn what_may_have_run_is_refused_only_where_a_repeat_is_harmless() {
+    let keyed = |scope| Effect::Keyed { scope, window: SEC };
+    for (effect, harmless) in [
+        (Effect::Safe, true),
+        (keyed(Scope::All), true),
+        (keyed(Scope::Zone), false),
+        (Effect::Unsafe, false),
+    ] {
+        let mut run = account(effect);
+        assert!(run.may_be_refused(), "nothing was sent");
+        run.sent(false);
+        run.ended(Outcome::ReadDone);
+        run.sent(false);
+        run.ended(Outcome::ConnectionLost);
+        assert!(run.may_be_refused(), "a prefill takes no effect");
+        run.sent(true);
+        assert_eq!(run.may_be_refused(), harmless, "it is out");
+        run.ended(Outcome::TurnedAway);
+        assert!(run.may_be_refused(), "it never ran");
+        run.sent(true);
+        run.ended(Outcome::NoAnswer);
+        assert_eq!(run.may_be_refused(), harmless, "it may have run");
+    }
+}
