--- a/daemon/src/discovery/mod.rs
+++ b/daemon/src/discovery/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod backoff;
 mod http;
+mod objects;
 mod platform;
 mod starts;
 mod xds;
--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::Bytes;
 use frosttrail::setup::{index, Names, SetupError};
 use frosttrail::{Entry, Health, Id, ListForm};
 use frosttrail_core::{Clock, MemberList, News};
@@ -20,12 +20,10 @@
 
 use super::backoff::{Backoff, CALL, SILENCE};
 use super::http::{call, whole, Called, ListError};
+use super::objects::{Objects, LIST_MOST};
 use super::starts::Starts;
 use crate::upstream::AddressTable;
 
-/// No list is longer.
-const LIST_MOST: usize = 4 << 20;
-
 /// A list of members or a change to one, as discovery words it.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Listing {
@@ -335,48 +333,3 @@
         }
     }
 }
-
-/// Bytes into lists and changes, which may come indented over several lines, with empty lines between them.
-#[derive(Default)]
-struct Objects {
-    part: BytesMut,
-    /// A line has ended since it was last looked for an object.
-    ended: bool,
-}
-
-impl Objects {
-    fn push(&mut self, data: &[u8]) -> Result<(), ListError> {
-        self.part.extend_from_slice(data);
-        self.ended |= data.contains(&b'\n');
-        match self.part.len() > LIST_MOST {
-            true => Err(ListError::TooLong),
-            false => Ok(()),
-        }
-    }
-
-    /// Whether an object has begun and not ended.
-    fn is_part(&self) -> bool {
-        self.part.iter().any(|b| !b.is_ascii_whitespace())
-    }
-
-    fn pop(&mut self) -> Result<Option<Listing>, ListError> {
-        if !std::mem::take(&mut self.ended) {
-            return Ok(None);
-        }
-        let mut objects = serde_json::Deserializer::from_slice(&self.part).into_iter();
-        match objects.next() {
-            Some(Ok(listing)) => {
-                let read = objects.byte_offset();
-                self.part.advance(read);
-                self.ended = true;
-                Ok(Some(listing))
-            }
-            Some(Err(e)) if !e.is_eof() => Err(e.into()),
-            Some(Err(_)) => Ok(None),
-            None => {
-                self.part.clear();
-                Ok(None)
-            }
-        }
-    }
-}
