--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -68,14 +68,26 @@
         }
     }
 
+    /// Makes the request on a connection; says whether that stays open. One that is not `new` has brought
+    /// answers before, so that its end may cross the request.
+    pub async fn run_on(&self, stream: &mut TcpStream, new: bool, oracle: &Oracle) -> bool {
+        oracle.asked(&self.id, self.conductor, self.fragile, self.budget);
+        let answered = timeout(self.budget + STREAM_MOST, self.exchange(stream)).await;
+        let Ok((told, open)) = answered else { return false };
+        oracle.told(&self.id, if told == Told::Nothing && !new { Told::Crossed } else { told });
+        open
+    }
+
+    async fn exchange(&self, stream: &mut TcpStream) -> (Told, bool) {
+        if stream.write_all(self.text().as_bytes()).await.is_err() {
+            return (Told::Nothing, false);
+        }
+        read_answer(stream).await
+    }
+
     async fn asks(&self, mut stream: TcpStream, oracle: &Oracle) {
         oracle.asked(&self.id, self.conductor, self.fragile, self.budget);
-        let asked = async {
-            if stream.write_all(self.text().as_bytes()).await.is_err() {
-                return (Told::Nothing, false);
-            }
-            read_answer(&mut stream).await
-        };
+        let asked = self.exchange(&mut stream);
         let (told, open) = match self.manner {
             Manner::Leaves(after) => match timeout(after, asked).await {
                 Ok(answered) => answered,
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -27,6 +27,8 @@
     pub drain_grace: Duration,
     /// What a server that has just started may be sent.
     pub slow_start: SlowStart,
+    /// The longest deadline of a class, which decides when SIGKILL may come.
+    pub deadline: Duration,
 }
 
 /// The budget of a server in slow start.
@@ -80,6 +82,8 @@
     Failed,
     /// The connection ended without an answer.
     Nothing,
+    /// A connection that had brought answers did, maybe before the request was read.
+    Crossed,
 }
 
 /// A request as its client knows it.
@@ -276,6 +280,7 @@
                     (_, Some((Told::Broken, _))) => "broken",
                     (_, Some((Told::Refused, _))) => "refused",
                     (_, Some((Told::Failed, _))) => "failed",
+                    (_, Some((Told::Crossed, _))) => "crossed",
                     (_, Some((Told::Nothing, _)) | None) => "nothing",
                 };
                 *report.told.entry(told).or_default() += 1;
@@ -316,6 +321,9 @@
         let killed = end_of_process(asked.conductor, asked.sent, by);
         match asked.told {
             None if asked.gone.is_none() && !killed => broken.push("lost: no answer".into()),
+            Some((Told::Crossed, _)) if !record.attempts.is_empty() && !killed => {
+                broken.push("lost: sent on, and closed without an answer".into());
+            }
             Some((Told::Nothing, _)) if !killed => broken.push("lost: closed without an answer".into()),
             Some((Told::Refused | Told::Failed, at)) if at > by && !killed => {
                 broken.push(format!("lost: answered {:?} late", at - by));
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -48,6 +48,8 @@
     Drain,
     /// Operators take a server out of one conductor's use, and put it back.
     Exclusion,
+    /// Idle clients fill a conductor's descriptors.
+    Crowd,
     /// A part of all ids, as many as stand for one in [`TURNOVER_BATCHES`], goes and comes back restarted.
     Turnover,
 }
@@ -111,7 +113,7 @@
 /// The troubles of a run, in the order in which they begin.
 pub fn draw(seed: u64, length: Duration) -> Vec<Event> {
     use Trouble::*;
-    const ALL: [Trouble; 21] = [
+    const ALL: [Trouble; 22] = [
         Kill,
         Restart,
         Upgrade,
@@ -133,6 +135,7 @@
         BreakingServer,
         Drain,
         Exclusion,
+        Crowd,
     ];
     let mut draws = SmallRng::seed_from_u64(seed);
     let mut events = Vec::new();
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -7,6 +7,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until};
 
@@ -16,6 +17,10 @@
 use crate::shim::COUNTERS;
 use crate::world::{lock, World};
 
+/// Clients of each conductor that keep their connections, and the most that they pause between requests.
+const REGULARS: usize = 3;
+const REGULAR_PAUSE_MS: u64 = 800;
+
 /// What is run.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -73,7 +78,7 @@
             conductor: nth,
             to: world.conductors[nth].listen,
             fragile: draws.random_range(0..3) == 0,
-            budget: Duration::from_millis(draws.random_range(400..3_000)),
+            budget: draws.random_range(Duration::from_millis(400)..options.limits().deadline),
             manner,
         };
         asks.spawn(ask.run(world.oracle.clone()));
@@ -85,6 +90,39 @@
     asks.join_all().await;
 }
 
+/// Makes requests one after another on a connection for as long as that stays open, also after SIGTERM.
+async fn regular_client(world: Arc<World>, nth: usize, which: usize, options: Options, end: Instant) {
+    let seed = options.seed ^ (nth as u64 + 1).wrapping_mul(0x51_7cc1) ^ (which as u64 + 1) << 32;
+    let mut draws = SmallRng::seed_from_u64(seed);
+    let mut stream = None;
+    for count in 0.. {
+        sleep(Duration::from_millis(draws.random_range(0..REGULAR_PAUSE_MS))).await;
+        if Instant::now() >= end {
+            return;
+        }
+        let ask = Ask {
+            id: format!("{}-{nth}-regular-{which}-{count}", options.seed),
+            conductor: nth,
+            to: world.conductors[nth].listen,
+            fragile: draws.random_range(0..3) == 0,
+            budget: draws.random_range(Duration::from_millis(400)..options.limits().deadline),
+            manner: Manner::Waits,
+        };
+        let new = stream.is_none();
+        let mut connection = match stream.take() {
+            Some(open) => open,
+            // Nobody listens where a process has just ended.
+            None => match TcpStream::connect(ask.to).await {
+                Ok(connected) => connected,
+                Err(_) => continue,
+            },
+        };
+        if ask.run_on(&mut connection, new, &world.oracle).await {
+            stream = Some(connection);
+        }
+    }
+}
+
 /// Plays one seed.
 pub async fn run(options: Options) -> std::io::Result<Outcome> {
     let world = Arc::new(World::start(&options).await?);
@@ -100,7 +138,11 @@
     let begin = Instant::now();
     let mut asking = JoinSet::new();
     for nth in 0..options.conductors {
-        asking.spawn(clients(world.clone(), nth, options.clone(), begin + options.length));
+        let end = begin + options.length;
+        asking.spawn(clients(world.clone(), nth, options.clone(), end));
+        for which in 0..REGULARS {
+            asking.spawn(regular_client(world.clone(), nth, which, options.clone(), end));
+        }
     }
     let (mut troubles, mut counts) = (JoinSet::new(), BTreeMap::new());
     for event in options.plan.events(options.seed, options.length) {
--- a/soak/src/strike.rs
+++ b/soak/src/strike.rs
@@ -5,7 +5,8 @@
 use frosttrail_standins::link::Link;
 use rand::rngs::SmallRng;
 use rand::Rng;
-use serde_json::json;
+use serde_json::{json, Value};
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 use crate::conductor::{call, Process};
@@ -13,12 +14,17 @@
 use crate::plan::{Event, Trouble, TURNOVER_BATCHES};
 use crate::server::Mode;
 use crate::shim::Faults;
-use crate::world::{lock, World, KILL_AFTER};
+use crate::world::{lock, World};
 
 /// After SIGHUP, what the new agent has counts as told.
 const TOLD_AFTER_RELOAD: Duration = Duration::from_secs(4);
 /// After a silence of its agent, news may be told so late.
 const TOLD_AFTER_SILENCE: Duration = Duration::from_secs(6);
+/// Signals come in series.
+const END_SIGNALS: [&str; 3] = ["-TERM", "-HUP", "-TERM"];
+const SIGNAL_EVERY: Duration = Duration::from_millis(20);
+/// So many idle clients come at once: more than a conductor has places for.
+const CROWD: usize = 400;
 /// A process is held up for so long at a time.
 const HOLD_UP: Duration = Duration::from_millis(140);
 
@@ -68,6 +74,7 @@
             Trouble::ErringServer => self.mode(server, Mode::Errs, event.lasts).await,
             Trouble::BreakingServer => self.mode(server, Mode::Breaks, event.lasts).await,
             Trouble::Drain => self.drain(server, event.lasts).await,
+            Trouble::Crowd => self.crowd(nth, event.lasts).await,
             Trouble::Exclusion => self.exclude(nth, server, event.lasts, draws).await,
             Trouble::Turnover => self.turn_over(event.whom, event.lasts).await,
         }
@@ -85,11 +92,24 @@
         self.oracle.outage(nth, from, Instant::now());
     }
 
+    /// Idle clients take all places of a conductor, as far as it lets them.
+    async fn crowd(&self, nth: usize, lasts: Duration) {
+        let mut crowd = Vec::new();
+        for _ in 0..CROWD {
+            // Who finds no place has not come.
+            crowd.extend(TcpStream::connect(self.conductors[nth].listen).await.ok());
+        }
+        sleep(lasts).await;
+    }
+
     /// Ends a process as the platform does, and checks its end.
     pub(crate) async fn end(&self, nth: usize, mut process: Process) {
         let from = Instant::now();
-        process.signal("-TERM").await;
-        match process.wait(KILL_AFTER).await {
+        for signal in END_SIGNALS {
+            process.signal(signal).await;
+            sleep(SIGNAL_EVERY).await;
+        }
+        match process.wait(self.kill_after.saturating_sub(from.elapsed())).await {
             Some(0) => {}
             Some(code) => {
                 self.oracle.violation(format!("crash: conductor {nth} ended with {code} at its end"))
@@ -207,14 +227,17 @@
     /// Tells all agents of a server's state, under each of its ids.
     fn tell(&self, server: usize, state: &str, boot_ms: Option<u64>) {
         let servers = self.servers.len();
-        self.tell_ids(|id| id % servers == server, state, boot_ms);
+        self.tell_ids(|id, _| id % servers == server, state, boot_ms);
     }
 
-    /// Tells all agents of the state of some ids.
-    fn tell_ids(&self, whom: impl Fn(usize) -> bool, state: &str, boot_ms: Option<u64>) {
+    /// Tells all agents of the state of some ids, chosen by their number and the state that they have.
+    fn tell_ids(&self, whom: impl Fn(usize, &Value) -> bool, state: &str, boot_ms: Option<u64>) {
         for agent in self.conductors.iter().flat_map(|conductor| &conductor.agents) {
             agent.change(|list| {
-                for (_, target) in list.targets.iter_mut().enumerate().filter(|(id, _)| whom(*id)) {
+                for (id, target) in list.targets.iter_mut().enumerate() {
+                    if !whom(id, &target["state"]) {
+                        continue;
+                    }
                     target["state"] = json!(state);
                     if let Some(boot_ms) = boot_ms {
                         target["boot_ms"] = json!(boot_ms);
@@ -224,13 +247,13 @@
         }
     }
 
-    /// A batch of ids goes, and comes back restarted.
+    /// A batch of ids goes, and comes back restarted; but for those that drain meanwhile.
     async fn turn_over(&self, nth: usize, lasts: Duration) {
         // Neighbours among the ids have different sockets.
         let batch = |id: usize| id / self.servers.len() % TURNOVER_BATCHES == nth;
-        self.tell_ids(batch, "left", None);
+        self.tell_ids(|id, state| batch(id) && state == "active", "left", None);
         sleep(lasts).await;
-        self.tell_ids(batch, "active", Some(unix_ms()));
+        self.tell_ids(|id, state| batch(id) && state == "left", "active", Some(unix_ms()));
     }
 
     async fn drain(&self, server: usize, lasts: Duration) {
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -33,7 +33,8 @@
     let mut draws = SmallRng::seed_from_u64(seed);
     let release = Duration::from_millis([300, 500, 1_000][draws.random_range(0..3)]);
     let drain_grace = Duration::from_millis([150, 250, 1_000][draws.random_range(0..3)]);
-    Limits { release, drain_grace, slow_start: SLOW_START }
+    let deadline = Duration::from_millis([1_000, 2_000, 3_000][draws.random_range(0..3)]);
+    Limits { release, drain_grace, slow_start: SLOW_START, deadline }
 }
 
 impl Options {
@@ -48,8 +49,8 @@
     }
 }
 
-/// The longest deadline of a class, and what follows it before SIGKILL.
-pub(crate) const KILL_AFTER: Duration = Duration::from_millis(3_000 + 700);
+/// What follows the longest deadline before SIGKILL, which comes as early as it may.
+const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
 
 /// Descriptors of a conductor's process.
 const SOCKETS: u64 = 512;
@@ -73,6 +74,8 @@
     pub(crate) conductors: Vec<Conductor>,
     pub(crate) servers: Vec<Server>,
     pub(crate) oracle: Oracle,
+    /// From SIGTERM to SIGKILL.
+    pub(crate) kill_after: Duration,
     pub(crate) fired: Mutex<[u64; COUNTERS.len()]>,
     pub(crate) short_per_mille: u32,
     /// Until when news may be late at each conductor.
@@ -94,7 +97,8 @@
 /// Settings for so many conductors.
 pub fn settings(conductors: usize, limits: &Limits) -> Value {
     let class = |name: &str, effect: &str| {
-        json!({"name": name, "slo": 1_500_000, "deadline": 3_000_000, "effect": effect, "late-share": 0.2,
+        let deadline = limits.deadline.as_micros() as u64;
+        json!({"name": name, "slo": deadline / 2, "deadline": deadline, "effect": effect, "late-share": 0.2,
             "points": 1.0, "dedup-scope": "all", "dedup-window": 0})
     };
     json!({"balancers": conductors, "grades": [class("ask", "retryable"), class("book", "fragile")],
@@ -123,7 +127,8 @@
         }
         let late_until = Mutex::new(vec![Instant::now(); options.conductors]);
         let (fired, short_per_mille) = (Mutex::default(), options.short_per_mille);
-        Ok(World { conductors, servers, oracle, fired, short_per_mille, late_until })
+        let kill_after = options.limits().deadline + KILL_AFTER_DEADLINE;
+        Ok(World { conductors, servers, oracle, kill_after, fired, short_per_mille, late_until })
     }
 
     /// Notes what the shim of a process that ends has done.
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -13,6 +13,7 @@
 const LIMITS: Limits = Limits {
     release: Duration::from_millis(10),
     drain_grace: Duration::ZERO,
+    deadline: Duration::from_secs(3),
     slow_start: SlowStart {
         capacity: 2.0,
         from: 0.5,
@@ -71,6 +72,15 @@
     told(broken(&two), "duplicate: two attempts out");
     told(broken(&two), "deadline");
     told(broken(&two), "lost: closed without an answer");
+    for sent in [false, true] {
+        let crossed = oracle(false);
+        if sent {
+            let read = crossed.arrived("a", 0, false, BUDGET / 2);
+            crossed.ended("a", read, false);
+        }
+        crossed.told("a", Told::Crossed);
+        assert_eq!(broken(&crossed).iter().any(|rule| rule.starts_with("lost: sent on")), sent);
+    }
     let late = oracle(false);
     let (from, until) = (std::time::Instant::now(), None);
     late.closed(Closed { server: 0, conductor: None, from, until });
--- a/soak/tests/system_calls.rs
+++ b/soak/tests/system_calls.rs
@@ -2,13 +2,15 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use frosttrail_soak::shim::{Faults, COUNTERS};
 use support::{Surroundings, LATEST};
+use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
 const ALWAYS: u32 = 1_000;
+const IDLE_CLIENTS: usize = 150;
 const A_WHILE: Duration = Duration::from_millis(400);
 
 /// How often a fault has fired: one that never did shows nothing.
@@ -28,6 +30,27 @@
     around.all_served();
 }
 
+/// Every other call to accept fails, and idle clients stand before a request in the queue: they must not cost
+/// it its time, of which the process can know only once it reads the request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_accept_that_fails_costs_those_behind_it_no_time() {
+    let mut around = Surroundings::start("accept").await;
+    let mut process = around.process(Faults::default());
+    process.ready().await.unwrap();
+    process.control.set(Faults { network_per_mille: ALWAYS / 2, ..Faults::default() }).unwrap();
+    let mut idle = Vec::new();
+    for _ in 0..IDLE_CLIENTS {
+        idle.push(TcpStream::connect(around.site.listen).await.unwrap());
+    }
+    let begin = Instant::now();
+    timeout(LATEST, around.ask(1)).await.expect("an answer in time");
+    let took = begin.elapsed();
+    assert!(fired(&process, "accept") > 20);
+    // What its attempts need, beside connections that fail now and then.
+    assert!(took < Duration::from_millis(1_500), "{took:?}");
+    assert_eq!(around.oracle.report().violations, Vec::<String>::new());
+}
+
 /// A process that starts while all these calls fail serves once they succeed again.
 async fn starts_in_spite_of(name: &str, faults: Faults, counter: &str) {
     let mut around = Surroundings::start(name).await;
