Go on accepting at once after an accept that failed, up to eight in a row

Cause: every failed accept waited 10 ms before the next, whatever it failed with; a run of failures that pass at once kept all that stands in the queue waiting, and the time of a request counts from its last byte.

--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -17,6 +17,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{debug, info, warn, Logger};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, Instant};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -31,8 +32,13 @@
 /// Connections that the kernel holds until they are accepted.
 const BACKLOG: u32 = 1_024;
 const HEAD_BYTES: usize = 16 << 10;
-/// After an accept that failed, as when descriptors have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Accepts that fail in a row, as when descriptors have run out, before there is a pause between them. It
+/// doubles up to the longest: what stands in the queue must not wait for a failure that passes at once.
+const ACCEPT_FAILURES_AT_ONCE: u32 = 8;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
+const ACCEPT_PAUSE_MOST: Duration = Duration::from_millis(10);
+/// So often at most the log is told of them.
+const ACCEPT_TOLD_EVERY: Duration = Duration::from_millis(100);
 
 /// Beyond the time in which a first request must come, so that it can be told that it was too slow.
 const LINGER: Duration = Duration::from_millis(300);
@@ -186,6 +192,7 @@
     }
 
     async fn accept<S: Service>(self, listener: TcpListener, service: Arc<S>) {
+        let (mut failures, mut tell_at) = (0, Instant::now());
         loop {
             let accepted = tokio::select! {
                 biased;
@@ -196,12 +203,17 @@
             };
             match accepted {
                 Ok((stream, _)) => {
+                    failures = 0;
                     let arrived = Instant::now();
                     self.serve(stream, arrived, self.clients.place().await, service.clone());
                 }
                 Err(e) => {
-                    warn!(self.log, "accept"; "why" => %e);
-                    sleep(ACCEPT_PAUSE).await;
+                    failures += 1;
+                    if Instant::now() >= tell_at {
+                        warn!(self.log, "accept"; "why" => %e, "in a row" => failures);
+                        tell_at = Instant::now() + ACCEPT_TOLD_EVERY;
+                    }
+                    pause_after(failures).await;
                 }
             }
         }
@@ -324,6 +336,14 @@
     tokio::task::yield_now().await;
 }
 
+/// Between accepts that fail, so many in a row.
+async fn pause_after(failures: u32) {
+    match failures.checked_sub(ACCEPT_FAILURES_AT_ONCE) {
+        None => yield_now().await,
+        Some(more) => sleep(ACCEPT_PAUSE_MOST.min(ACCEPT_PAUSE * (1 << more.min(4)))).await,
+    }
+}
+
 #[cfg(test)]
 #[path = "../../tests/unit/listener.rs"]
 mod tests;
