--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -10,6 +10,7 @@
 use frosttrail_soak::conductor::check_program;
 use frosttrail_soak::plan::Plan;
 use frosttrail_soak::run::{run, Options};
+use tokio::signal::unix::{signal, SignalKind};
 
 /// Real conductors under faults that overlap, for many seeds.
 #[derive(Parser, Debug)]
@@ -52,6 +53,16 @@
     folder: PathBuf,
 }
 
+/// Resolves once this process is told to end: conductors that outlive it would go on calling ports that the
+/// next run's stand-ins are given.
+async fn told_to_end() {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else { return std::future::pending().await };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let cli = Cli::parse();
@@ -78,7 +89,12 @@
             short_per_mille: cli.short_io,
             folder: cli.folder.join(seed.to_string()),
         };
-        let outcome = match run(options).await {
+        let outcome = tokio::select! {
+            outcome = run(options) => outcome,
+            // What was started ends with what is dropped here.
+            () = told_to_end() => return ExitCode::FAILURE,
+        };
+        let outcome = match outcome {
             Ok(outcome) => outcome,
             Err(e) => {
                 eprintln!("frosttrail-soak: seed {seed}: {e}");
--- a/soak/src/strike.rs
+++ b/soak/src/strike.rs
@@ -273,8 +273,15 @@
     async fn exclude(&self, nth: usize, server: usize, lasts: Duration, draws: &mut SmallRng) {
         let ops = self.conductors[nth].process.lock().await.as_ref().map(|process| process.ops);
         let Some(ops) = ops else { return };
-        let id = format!("s{server}");
-        if call(ops, "POST", "/api/exclude", &id).await.is_ok_and(|(status, _)| status == 200) {
+        // Under each of its ids, as the oracle knows servers by their sockets.
+        let (servers, ids) = (self.servers.len(), self.conductors[nth].agents[0].list().targets.len());
+        let ids: Vec<String> = (server..ids).step_by(servers).map(|id| format!("s{id}")).collect();
+        let mut all_out = true;
+        for id in &ids {
+            let answer = call(ops, "POST", "/api/exclude", id).await;
+            all_out &= answer.is_ok_and(|(status, _)| status == 200);
+        }
+        if all_out {
             let (conductor, from, until) = (Some(nth), Instant::now(), None);
             self.oracle.closed(Closed { server, conductor, from, until });
         }
@@ -282,9 +289,10 @@
         // Before the call: it is in use as soon as the call has been heard.
         self.oracle.opened(server, Some(nth));
         let ops = self.conductors[nth].process.lock().await.as_ref().map(|process| process.ops);
-        if let Some(ops) = ops {
+        let Some(ops) = ops else { return };
+        for id in &ids {
             // A no leaves it out, which breaks no rule here.
-            let _ = call(ops, "POST", "/api/include", &id).await;
+            let _ = call(ops, "POST", "/api/include", id).await;
         }
     }
 }
