--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,12 +11,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod answer_stream;
 mod cache_clock;
 mod clock;
 mod command;
 mod command_queue;
 mod conductor;
 mod dispatcher;
+mod entry;
 mod exclusion;
 mod figures;
 mod permit;
@@ -25,11 +27,12 @@
 mod request;
 mod traits;
 
+pub use answer_stream::{AnswerStream, Broken};
 pub use clock::Clock;
 pub use conductor::{Conductor, Learned, Parts};
 pub use dispatcher::start;
 pub use exclusion::{ExclusionError, Exclusions};
 pub use figures::Figures;
 pub use permit::{SendPermit, Withheld};
-pub use request::{Answer, AnswerStream, Broken, CallError, Request};
+pub use request::{Answer, CallError, Request};
 pub use traits::{Events, MemberList, News, Reply, Step, Upstream};
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -1,33 +1,26 @@
-//! One request: a future that owns its single final answer.
+//! One request: a future that owns its single final answer, and gives it in time whatever others do.
 
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
-use std::task::{ready, Context, Poll};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
 use frosttrail::admission::{self, RunAccount};
-use frosttrail::{Id, Load, Micros, Outcome, Query, Report, Verdict};
+use frosttrail::{Id, Micros, Outcome, Query, Report, Verdict};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
+use crate::answer_stream::AnswerStream;
 use crate::cache_clock::CacheClock;
-use crate::command::{Command, NewRequest, Order, Ticket};
-use crate::command_queue::CommandSender;
+use crate::command::{Command, NewRequest, Order};
 use crate::conductor::Conductor;
-use crate::figures::{Account, Figures};
+use crate::entry::Entry;
+use crate::figures::Figures;
 use crate::permit::SendPermit;
-use crate::release::{lock, Cleanup, Releaser};
-use crate::traits::{Events, Reply, Step, Upstream};
-
-/// A stream that says nothing for this long has lost its server: a machine that vanished ends no
-/// connection. Below the 5 s after which a waiting client counts as left waiting.
-const SILENCE: Duration = Duration::from_millis(4_500);
-/// What came while the client took nothing lies in the server's socket, and has this long to come through
-/// once the client takes events again. With the silence it stays below those 5 s.
-const CATCH_UP: Duration = Duration::from_millis(250);
+use crate::release::{lock, Releaser};
+use crate::traits::{Events, Reply, Upstream};
 
 /// A client's request as a front hands it over.
 #[derive(Debug)]
@@ -65,78 +58,6 @@
     IdInUse,
 }
 
-/// A stream ended before the whole of the answer had come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the answer broke off")]
-pub struct Broken;
-
-/// A request's entry at the dispatcher. Whatever way the request ends, dropping it is the last word on it: an
-/// attempt that is still out is called off and what is held is let go.
-struct Entry {
-    id: Id,
-    ticket: Ticket,
-    orders: mpsc::UnboundedReceiver<Order>,
-    commands: CommandSender,
-    account: Account,
-    /// Set with the end, for what has been decided meanwhile.
-    ended: Arc<AtomicBool>,
-    cleanup: Arc<Mutex<Cleanup>>,
-    releaser: Arc<dyn Releaser>,
-    cache: CacheClock,
-    attempt_is_out: bool,
-    /// Its answer has begun: nothing is held any more.
-    streams: bool,
-}
-
-impl std::fmt::Debug for Entry {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Entry").field("id", &self.id).field("ticket", &self.ticket).finish_non_exhaustive()
-    }
-}
-
-impl Entry {
-    fn report(&self, report: Report) {
-        self.commands.send(Command::Report(self.id.clone(), self.ticket, report));
-    }
-
-    fn ended(&self, outcome: Outcome, kept_tokens: u64, load: Option<Load>) {
-        self.report(Report::Ended { outcome, kept_tokens, load });
-    }
-
-    /// Lets go of what is held, where the decisions have not done so in time.
-    fn release(&mut self, beside: bool) {
-        let under_way = lock(&self.cleanup).is_under_way();
-        if !under_way {
-            self.releaser.release(&self.id, &self.cleanup);
-        }
-        self.cache.released(beside);
-    }
-
-    /// Waits until what is held has to be let go.
-    async fn release_due(cache: CacheClock, within: Duration) {
-        match cache.due(within) {
-            Some(at) => sleep_until(at).await,
-            None => std::future::pending().await,
-        }
-    }
-}
-
-impl Drop for Entry {
-    fn drop(&mut self) {
-        self.ended.store(true, Ordering::Relaxed);
-        let mut cleanup = lock(&self.cleanup);
-        if self.attempt_is_out {
-            cleanup.left_something();
-        }
-        let was_sent = cleanup.was_sent();
-        drop(cleanup);
-        if was_sent && !self.streams {
-            self.releaser.release(&self.id, &self.cleanup);
-        }
-        self.report(Report::Left);
-    }
-}
-
 /// A request on the way to its final answer.
 struct OpenCall {
     entry: Entry,
@@ -180,7 +101,7 @@
     /// The next order; `None` where the dispatcher has none, `Err` once the request's time is over.
     async fn order(&mut self) -> Result<Option<Order>, Overdue> {
         loop {
-            let release_due = Entry::release_due(self.entry.cache, self.release_within);
+            let release_due = self.entry.release_due(self.release_within);
             tokio::select! {
                 biased;
                 order = self.entry.orders.recv() => return Ok(order),
@@ -194,7 +115,7 @@
     async fn reply<E>(&mut self, attempt: impl Future<Output = Reply<E>>) -> Waited<E> {
         tokio::pin!(attempt);
         loop {
-            let release_due = Entry::release_due(self.entry.cache, self.release_within);
+            let release_due = self.entry.release_due(self.release_within);
             // What has been decided stands, also where a reply lies ready beside it: the decisions have let
             // go of the request, and what would begin to stream now might be cut by the conductor's end.
             tokio::select! {
@@ -396,82 +317,6 @@
     }
 }
 
-/// The events of an answer that has begun, unchanged and as they come. It ends well only where the
-/// server's stream did; a break is an error, so that a front never completes it.
-#[derive(Debug)]
-pub struct AnswerStream<E: Events> {
-    entry: Option<Entry>,
-    events: E,
-    silence: Pin<Box<tokio::time::Sleep>>,
-    /// The client waits for the next event; it took the last one a while ago, or just now.
-    awaited: bool,
-}
-
-/// Whether the stream has been given to another. A final answer that crossed the first event comes too late:
-/// that event is the final answer. All there is gets read, so that the next order wakes the stream.
-fn moved(orders: &mut mpsc::UnboundedReceiver<Order>, cx: &mut Context<'_>) -> bool {
-    while let Poll::Ready(order) = orders.poll_recv(cx) {
-        if order.is_none_or(|order| order.verdict == Verdict::Move) {
-            return true;
-        }
-    }
-    false
-}
-
-impl<E: Events> AnswerStream<E> {
-    fn new(entry: Entry, events: E) -> Self {
-        let silence = Box::pin(tokio::time::sleep(SILENCE));
-        AnswerStream { entry: Some(entry), events, silence, awaited: false }
-    }
-
-    /// The next events; `None` at the end.
-    pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
-        let Some(entry) = &mut self.entry else { return Poll::Ready(None) };
-        let moved = moved(&mut entry.orders, cx);
-        let step = match self.events.poll_step(cx) {
-            // Another goes on from here: nothing more may come of this one, whatever lies ready.
-            _ if moved => Step::Broken(Outcome::CalledOff),
-            Poll::Ready(step) => step,
-            Poll::Pending => {
-                if !std::mem::replace(&mut self.awaited, true) {
-                    // What was silent for a while may have been the client.
-                    let soonest = Instant::now() + CATCH_UP;
-                    if self.silence.deadline() < soonest {
-                        self.silence.as_mut().reset(soonest);
-                    }
-                }
-                // One stream that stalls may be that answer's own fault; a server that has vanished shows in
-                // others.
-                ready!(self.silence.as_mut().poll(cx));
-                Step::Broken(Outcome::NoAnswer)
-            }
-        };
-        self.awaited = false;
-        Poll::Ready(match step {
-            Step::Data(bytes) => {
-                self.silence.as_mut().reset(Instant::now() + SILENCE);
-                Some(Ok(bytes))
-            }
-            Step::End => {
-                entry.account.answered();
-                entry.ended(Outcome::Served, 0, None);
-                self.entry = None;
-                None
-            }
-            Step::Broken(outcome) => {
-                entry.ended(outcome, 0, None);
-                self.entry = None;
-                Some(Err(Broken))
-            }
-        })
-    }
-
-    /// True once the end, good or bad, has been given.
-    pub fn is_over(&self) -> bool {
-        self.entry.is_none()
-    }
-}
-
 impl<B: Upstream> tower_service::Service<Request<B::Call>> for Conductor<B> {
     type Response = Answer<B::Events>;
     type Error = CallError;
@@ -487,7 +332,3 @@
         Box::pin(async move { Conductor::call(&conductor, request).await })
     }
 }
-
-#[cfg(test)]
-#[path = "../tests/unit/request.rs"]
-mod tests;
--- a/core/tests/permit.rs
+++ b/core/tests/permit.rs
@@ -4,15 +4,11 @@
 mod support;
 
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use frosttrail::{Entry, Health, Id, ListForm, Load, Outcome, Role, Settings};
-use frosttrail_core::{
-    start, Clock, Conductor, Events, Figures, MemberList, News, Parts, Reply, Request, SendPermit, Step,
-    Upstream,
-};
-use support::{classes, paused, query};
+use frosttrail_core::{start, Clock, Conductor, Figures, News, Parts, Reply, Request, SendPermit, Upstream};
+use support::{classes, entry, paused, query, NoEvents, Told};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, Instant};
 
@@ -34,14 +30,6 @@
 #[derive(Clone, Default)]
 struct Servers(Arc<Mutex<World>>);
 
-struct NoEvents;
-
-impl Events for NoEvents {
-    fn poll_step(&mut self, _: &mut Context<'_>) -> Poll<Step> {
-        Poll::Ready(Step::End)
-    }
-}
-
 impl Upstream for Servers {
     type Call = ();
     type Events = NoEvents;
@@ -81,18 +69,6 @@
     }
 }
 
-struct Told(mpsc::UnboundedReceiver<News>);
-
-impl MemberList for Told {
-    async fn next(&mut self) -> Option<News> {
-        self.0.recv().await
-    }
-}
-
-fn entry(name: &str, kind: usize, health: Health) -> Entry {
-    Entry { server: name.into(), cell: 0, kind, zone: 0, started: 0, health }
-}
-
 fn conductor(servers: &Servers) -> (Conductor<Servers>, mpsc::UnboundedSender<News>) {
     let (news, told) = mpsc::unbounded_channel();
     let settings = Settings {
--- a/core/tests/slow_decisions.rs
+++ b/core/tests/slow_decisions.rs
@@ -5,16 +5,14 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use frosttrail::{Entry, Health, Id, ListForm, Load, Outcome, Query, Role, Settings};
+use frosttrail::{Health, Id, ListForm, Load, Outcome, Query, Role, Settings};
 use frosttrail_core::{
-    start, Answer, Clock, Conductor, Events, Figures, MemberList, News, Parts, Reply, Request, SendPermit,
-    Step, Upstream,
+    start, Answer, Clock, Conductor, Figures, News, Parts, Reply, Request, SendPermit, Upstream,
 };
 use slog::Drain;
-use support::{classes, query};
+use support::{classes, entry, query, NoEvents, Told};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
@@ -72,14 +70,6 @@
     }
 }
 
-struct NoEvents;
-
-impl Events for NoEvents {
-    fn poll_step(&mut self, _: &mut Context<'_>) -> Poll<Step> {
-        Poll::Ready(Step::End)
-    }
-}
-
 impl Upstream for Servers {
     type Call = ();
     type Events = NoEvents;
@@ -117,18 +107,6 @@
     }
 }
 
-struct Told(mpsc::UnboundedReceiver<News>);
-
-impl MemberList for Told {
-    async fn next(&mut self) -> Option<News> {
-        self.0.recv().await
-    }
-}
-
-fn entry(name: &str, kind: usize, health: Health) -> Entry {
-    Entry { server: name.into(), cell: 0, kind, zone: 0, started: 0, health }
-}
-
 async fn conductor(servers: &Servers) -> (Conductor<Servers>, mpsc::UnboundedSender<News>) {
     let (news, told) = mpsc::unbounded_channel();
     let settings = Settings {
--- a/core/tests/support/mod.rs
+++ b/core/tests/support/mod.rs
@@ -4,8 +4,11 @@
 use std::future::Future;
 use std::sync::Arc;
 
-use frosttrail::{Class, Effect, Query};
-use frosttrail_core::{MemberList, News};
+use std::task::{Context, Poll};
+
+use frosttrail::{Class, Effect, Entry, Health, Query};
+use frosttrail_core::{Events, MemberList, News, Step};
+use tokio::sync::mpsc;
 
 /// One list, and no news after it.
 pub struct Fixed(pub Option<News>);
@@ -19,6 +22,29 @@
     }
 }
 
+/// News as the test tells them.
+pub struct Told(pub mpsc::UnboundedReceiver<News>);
+
+impl MemberList for Told {
+    async fn next(&mut self) -> Option<News> {
+        self.0.recv().await
+    }
+}
+
+/// An answer that is over as it begins.
+pub struct NoEvents;
+
+impl Events for NoEvents {
+    fn poll_step(&mut self, _: &mut Context<'_>) -> Poll<Step> {
+        Poll::Ready(Step::End)
+    }
+}
+
+/// A line of the list.
+pub fn entry(name: &str, kind: usize, health: Health) -> Entry {
+    Entry { server: name.into(), cell: 0, kind, zone: 0, started: 0, health }
+}
+
 /// One that may be repeated, and one that may not.
 pub fn classes() -> [Arc<Class>; 2] {
     let book = Class { name: "book".into(), effect: Effect::Unsafe, ..Class::example() };
--- a/core/tests/unit/request.rs
+++ b/core/tests/unit/answer_stream.rs
@@ -2,9 +2,17 @@
 
 use std::future::poll_fn;
 
+use std::sync::{Arc, Mutex};
+
+use frosttrail::{Id, Micros, Report};
+
 use super::*;
+use crate::cache_clock::CacheClock;
 use crate::clock::Clock;
+use crate::command::Command;
 use crate::command_queue::{commands, CommandReceiver};
+use crate::permit::SendPermit;
+use crate::release::{Cleanup, Releaser};
 
 /// A stream holds nothing.
 struct NoReleases;
