Let releases learn which servers answer, and go on beside a request's end

Cause (from the code, as the log is silent there): a release tells nobody which servers did not answer, and the one that is begun at a request's end aborted the one under way and asked the same silent servers first. Change: each call of a release tells reachability how it ended, and a release at the end goes on beside the one before it. core/tests/unit/release.rs: two tests, which need the new call; the first asserts 50 ms for the second release where the first took over 400 ms.

--- a/core/src/dispatcher.rs
+++ b/core/src/dispatcher.rs
@@ -51,7 +51,7 @@
     let (able_tx, able) = watch::channel(false);
     let admissions = Admissions::default();
     let release = Duration::from_micros(settings.release);
-    let releases = Arc::new(Releases::new(upstream.clone(), release, log.clone()));
+    let releases = Arc::new(Releases::new(upstream.clone(), release, clock, log.clone()));
     let in_force = Arc::new(watch::Sender::new(Arc::new(settings.clone())));
     let exclusions = Arc::new(Mutex::new(Exclusions::new(excluded, settings.warm_within)));
     let pending_snapshot = learned.map(|(learned, age)| {
--- a/core/src/entry.rs
+++ b/core/src/entry.rs
@@ -79,7 +79,7 @@
         let was_sent = cleanup.was_sent();
         drop(cleanup);
         if was_sent && !self.streams {
-            self.releaser.release(&self.id, &self.cleanup);
+            self.releaser.release_at_end(&self.id, &self.cleanup);
         }
         self.report(Report::Left);
     }
--- a/core/src/release.rs
+++ b/core/src/release.rs
@@ -1,6 +1,7 @@
 //! Letting go of what servers hold for a request. Begun by the decisions, or by the request itself where they
 //! are late: both share one account of it, so that one release is out for a request at a time.
 
+use std::future::Future;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 use tokio_util::task::TaskTracker;
 
+use crate::clock::Clock;
 use crate::reachability::Reachability;
 use crate::traits::Upstream;
 
@@ -84,6 +86,10 @@
     /// Lets go of whatever servers hold for a request, unless that has begun already.
     fn release(&self, request: &Id, cleanup: &Mutex<Cleanup>);
 
+    /// The same for a request that has ended: what is under way goes on beside it, as no attempt follows from
+    /// which it could take anything.
+    fn release_at_end(&self, request: &Id, cleanup: &Mutex<Cleanup>);
+
     /// What an attempt told of its server.
     fn told(&self, server: &Id, outcome: Outcome, now: Micros);
 }
@@ -91,7 +97,8 @@
 /// Begins releases over a way to the servers.
 pub(crate) struct Releases<B> {
     upstream: Arc<B>,
-    reachability: Mutex<Reachability>,
+    reachability: Arc<Mutex<Reachability>>,
+    clock: Clock,
     /// The settings' time for what is held.
     within: Mutex<Duration>,
     tasks: TaskTracker,
@@ -102,9 +109,9 @@
 
 impl<B: Upstream> Releases<B> {
     /// For the current runtime.
-    pub(crate) fn new(upstream: Arc<B>, within: Duration, log: Logger) -> Self {
-        let (reachability, within, tasks) = (Mutex::default(), Mutex::new(within), TaskTracker::new());
-        Releases { upstream, reachability, within, tasks, runtime: Handle::current(), log }
+    pub(crate) fn new(upstream: Arc<B>, within: Duration, clock: Clock, log: Logger) -> Self {
+        let (reachability, within, tasks) = (Arc::default(), Mutex::new(within), TaskTracker::new());
+        Releases { upstream, reachability, clock, within, tasks, runtime: Handle::current(), log }
     }
 
     /// What has been told of releases: all of them have ended once it is closed and waited for.
@@ -130,21 +137,25 @@
     }
 }
 
-impl<B: Upstream> Releaser for Releases<B> {
-    fn release(&self, request: &Id, cleanup: &Mutex<Cleanup>) {
-        let mut cleanup = lock(cleanup);
+impl<B: Upstream> Releases<B> {
+    /// Begins one, unless one has been that covers all that is held.
+    fn begin(&self, request: &Id, cleanup: &mut Cleanup) {
         if cleanup.covered {
             return;
         }
-        cleanup.call_off();
         let order = lock(&self.reachability).order(&cleanup.sent_to);
-        let (upstream, log, time) = (self.upstream.clone(), self.log.clone(), *lock(&self.within));
+        let (log, time) = (self.log.clone(), *lock(&self.within));
+        let calls = Calls {
+            upstream: self.upstream.clone(),
+            reachability: self.reachability.clone(),
+            clock: self.clock,
+        };
         let (ended, end) = oneshot::channel();
         let id = request.clone();
         let task = async move {
             let _ended: oneshot::Sender<()> = ended;
             let begin = Instant::now();
-            match release(upstream, id.clone(), order, time / PACE, time + MORE).await {
+            match release(calls, id.clone(), order, time / PACE, time + MORE).await {
                 Some(by) => debug!(log, "released"; "id" => %id, "by" => %by, "after" => ?begin.elapsed()),
                 None => info!(log, "a release reached no server"; "id" => %id),
             }
@@ -153,16 +164,55 @@
         cleanup.release = Some((task.abort_handle(), Some(end)));
         cleanup.covered = true;
     }
+}
+
+impl<B: Upstream> Releaser for Releases<B> {
+    fn release(&self, request: &Id, cleanup: &Mutex<Cleanup>) {
+        let mut cleanup = lock(cleanup);
+        if !cleanup.covered {
+            cleanup.call_off();
+        }
+        self.begin(request, &mut cleanup);
+    }
+
+    fn release_at_end(&self, request: &Id, cleanup: &Mutex<Cleanup>) {
+        self.begin(request, &mut lock(cleanup));
+    }
 
     fn told(&self, server: &Id, outcome: Outcome, now: Micros) {
         lock(&self.reachability).told(server, outcome, now);
     }
 }
+/// The calls of a release. What they tell of a server is of use to the next ones.
+struct Calls<B> {
+    upstream: Arc<B>,
+    reachability: Arc<Mutex<Reachability>>,
+    clock: Clock,
+}
+
+impl<B: Upstream> Calls<B> {
+    /// One call; true once the server has taken it.
+    fn call(&self, server: &Id, request: &Id) -> impl Future<Output = bool> + Send + 'static {
+        let (upstream, reachability, clock) = (self.upstream.clone(), self.reachability.clone(), self.clock);
+        let (server, request) = (server.clone(), request.clone());
+        async move {
+            let answer = timeout(EACH, upstream.release(&server, &request)).await;
+            let outcome = match answer {
+                Ok(true) => Outcome::Served,
+                Ok(false) => Outcome::NoConnection,
+                Err(_) => Outcome::NoAnswer,
+            };
+            lock(&reachability).told(&server, outcome, clock.now());
+            outcome == Outcome::Served
+        }
+    }
+}
+
 /// Calls servers until one has taken the release, or `within` has passed; gives that one. Any server can
 /// let go of all that is held for a request, wherever it is. One that has not answered within `pace` keeps
 /// its time, and the next is asked beside it: a zone that is silent must not use up the time of the rule.
 async fn release<B: Upstream>(
-    upstream: Arc<B>,
+    calls_to: Calls<B>,
     id: Id,
     order: Vec<Id>,
     pace: Duration,
@@ -180,11 +230,9 @@
                     _ => due = due.min(Instant::now() + PAUSE),
                 },
                 () = sleep_until(due), if calls.len() < AT_ONCE => {
-                    let (server, id, upstream) = (turn.next()?, id.clone(), upstream.clone());
-                    calls.spawn(async move {
-                        let taken = timeout(EACH, upstream.release(&server, &id)).await == Ok(true);
-                        taken.then_some(server)
-                    });
+                    let server = turn.next()?;
+                    let call = calls_to.call(&server, &id);
+                    calls.spawn(async move { call.await.then_some(server) });
                     due = Instant::now() + pace;
                 }
             }
@@ -192,3 +240,7 @@
     };
     timeout_at(end, rounds).await.unwrap_or(None)
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/release.rs"]
+mod tests;
--- a/core/tests/unit/answer_stream.rs
+++ b/core/tests/unit/answer_stream.rs
@@ -22,6 +22,10 @@
         panic!("nothing is held");
     }
 
+    fn release_at_end(&self, _: &Id, _: &Mutex<Cleanup>) {
+        panic!("nothing is held");
+    }
+
     fn told(&self, _: &Id, _: Outcome, _: Micros) {}
 }
 
--- /dev/null
+++ b/core/tests/unit/release.rs
@@ -0,0 +1,84 @@
+//! What one release has learned of servers is of use to the next.
+
+use frosttrail::{Health, Load};
+
+use super::*;
+use crate::permit::SendPermit;
+use crate::traits::{Events, Reply, Step};
+
+/// Servers of which those named `a…` never answer.
+struct Servers;
+
+struct NoEvents;
+
+impl Events for NoEvents {
+    fn poll_step(&mut self, _: &mut std::task::Context<'_>) -> std::task::Poll<Step> {
+        std::task::Poll::Ready(Step::End)
+    }
+}
+
+impl Upstream for Servers {
+    type Call = ();
+    type Events = NoEvents;
+
+    async fn attempt(&self, _: &Id, _: &Id, _: &(), _: Duration, _: &SendPermit) -> Reply<NoEvents> {
+        Reply::Ended(Outcome::NotSent, None)
+    }
+
+    async fn release(&self, server: &Id, _: &Id) -> bool {
+        if server.starts_with('a') {
+            std::future::pending().await
+        }
+        true
+    }
+
+    async fn probe(&self, _: &Id) -> (Outcome, Option<Load>) {
+        (Outcome::Served, None)
+    }
+}
+
+fn releases() -> Releases<Servers> {
+    let log = Logger::root(slog::Discard, slog::o!());
+    let releases = Releases::new(Arc::new(Servers), Duration::from_secs(1), Clock::new(), log);
+    let names = (0..8).map(|n| format!("a{n}")).chain(["b0".into()]);
+    let entry = |name: String| {
+        let (server, health) = (name.as_str().into(), Health::Up);
+        Entry { server, cell: 0, kind: 0, zone: 0, started: 0, health }
+    };
+    releases.members(ListForm::Full, &names.map(entry).collect::<Vec<_>>());
+    releases
+}
+
+/// How long a release takes until a server has taken it.
+async fn takes(releases: &Releases<Servers>, cleanup: &Mutex<Cleanup>) -> Duration {
+    let begin = Instant::now();
+    releases.release(&"q".into(), cleanup);
+    let end = lock(cleanup).end().expect("one is under way");
+    // It resolves as the task drops its end.
+    let _ = end.await;
+    begin.elapsed()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_server_that_did_not_take_a_release_is_not_the_first_to_be_asked_by_the_next() {
+    let releases = releases();
+    let first = takes(&releases, &Mutex::default()).await;
+    let second = takes(&releases, &Mutex::default()).await;
+    assert!(first >= Duration::from_millis(400), "{first:?}");
+    assert!(second < Duration::from_millis(50), "{second:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_release_at_the_end_of_a_request_goes_on_beside_the_one_before() {
+    let (releases, cleanup) = (releases(), Mutex::default());
+    releases.release(&"q".into(), &cleanup);
+    let before = lock(&cleanup).end().expect("one is under way");
+    lock(&cleanup).left_something();
+    releases.release_at_end(&"q".into(), &cleanup);
+    let begin = Instant::now();
+    let _ = before.await;
+    assert!(begin.elapsed() >= Duration::from_millis(400), "it was ended before a server had taken it");
+    // One that covers all is not begun again.
+    releases.release_at_end(&"q".into(), &cleanup);
+    assert_eq!(releases.tasks().len(), 0);
+}
