Read exclusions and large configurations without starting over or holding up clients

Change: a file of an exclusion that has been read is not read again (its name is the hash of its content); a configuration of 256 KiB and more is read on a thread of its own. state_files.rs has the first; the second has no test of its own yet.

--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -154,6 +154,12 @@
         Ok(Config { ops, ..config })
     }
 
+    /// The size of the file that `EDGE_CONFIG` names; 0 where that can't be told.
+    pub fn file_size() -> u64 {
+        let path = std::env::var_os("EDGE_CONFIG").unwrap_or_default();
+        std::fs::metadata(path).map_or(0, |file| file.len())
+    }
+
     /// Whether a newer configuration is whole and may follow this one while requests are open.
     pub fn check_successor(&self, newer: &Config) -> Result<(), SuccessionError> {
         let missing = missing_key(&self.file, &newer.file, "");
--- a/daemon/src/ops/exclusion_store.rs
+++ b/daemon/src/ops/exclusion_store.rs
@@ -1,9 +1,11 @@
 //! Exclusions as they are kept in a folder: one file for each excluded instance, so that two processes that
 //! share the folder never write over each other, and what was said outlives the process that said it.
 
+use std::collections::HashMap;
 use std::fs;
 use std::io::{Error, ErrorKind, Result};
 use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::SystemTime;
 
 use frosttrail::Id;
@@ -14,16 +16,18 @@
 
 const FOLDER: &str = "excluded";
 
-/// The files of one conductor.
+/// The files of one conductor. Clones share what has been read.
 #[derive(Clone, Debug)]
 pub struct ExclusionStore {
     folder: PathBuf,
+    /// What files hold, by their paths. A name is the hash of the content, so that neither ever changes.
+    read: Arc<Mutex<HashMap<PathBuf, Id>>>,
 }
 
 impl ExclusionStore {
     /// Uses a folder below this one, which is made once there is something to keep.
     pub fn in_folder(state: &Path) -> Self {
-        ExclusionStore { folder: state.join(FOLDER) }
+        ExclusionStore { folder: state.join(FOLDER), read: Arc::default() }
     }
 
     /// Where they are kept.
@@ -40,27 +44,32 @@
     }
 
     /// All that are kept. A file that is damaged is passed over, with a line in the log. Fails where one
-    /// can't be read: it may not be taken for one that is not there.
+    /// can't be read: it may not be taken for one that is not there. Those that could are not read again, so
+    /// that hundreds of files come together while each now and then can't be read.
     pub fn load(&self, log: &Logger) -> Result<Vec<Id>> {
-        let mut excluded = Vec::new();
+        let (mut excluded, mut failed) = (HashMap::new(), None);
+        let before = self.read.lock().unwrap_or_else(PoisonError::into_inner).clone();
         for file in fs::read_dir(&self.folder)? {
             let path = file?.path();
             if path.extension().is_some() {
                 // Being written, or left behind by a process that was killed as it wrote.
                 continue;
             }
-            match self.read(&path) {
-                Ok(id) => excluded.push(id),
+            let read = before.get(&path).map_or_else(|| self.read(&path), |id| Ok(id.clone()));
+            match read {
+                Ok(id) => drop(excluded.insert(path, id)),
                 // Included again meanwhile.
                 Err(e) if e.kind() == ErrorKind::NotFound => {}
-                Err(e) if e.kind() != ErrorKind::InvalidData => return Err(e),
+                Err(e) if e.kind() != ErrorKind::InvalidData => failed = Some(e),
                 Err(e) => {
                     warn!(log, "an exclusion is passed over; exclude the instance again, remove the file";
                         "file" => %path.display(), "why" => %e);
                 }
             }
         }
-        Ok(excluded)
+        let ids = excluded.values().cloned().collect();
+        *self.read.lock().unwrap_or_else(PoisonError::into_inner) = excluded;
+        failed.map_or(Ok(ids), Err)
     }
 
     /// When the folder last changed, where the file system says so.
--- a/daemon/src/reload.rs
+++ b/daemon/src/reload.rs
@@ -18,6 +18,9 @@
 /// after its signal, and the list of a new agent takes time of its own.
 const READ_WITHIN: Duration = Duration::from_millis(2_500);
 
+/// A file of this many bytes takes milliseconds to read, and is read on a thread of its own.
+const LARGE_FILE: u64 = 256 << 10;
+
 /// Why a file is turned down.
 #[derive(Debug, thiserror::Error)]
 enum ReloadError {
@@ -25,6 +28,8 @@
     Config(#[from] ConfigError),
     #[error("{0}")]
     Succession(#[from] SuccessionError),
+    #[error("the file was not read to its end: {0}; send SIGHUP again")]
+    Interrupted(String),
 }
 
 /// Everything that a new configuration reaches.
@@ -43,6 +48,12 @@
     pub log: Logger,
 }
 
+fn read_successor(held: &Config) -> Result<Config, ReloadError> {
+    let config = Config::from_env()?;
+    held.check_successor(&config)?;
+    Ok(config)
+}
+
 impl Reload {
     /// Reads the file again at each signal. A file that is no good changes nothing.
     pub async fn run(mut self, mut hangup: Signal) {
@@ -61,7 +72,7 @@
     async fn read_in_time(&self) -> Result<Config, ReloadError> {
         let until = Instant::now() + READ_WITHIN;
         loop {
-            match self.read() {
+            match self.read().await {
                 Err(ReloadError::Config(e)) if e.is_transient() && Instant::now() < until => {
                     sleep(RETRY_EVERY).await;
                 }
@@ -70,10 +81,14 @@
         }
     }
 
-    fn read(&self) -> Result<Config, ReloadError> {
-        let config = Config::from_env()?;
-        self.config.check_successor(&config)?;
-        Ok(config)
+    /// The thread that serves does not wait for a file that names thousands of instances.
+    async fn read(&self) -> Result<Config, ReloadError> {
+        let held = self.config.clone();
+        if Config::file_size() < LARGE_FILE {
+            return read_successor(&held);
+        }
+        let read = tokio::task::spawn_blocking(move || read_successor(&held));
+        read.await.map_err(|e| ReloadError::Interrupted(e.to_string()))?
     }
 
     fn apply(&mut self, config: Config) {
--- a/daemon/tests/state_files.rs
+++ b/daemon/tests/state_files.rs
@@ -1,6 +1,8 @@
 //! Files of the state folder: what could not be written whole leaves nothing behind, and what processes
 //! that are gone have left is removed.
 
+use frosttrail::Id;
+use frosttrail_daemon::ops::ExclusionStore;
 use frosttrail_daemon::state_dir::{remove_leftovers, replace};
 
 fn folder(name: &str) -> std::path::PathBuf {
@@ -45,3 +47,28 @@
     assert_eq!(files(&folder), expected);
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+/// Where each file can't be read now and then, hundreds of them would never be read at once.
+#[test]
+fn exclusions_that_have_been_read_are_not_read_again_with_those_that_could_not() {
+    let folder = folder("exclusions");
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let store = ExclusionStore::in_folder(&folder);
+    let mut all: Vec<Id> = (0..300).map(|n| Id::from(format!("s-{n}").as_str())).collect();
+    all.iter().for_each(|id| store.insert(id).unwrap());
+    // It can't be read for now.
+    let unreadable = store.folder().join("unreadable");
+    std::fs::create_dir(&unreadable).unwrap();
+    assert!(store.load_at_start(&log).is_err(), "one that can't be read is not one that is not there");
+    std::fs::remove_dir(&unreadable).unwrap();
+    for file in std::fs::read_dir(store.folder()).unwrap() {
+        std::fs::write(file.unwrap().path(), "not read again").unwrap();
+    }
+    let mut loaded = store.load_at_start(&log).unwrap();
+    loaded.sort();
+    all.sort();
+    assert_eq!(loaded, all);
+    store.remove(&all[0]).unwrap();
+    assert_eq!(store.load(&log).unwrap().len(), 299);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
