--- a/soak/src/conductor.rs
+++ b/soak/src/conductor.rs
@@ -36,7 +36,10 @@
 impl Site {
     /// Writes the configuration, as a new one at SIGHUP.
     pub fn write_config(&self) -> std::io::Result<()> {
-        std::fs::write(self.folder.join("config.json"), self.config.to_string())
+        // Whole or not at all, as for a process that reads it just then.
+        let part = self.folder.join("config.json.part");
+        std::fs::write(&part, self.config.to_string())?;
+        std::fs::rename(part, self.folder.join("config.json"))
     }
 
     /// Starts a process with an operators' address of its own, under these faults.
