--- a/core/tests/unit/request.rs
+++ b/core/tests/unit/answer_stream.rs
@@ -2,9 +2,17 @@
 
 use std::future::poll_fn;
 
+use std::sync::{Arc, Mutex};
+
+use frosttrail::{Id, Micros, Report};
+
 use super::*;
+use crate::cache_clock::CacheClock;
 use crate::clock::Clock;
+use crate::command::Command;
 use crate::command_queue::{commands, CommandReceiver};
+use crate::permit::SendPermit;
+use crate::release::{Cleanup, Releaser};
 
 /// A stream holds nothing.
 struct NoReleases;
@@ -14,6 +22,10 @@
         panic!("nothing is held");
     }
 
+    fn release_at_end(&self, _: &Id, _: &Mutex<Cleanup>) {
+        panic!("nothing is held");
+    }
+
     fn told(&self, _: &Id, _: Outcome, _: Micros) {}
 }
 
