Do not let a release overtake the end of an attempt that its client's leaving has cut

Inside a request the answer and the next attempt have waited for that end all along, the release after a client's leaving had not. Test: release.rs, a call is not made before.

--- a/core/src/entry.rs
+++ b/core/src/entry.rs
@@ -48,6 +48,12 @@
         self.report(Report::Ended { outcome, kept_tokens, load });
     }
 
+    /// The attempt that was out has been ended from here, and its end has arrived.
+    pub(crate) fn attempt_was_cut(&mut self) {
+        self.attempt_is_out = false;
+        lock(&self.cleanup).left_something();
+    }
+
     /// Lets go of what is held, where the decisions have not done so in time.
     pub(crate) fn release(&mut self, beside: bool) {
         let under_way = lock(&self.cleanup).is_under_way();
@@ -79,7 +85,7 @@
         let was_sent = cleanup.was_sent();
         drop(cleanup);
         if was_sent && !self.streams {
-            self.releaser.release_at_end(&self.id, &self.cleanup);
+            self.releaser.release_at_end(&self.id, &self.cleanup, self.attempt_is_out);
         }
         self.report(Report::Left);
     }
--- a/core/src/release.rs
+++ b/core/src/release.rs
@@ -10,7 +10,7 @@
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use tokio::task::{AbortHandle, JoinSet};
-use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
@@ -87,8 +87,9 @@
     fn release(&self, request: &Id, cleanup: &Mutex<Cleanup>);
 
     /// The same for a request that has ended: what is under way goes on beside it, as no attempt follows from
-    /// which it could take anything.
-    fn release_at_end(&self, request: &Id, cleanup: &Mutex<Cleanup>);
+    /// which it could take anything. Where its last attempt was cut while it was out, the call waits for that
+    /// attempt's end to arrive: what a prefill leaves a moment later would be held for ever.
+    fn release_at_end(&self, request: &Id, cleanup: &Mutex<Cleanup>, cut: bool);
 
     /// What an attempt told of its server.
     fn told(&self, server: &Id, outcome: Outcome, now: Micros);
@@ -139,7 +140,7 @@
 
 impl<B: Upstream> Releases<B> {
     /// Begins one, unless one has been that covers all that is held.
-    fn begin(&self, request: &Id, cleanup: &mut Cleanup) {
+    fn begin(&self, request: &Id, cleanup: &mut Cleanup, after: Duration) {
         if cleanup.covered {
             return;
         }
@@ -154,6 +155,7 @@
         let id = request.clone();
         let task = async move {
             let _ended: oneshot::Sender<()> = ended;
+            sleep(after).await;
             let begin = Instant::now();
             match release(calls, id.clone(), order, time / PACE, time + MORE).await {
                 Some(by) => debug!(log, "released"; "id" => %id, "by" => %by, "after" => ?begin.elapsed()),
@@ -172,11 +174,14 @@
         if !cleanup.covered {
             cleanup.call_off();
         }
-        self.begin(request, &mut cleanup);
+        self.begin(request, &mut cleanup, Duration::ZERO);
     }
 
-    fn release_at_end(&self, request: &Id, cleanup: &Mutex<Cleanup>) {
-        self.begin(request, &mut lock(cleanup));
+    fn release_at_end(&self, request: &Id, cleanup: &Mutex<Cleanup>, cut: bool) {
+        let mut cleanup = lock(cleanup);
+        let last = cleanup.sent_to.first().filter(|_| cut);
+        let after = last.map_or(Duration::ZERO, |server| self.upstream.end_takes(server));
+        self.begin(request, &mut cleanup, after);
     }
 
     fn told(&self, server: &Id, outcome: Outcome, now: Micros) {
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -262,6 +262,7 @@
             if !takes.is_zero() {
                 sleep(takes).await;
             }
+            open.entry.attempt_was_cut();
         }
         let reply = match waited {
             Waited::Reply(reply) => reply,
--- a/core/tests/unit/answer_stream.rs
+++ b/core/tests/unit/answer_stream.rs
@@ -22,7 +22,7 @@
         panic!("nothing is held");
     }
 
-    fn release_at_end(&self, _: &Id, _: &Mutex<Cleanup>) {
+    fn release_at_end(&self, _: &Id, _: &Mutex<Cleanup>, _: bool) {
         panic!("nothing is held");
     }
 
--- a/core/tests/unit/release.rs
+++ b/core/tests/unit/release.rs
@@ -6,6 +6,9 @@
 use crate::permit::SendPermit;
 use crate::traits::{Events, Reply, Step};
 
+/// How long the end of an attempt is on its way.
+const END_TAKES: Duration = Duration::from_millis(30);
+
 /// Servers of which those named `a…` never answer.
 struct Servers;
 
@@ -25,6 +28,10 @@
         Reply::Ended(Outcome::NotSent, None)
     }
 
+    fn end_takes(&self, _: &Id) -> Duration {
+        END_TAKES
+    }
+
     async fn release(&self, server: &Id, _: &Id) -> bool {
         if server.starts_with('a') {
             std::future::pending().await
@@ -74,11 +81,29 @@
     releases.release(&"q".into(), &cleanup);
     let before = lock(&cleanup).end().expect("one is under way");
     lock(&cleanup).left_something();
-    releases.release_at_end(&"q".into(), &cleanup);
+    releases.release_at_end(&"q".into(), &cleanup, false);
     let begin = Instant::now();
     let _ = before.await;
     assert!(begin.elapsed() >= Duration::from_millis(400), "it was ended before a server had taken it");
     // One that covers all is not begun again.
-    releases.release_at_end(&"q".into(), &cleanup);
+    releases.release_at_end(&"q".into(), &cleanup, false);
     assert_eq!(releases.tasks().len(), 0);
 }
+
+/// The attempt of a client that leaves ends with its connection, and the release goes over another one: were it
+/// there first, a prefill that ends in between would leave what nobody lets go of any more.
+#[tokio::test(start_paused = true)]
+async fn a_release_does_not_overtake_the_end_of_the_attempt_that_was_cut() {
+    let releases = releases();
+    // Which server answers is known by then.
+    takes(&releases, &Mutex::default()).await;
+    for cut in [true, false] {
+        let cleanup = Mutex::<Cleanup>::default();
+        lock(&cleanup).sent(&"b0".into());
+        let begin = Instant::now();
+        releases.release_at_end(&"q".into(), &cleanup, cut);
+        let end = lock(&cleanup).end().expect("one is under way");
+        let _ = end.await;
+        assert_eq!(begin.elapsed() >= END_TAKES, cut, "{:?}", begin.elapsed());
+    }
+}
