--- a/core/tests/unit/release.rs
+++ b/core/tests/unit/release.rs
@@ -90,8 +90,8 @@
     assert_eq!(releases.tasks().len(), 0);
 }
 
-/// The attempt of a client that leaves ends with its connection, and the release goes over another one: were it
-/// there first, a prefill that ends in between would leave what nobody lets go of any more.
+/// The attempt of a client that leaves ends with its connection, and the release goes over another one: were
+/// it there first, a prefill that ends in between would leave what nobody lets go of any more.
 #[tokio::test(start_paused = true)]
 async fn a_release_does_not_overtake_the_end_of_the_attempt_that_was_cut() {
     let releases = releases();
