--- a/review/standins/src/conductor.rs
+++ b/review/standins/src/conductor.rs
@@ -72,6 +72,7 @@
         chat: Option<(SocketAddr, &str)>,
     ) -> Result<Self> {
         let (listen, root) = (free_address()?, root().canonicalize()?);
+        let mut command = run_command(&root)?;
         let folder = std::env::temp_dir().join(format!("review-{}-{name}", std::process::id()));
         fs::create_dir_all(folder.join("tmp"))?;
         let (discovery, known) = (agent.address, agent.list().1);
@@ -80,7 +81,6 @@
         ) + &format!(r#""limits":{limits},"known":{known},"settings":{settings}}}"#);
         let (file, log) = (folder.join("config.json"), File::create(folder.join("log.txt"))?);
         fs::write(&file, config)?;
-        let mut command = run_command(&root)?;
         if let Some((address, class)) = chat {
             let chat_file = folder.join("chat.toml");
             let text = format!(
