Log how many requests are unanswered where a shutdown times out

Each request now holds a token from the call of its front to its response; `shutdown timed out` has their number as `unanswered`.

At debug level the untouched build shows no decision and no report for those four requests between SIGTERM and the exit, so that an answer which is decided and ignored by the running stream, or written and not flushed, are ruled out.

--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -175,7 +175,8 @@
         }
     });
     if shutdown.await.is_err() {
-        info!(log, "shutdown timed out"; "connections" => client_listeners.connection_count());
+        info!(log, "shutdown timed out"; "connections" => client_listeners.connection_count(),
+            "unanswered" => client_listeners.unanswered_count());
     }
     if let Some((membership, _quota_task)) = membership {
         // This instance sends nothing more, so the others take over its share.
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -113,6 +113,8 @@
     closed_at: Arc<OnceLock<Instant>>,
     accepting: TaskTracker,
     connections: TaskTracker,
+    /// Holds a token for each request whose response has not begun.
+    unanswered: TaskTracker,
     log: Logger,
 }
 
@@ -129,6 +131,7 @@
             closed_at: Arc::default(),
             accepting: TaskTracker::new(),
             connections: TaskTracker::new(),
+            unanswered: TaskTracker::new(),
             log,
         }
     }
@@ -199,6 +202,11 @@
         self.connections.len()
     }
 
+    /// The number of requests whose clients have received nothing yet.
+    pub fn unanswered_count(&self) -> usize {
+        self.unanswered.len()
+    }
+
     async fn accept<S: Service>(self, listener: TcpListener, service: Arc<S>) {
         let (mut failures, mut warn_at) = (0, Instant::now());
         loop {
@@ -243,6 +251,7 @@
         let ClientTimeouts { request_arrival, idle, write } = self.timeouts;
         let (closing, keep_alive_ended, log) =
             (self.closing.clone(), self.keep_alive_ended.clone(), self.log.clone());
+        let unanswered = self.unanswered.clone();
         let admission = Admission { closed_at: self.closed_at.clone(), has_slot: !slot.is_refusing() };
         self.connections.spawn(async move {
             let (eviction, slot, framing) =
@@ -265,7 +274,9 @@
                 let (service, keep_alive_ended, framing) =
                     (service.clone(), keep_alive_ended.clone(), framing.clone());
                 let request_socket = request_socket.clone();
+                let unanswered_token = unanswered.token();
                 async move {
+                    let _unanswered_token = unanswered_token;
                     let mut response = match framing.is_ambiguous() {
                         true => service.reject(InputError::AmbiguousFraming),
                         false => service.respond(request).await?,
