Fail chat answers that are still being collected before a planned end

Cause: the decisions count a request as answered from the first event at its server on (`Report::Started`), as the client of a stream has it then. `Conductor::close` at 2.9 s therefore leaves such requests alone, and a decision for one would be ignored by its `AnswerStream`. A client that does not stream has received nothing while the chat front collects the events, and no step of the shutdown addressed that front before the process exited at 3.4 s.

Change: 0.1 s before the exit (`ShutdownSchedule::demand_answers_after`) the shutdown calls `Conductor::demand_final_answers`, and the chat front fails what it still collects (502, no retry: it may have run). The 0.1 s count from the demand, so that a process that stalls before it still sends the answers. The exit keeps its time, so streams are served as before; a collected answer that would end in the last 0.1 s now fails. The shutdown has a module of its own, `command/graceful_shutdown.rs`.

Test: `an_answer_that_is_still_collected_at_a_planned_end_fails_before_the_process_exits` (daemon/tests/ending.rs) failed before (`runs-on-ask`: no answer in place of 502). The schedule's test now also holds the order of the new step.

--- a/core/src/conductor.rs
+++ b/core/src/conductor.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use slog::Logger;
 use tokio::sync::{oneshot, watch};
+use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
 use crate::command::{CallId, Command};
@@ -67,6 +68,8 @@
     pub(crate) releaser: Arc<UpstreamReleaser<U>>,
     pub(crate) exclusions: Arc<Mutex<Exclusions>>,
     pub(crate) admitting_servers: AdmittingServers,
+    /// Cancelled once every request whose client has received nothing must get its final answer.
+    pub(crate) final_answers_due: CancellationToken,
     pub(crate) metrics: Metrics,
 }
 
@@ -83,6 +86,7 @@
             releaser: self.releaser.clone(),
             exclusions: self.exclusions.clone(),
             admitting_servers: self.admitting_servers.clone(),
+            final_answers_due: self.final_answers_due.clone(),
             metrics: self.metrics.clone(),
         }
     }
@@ -108,11 +112,24 @@
         *self.has_members.borrow()
     }
 
-    /// Answers every request that has not begun to stream, as the conductor is about to stop.
+    /// Has the decisions answer every request whose stream has not begun at a server, as the conductor is
+    /// about to stop. To the decisions, the others are answered.
     pub fn close(&self) {
         self.commands.send(Command::Close);
     }
 
+    /// Demands the final answer of every request whose client has received nothing, as the process exits
+    /// soon. Follows [`Conductor::close`].
+    pub fn demand_final_answers(&self) {
+        self.final_answers_due.cancel();
+    }
+
+    /// Resolves once [`Conductor::demand_final_answers`] has been called. A front that collects an answer
+    /// before it sends anything must fail the request then.
+    pub async fn final_answers_due(&self) {
+        self.final_answers_due.cancelled().await
+    }
+
     /// Sets this conductor's share, out of 1, of the quota of all conductors that send to the same servers.
     /// Until it is set, the share is one divided by the number of conductors in the settings.
     pub fn set_quota_share(&self, share: f64) {
--- a/core/src/dispatcher.rs
+++ b/core/src/dispatcher.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::yield_now;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
 use crate::command::{CallId, Command, Instruction, NewRequest};
@@ -97,6 +98,7 @@
         releaser,
         exclusions,
         admitting_servers,
+        final_answers_due: CancellationToken::new(),
         metrics,
     }
 }
--- a/daemon/src/command/mod.rs
+++ b/daemon/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The commands of the `frosttrail` binary, and what they share.
 
+mod graceful_shutdown;
 mod operations;
 pub mod serve;
 pub mod transfer;
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -24,6 +24,7 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
+use super::graceful_shutdown::GracefulShutdown;
 use super::operations::{Listeners, OpsService, OpsSetup, PreviousState};
 use super::{logger, random_incarnation, runtime, CommandError};
 
@@ -147,37 +148,14 @@
     signals.terminate.recv().await;
     is_serving.store(false, Ordering::Relaxed);
     let handover = service.as_mut().and_then(OpsService::begin_shutdown);
-    let ShutdownSchedule { close_listeners_after, answer_all_after, exit_after } =
-        ShutdownSchedule::new(&conductor.settings());
+    let schedule = ShutdownSchedule::new(&conductor.settings());
     let has_successor = handover.as_ref().is_some_and(ListenerHandover::has_successor);
-    info!(log, "SIGTERM: closing"; "within" => ?exit_after, "another process accepts" => has_successor);
+    info!(log, "SIGTERM: closing"; "within" => ?schedule.exit_after, "another process accepts" => has_successor);
     client_listeners.end_keep_alive();
     if has_successor {
         client_listeners.stop_accepting();
     }
-    let drain = async {
-        sleep(close_listeners_after).await;
-        if let Some(handover) = handover {
-            handover.close().await;
-        }
-        client_listeners.close().await;
-        conductor.wait_for_releases().await;
-    };
-    let answer_remaining = async {
-        sleep(answer_all_after).await;
-        conductor.close();
-        std::future::pending::<()>().await;
-    };
-    let shutdown = timeout(exit_after, async {
-        tokio::select! {
-            () = drain => {}
-            () = answer_remaining => {}
-        }
-    });
-    if shutdown.await.is_err() {
-        info!(log, "shutdown timed out"; "connections" => client_listeners.connection_count(),
-            "unanswered" => client_listeners.unanswered_count());
-    }
+    GracefulShutdown { schedule, conductor, client_listeners, handover }.run(&log).await;
     if let Some((membership, _quota_task)) = membership {
         // This instance sends nothing more, so the others take over its share.
         let _ = timeout(LEAVE_TIMEOUT, membership.leave()).await;
--- a/daemon/src/front/chat/error.rs
+++ b/daemon/src/front/chat/error.rs
@@ -24,6 +24,8 @@
     ServerFailed,
     #[error("No answer came in time. The request may have taken effect.")]
     TimedOut,
+    #[error("This conductor stops before the answer is complete. The request may have taken effect.")]
+    Stopping,
 }
 
 impl ApiError {
@@ -53,7 +55,9 @@
             ApiError::NoServerReachable => {
                 (StatusCode::SERVICE_UNAVAILABLE, "server_error", None, Some("service_unavailable"))
             }
-            ApiError::ServerFailed => (StatusCode::BAD_GATEWAY, "server_error", None, Some("bad_gateway")),
+            ApiError::ServerFailed | ApiError::Stopping => {
+                (StatusCode::BAD_GATEWAY, "server_error", None, Some("bad_gateway"))
+            }
             ApiError::TimedOut => (StatusCode::GATEWAY_TIMEOUT, "server_error", None, Some("timeout")),
         }
     }
@@ -63,7 +67,7 @@
         let (status, kind, param, code) = self.status_and_fields();
         let object = json!({"message": self.to_string(), "type": kind, "param": param, "code": code});
         let mut response = full_response(status, JSON, json!({ "error": object }).to_string());
-        if matches!(self, ApiError::ServerFailed | ApiError::TimedOut) {
+        if matches!(self, ApiError::ServerFailed | ApiError::TimedOut | ApiError::Stopping) {
             response.headers_mut().insert(SHOULD_RETRY, HeaderValue::from_static("false"));
         }
         response
--- a/daemon/src/front/chat/mod.rs
+++ b/daemon/src/front/chat/mod.rs
@@ -79,7 +79,7 @@
             Ok(Answer::Served(answer)) if stream => {
                 event_stream_response(ResponseBody::Chat(ChatStream::new(answer, include_usage)))
             }
-            Ok(Answer::Served(answer)) => match collect_completion(answer, &id, model).await {
+            Ok(Answer::Served(answer)) => match self.collect_until_due(answer, &id, model).await {
                 Ok(text) => full_response(StatusCode::OK, JSON, text),
                 Err(e) => e.response(),
             },
@@ -107,6 +107,23 @@
     }
 }
 
+impl<B: Upstream<Call = Call>> ChatFront<B> {
+    /// Collects a stream into one completion object. Fails if the final answers are due first: the client has
+    /// received nothing, however much of the stream has arrived.
+    async fn collect_until_due(
+        &self,
+        events: AnswerStream<B::Events>,
+        id: &str,
+        model: String,
+    ) -> Result<String, ApiError> {
+        tokio::select! {
+            biased;
+            completion = collect_completion(events, id, model) => completion,
+            () = self.conductor.final_answers_due() => Err(ApiError::Stopping),
+        }
+    }
+}
+
 impl<B: Upstream<Call = Call>> Service for ChatFront<B> {
     type Events = B::Events;
 
--- a/daemon/src/shutdown.rs
+++ b/daemon/src/shutdown.rs
@@ -14,6 +14,8 @@
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 /// Time to send the final answers and the releases.
 const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(500);
+/// The last part of it, in which the answers are sent that were given without a decision.
+const DEMANDED_ANSWERS_TIME: Duration = Duration::from_millis(100);
 /// How long new requests are accepted at most after SIGTERM, while clients and the load balancer notice the
 /// shutdown. It is below 0.7 s: a stream that begins later than that and still runs at SIGKILL is lost.
 const MAX_NOTICE_PERIOD: Duration = Duration::from_millis(650);
@@ -27,8 +29,10 @@
     /// The listeners close, and each connection closes once it has no open request. Until then all requests
     /// are served as before.
     pub close_listeners_after: Duration,
-    /// Requests that have not begun to stream get their final answer.
+    /// The decisions answer every request whose stream has not begun at its server.
     pub answer_all_after: Duration,
+    /// Every other request whose client has received nothing gets its final answer.
+    pub demand_answers_after: Duration,
     /// Streams that still run are cut off, and the process exits.
     pub exit_after: Duration,
 }
@@ -39,9 +43,10 @@
         let kill_time = Duration::from_micros(settings.longest_deadline()).min(MAX_DEADLINE) + KILL_DELAY;
         let exit_after = kill_time - KILL_MARGIN;
         let answer_all_after = exit_after.saturating_sub(FINAL_ANSWERS_TIME);
+        let demand_answers_after = exit_after - DEMANDED_ANSWERS_TIME;
         // About half of the time until the final answers is left for the requests that are accepted last.
         let close_listeners_after =
             MAX_NOTICE_PERIOD.min((answer_all_after / 2).max(MIN_NOTICE_PERIOD)).min(answer_all_after);
-        ShutdownSchedule { close_listeners_after, answer_all_after, exit_after }
+        ShutdownSchedule { close_listeners_after, answer_all_after, demand_answers_after, exit_after }
     }
 }
--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -36,12 +36,16 @@
 fn shutdown_ends_before_sigkill_whatever_the_deadlines() {
     for deadline_ms in [1].into_iter().chain((50..=9_000).step_by(50)) {
         let setup = settings_with_deadline(deadline_ms);
-        let ShutdownSchedule { close_listeners_after, answer_all_after, exit_after } =
+        let ShutdownSchedule { close_listeners_after, answer_all_after, demand_answers_after, exit_after } =
             ShutdownSchedule::new(&settings(&setup, &ConfiguredNames::new(&setup).unwrap()).unwrap());
         assert!(
             close_listeners_after <= answer_all_after && answer_all_after < exit_after,
             "{deadline_ms} ms"
         );
+        assert!(
+            answer_all_after < demand_answers_after && demand_answers_after < exit_after,
+            "{deadline_ms} ms"
+        );
         assert!(
             exit_after + Duration::from_millis(250) <= time_until_sigkill(deadline_ms),
             "{deadline_ms} ms"
@@ -191,3 +195,60 @@
     assert!(prefill.posts().is_empty(), "the request was sent on");
     process.expect_clean_exit().await;
 }
+
+/// A request of the chat front whose client does not stream.
+fn collected_request(id: &str, class: &str) -> String {
+    let headers = format!("x-txn: {id}\r\nx-lane: {class}\r\n");
+    let body = json!({"model": "chat", "messages": [{"role": "user", "content": "Two at eight."}]});
+    keep_alive(&post("/v1/chat/completions", &headers, &body.to_string()))
+}
+
+/// Starts a process with the chat front; its `listen` is the address of that front.
+fn start_with_chat(name: &str, config: &str) -> DaemonProcess {
+    let file = config_file(&format!("{name}-chat"));
+    let chat = "listen = \"127.0.0.1:0\"\nmodels = [\"chat\"]\nclass = \"book\"\nmax_tokens = 400\n";
+    std::fs::write(&file, chat).unwrap();
+    let mut command = program(name, config);
+    command.arg("--chat").arg(&file);
+    let mut process = DaemonProcess::start(command);
+    process.wait_until_listening();
+    process
+}
+
+/// Guards against a planned restart that leaves requests without an answer: a client that does not stream has
+/// received nothing while its answer is collected, although the stream at the server has begun.
+#[tokio::test]
+async fn an_answer_that_is_still_collected_at_a_planned_end_fails_before_the_process_exits() {
+    let (prefill, decode) = (StandIn::start(PREFILL_RESPONSE).await, StandIn::start(COMPLETE_STREAM).await);
+    // The process ends 1.4 s after SIGTERM, and SIGKILL would follow at 1.7 s.
+    let process = start_with_chat("collected", &config(&prefill, &decode, 1_000));
+    let cases = [
+        ("ends-in-time", Behavior::StreamsTimestamps(80, 10), 200),
+        ("runs-on", Behavior::StreamsTimestamps(400, 10), 502),
+        ("stalls", Behavior::StallsAfter(&[EVENT]), 502),
+        ("sends-more", Behavior::StallsAfter(&[EVENT]), 502),
+    ];
+    let mut clients = Vec::new();
+    for (id, behavior, expected_status) in cases {
+        for class in ["ask", "book"] {
+            decode.next(behavior.clone());
+            let mut client = send(process.listen, &collected_request(&format!("{id}-{class}"), class)).await;
+            while decode.posts().len() <= clients.len() {
+                sleep(Duration::from_millis(1)).await;
+            }
+            if id == "sends-more" {
+                // Input that the process leaves unread must not destroy the answer.
+                client.write_all(b"POST /v1/chat/completions HTTP/1.1\r\n").await.unwrap();
+            }
+            clients.push((format!("{id}-{class}"), expected_status, client));
+        }
+    }
+    let sigterm_sent = Instant::now();
+    process.signal("-TERM");
+    for (id, expected_status, client) in clients {
+        let answer = timeout(STEP_TIMEOUT, try_read_answer(client)).await.expect("an end in time");
+        assert_eq!(answer.map(|answer| answer.status), Some(expected_status), "{id}");
+    }
+    assert!(sigterm_sent.elapsed() < time_until_sigkill(1_000), "{:?}", sigterm_sent.elapsed());
+    process.expect_clean_exit().await;
+}
