Advise a retry delay where a request refuses itself at its deadline

A client that is refused so comes back at once.

Cause, by a probe in `OpenCall::answer_overdue` and at `Decision::Refuse` (14 runs): at the deadline the decision and the request's own answer fire within 1 ms of each other, which is the timers' resolution; either may come first. The decision advises a delay and so does a refusal on arrival, but the request's own answer had zero.

Change: the request's own refusal takes its delay from `admission::retry_after`, as the refusal on arrival does; where the settings allow no advice it stays zero.

Test: `a_refusal_without_a_decision_advises_a_delay` (core/tests/slow_decisions.rs) failed before (22 refusals, all with 0 ns, 3 of 3 runs) and passes now, 3 of 3. Ruled out: a decision without advice, which takes half of the maximum at least.

--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -66,6 +66,8 @@
     /// KV cache is released after this time.
     release_timeout: Duration,
     execution: ExecutionRecord,
+    /// The delay that a refusal without a decision advises.
+    retry_after: Duration,
     last_outcome: Option<Outcome>,
 }
 
@@ -135,7 +137,7 @@
         metrics.count_overdue(is_refusal);
         if is_refusal {
             self.registration.metrics.mark_deferred();
-            return Answer::Refused { retry_after: Duration::ZERO, last_outcome: self.last_outcome };
+            return Answer::Refused { retry_after: self.retry_after, last_outcome: self.last_outcome };
         }
         Answer::Failed { last_outcome: self.last_outcome }
     }
@@ -194,8 +196,12 @@
     fn refuse_early(&self, query: &Query) -> Answer<U::Events> {
         self.metrics.open_request(&query.class.name).mark_deferred();
         self.metrics.count_early_refusal();
-        let retry_after = admission::retry_after(self.settings.borrow().max_retry_after, query);
-        Answer::Refused { retry_after: Duration::from_micros(retry_after), last_outcome: None }
+        Answer::Refused { retry_after: self.undecided_retry_after(query), last_outcome: None }
+    }
+
+    /// The delay that a refusal without a decision advises.
+    fn undecided_retry_after(&self, query: &Query) -> Duration {
+        Duration::from_micros(admission::retry_after(self.settings.borrow().max_retry_after, query))
     }
 
     /// Registers a request with the dispatcher.
@@ -224,6 +230,7 @@
             answer_by: Instant::now() + answer_timeout,
             release_timeout: Duration::from_micros(release_timeout),
             execution: ExecutionRecord::new(&query),
+            retry_after: self.undecided_retry_after(&query),
             last_outcome: None,
         };
         let deadline = arrived_at.saturating_add(query.budget);
--- a/core/tests/slow_decisions.rs
+++ b/core/tests/slow_decisions.rs
@@ -30,6 +30,7 @@
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(600);
 const DRAIN_GRACE: Duration = Duration::from_millis(100);
 const PREFILL_DELAY: Duration = Duration::from_millis(30);
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 const REQUEST_COUNT: usize = 25;
 
 /// A logger that stalls the thread that logs an event of the decisions.
@@ -116,6 +117,7 @@
         classes: classes().to_vec(),
         cache_release_timeout: RELEASE_TIMEOUT.as_micros() as u64,
         drain_grace: DRAIN_GRACE.as_micros() as u64,
+        max_retry_after: MAX_RETRY_AFTER.as_micros() as u64,
         ..Settings::example()
     };
     let conductor = start(ConductorParts {
@@ -181,6 +183,31 @@
     });
 }
 
+/// Guards against clients that return at once: a request that no decision reaches in time refuses itself, and
+/// that refusal has to advise a delay like any other.
+#[test]
+fn a_refusal_without_a_decision_advises_a_delay() {
+    run(async {
+        let servers = Servers::default();
+        let (conductor, _updates) = conductor(&servers).await;
+        let mut calls = JoinSet::new();
+        for nth in 0..REQUEST_COUNT {
+            let conductor = conductor.clone();
+            calls.spawn(
+                async move { conductor.call(Request { query: numbered_query(nth, 0), call: () }).await },
+            );
+        }
+        let mut delays = Vec::new();
+        for answer in calls.join_all().await {
+            if let Ok(Answer::Refused { retry_after, .. }) = answer {
+                delays.push(retry_after);
+            }
+        }
+        assert!(!delays.is_empty(), "no request was refused");
+        assert!(delays.iter().all(|delay| !delay.is_zero() && *delay <= MAX_RETRY_AFTER), "{delays:?}");
+    });
+}
+
 #[test]
 fn no_attempt_is_sent_for_a_client_that_left_or_timed_out() {
     run(async {
