Let requests answer themselves at a planned end if decisions are behind

`Conductor::close` is a command in their queue; requests that are not answered when the process exits get no answer.

Cause: a request watches its instructions and its own deadline, which may be 15 s away, but not the end of the process.

Evidence: with decisions that take 0.1 s an event and 25 open requests, `close` after 0.3 s and the demand 0.1 s later, answers came one by one, at 0.3 to 0.4 s after the demand and later, where the process has 0.1 s. Shown by the test alone; no such end is known from service.

Change: a request's `AnswerDeadline` is its client's time or the demand for final answers, whichever comes first. It then answers from its own record (`ExecutionRecord`): refused where that is harmless, else failed.

--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -11,6 +11,7 @@
 use frosttrail::{Decision, Id, Micros, Outcome, Query, Report};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio_util::sync::CancellationToken;
 
 use crate::answer_stream::AnswerStream;
 use crate::cache_clock::CacheClock;
@@ -58,11 +59,27 @@
     IdInUse,
 }
 
+/// When a request answers itself, unless a decision has come.
+struct AnswerDeadline {
+    /// The time at which its client gives up.
+    at: Instant,
+    /// Cancelled when all final answers are due, as the process exits soon.
+    all_due: CancellationToken,
+}
+
+impl AnswerDeadline {
+    async fn reached(&self) {
+        tokio::select! {
+            () = sleep_until(self.at) => {}
+            () = self.all_due.cancelled() => {}
+        }
+    }
+}
+
 /// A request without its final answer.
 struct OpenCall {
     registration: Registration,
-    /// When the request answers itself, unless a decision has come.
-    answer_by: Instant,
+    answer_deadline: AnswerDeadline,
     /// KV cache is released after this time.
     release_timeout: Duration,
     execution: ExecutionRecord,
@@ -108,7 +125,7 @@
                 biased;
                 received = self.registration.instructions.recv() => return Ok(received),
                 () = release_due => self.registration.release(false),
-                () = sleep_until(self.answer_by) => return Err(Overdue),
+                () = self.answer_deadline.reached() => return Err(Overdue),
             }
         }
     }
@@ -126,7 +143,7 @@
                 reply = &mut attempt => return WaitResult::Reply(reply),
                 // Frees nothing if the attempt has arrived.
                 () = release_due => self.registration.release(true),
-                () = sleep_until(self.answer_by) => return WaitResult::Overdue,
+                () = self.answer_deadline.reached() => return WaitResult::Overdue,
             }
         }
     }
@@ -227,7 +244,10 @@
         let release_timeout = admission::release_timeout(self.settings.borrow().cache_release_timeout);
         let open_call = OpenCall {
             registration,
-            answer_by: Instant::now() + answer_timeout,
+            answer_deadline: AnswerDeadline {
+                at: Instant::now() + answer_timeout,
+                all_due: self.final_answers_due.clone(),
+            },
             release_timeout: Duration::from_micros(release_timeout),
             execution: ExecutionRecord::new(&query),
             retry_after: self.undecided_retry_after(&query),
--- a/core/tests/slow_decisions.rs
+++ b/core/tests/slow_decisions.rs
@@ -208,6 +208,38 @@
     });
 }
 
+/// Guards against a planned end that leaves requests without an answer because the decisions are behind: once
+/// the final answers are due, each request answers itself.
+#[test]
+fn every_request_is_answered_when_the_final_answers_are_due() {
+    run(async {
+        let servers = Servers::default();
+        let (conductor, _updates) = conductor(&servers).await;
+        let mut calls = JoinSet::new();
+        for nth in 0..REQUEST_COUNT {
+            let conductor = conductor.clone();
+            let query = Query { budget: 20 * BUDGET.as_micros() as u64, ..numbered_query(nth, nth % 2) };
+            calls.spawn(async move {
+                let answer = conductor.call(Request { query, call: () }).await;
+                (nth, matches!(answer, Ok(Answer::Refused { .. })), Instant::now())
+            });
+        }
+        sleep(3 * EVENT_DELAY).await;
+        conductor.close();
+        sleep(EVENT_DELAY).await;
+        conductor.demand_final_answers();
+        let demanded_at = Instant::now();
+        for (nth, is_refused, answered_at) in calls.join_all().await {
+            let took = answered_at.saturating_duration_since(demanded_at);
+            assert!(took <= EVENT_DELAY + TIMING_ALLOWANCE, "q{nth} was answered after {took:?}");
+            let has_run = servers.with_log(&format!("q{nth}").as_str().into(), |request_log| {
+                request_log.sent.iter().any(|(server, _)| server.starts_with('w'))
+            });
+            assert!(!(is_refused && has_run && nth % 2 == 1), "q{nth} may have run, and was refused");
+        }
+    });
+}
+
 #[test]
 fn no_attempt_is_sent_for_a_client_that_left_or_timed_out() {
     run(async {
