Answer before a planned end although a cancelled attempt's end is on its way

Cause: an answer follows a cancelled attempt by two round trips to its server, so that it does not overtake the attempt's end.

Change: that wait ends when the final answers are due. As the server may still work on the attempt then, the answer promises nothing: `ExecutionRecord::record_unconfirmed_end` rules out a refusal of a request that may not be repeated, also where the attempt was at a prefill server.

Test: `an_answer_that_is_due_does_not_wait_for_the_end_of_an_attempt` (core/tests/model.rs) failed before (no answer 50 ms after the demand, with a wait of 0.5 s) and passes now. Shown by the test alone.

--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -10,7 +10,7 @@
 use frosttrail::admission::{self, ExecutionRecord};
 use frosttrail::{Decision, Id, Micros, Outcome, Query, Report};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{sleep_until, timeout, Instant};
 use tokio_util::sync::CancellationToken;
 
 use crate::answer_stream::AnswerStream;
@@ -303,10 +303,12 @@
         if was_ended_here {
             // Neither another attempt nor an answer may overtake the end of this one.
             let delay = self.upstream.cancellation_delay(&server);
-            if !delay.is_zero() {
-                sleep(delay).await;
-            }
+            let is_confirmed = delay.is_zero() || timeout(delay, self.final_answers_due()).await.is_err();
             open_call.registration.record_cancelled_attempt();
+            if !is_confirmed {
+                open_call.execution.record_unconfirmed_end();
+                return NextStep::Overdue;
+            }
         }
         let reply = match result {
             WaitResult::Reply(reply) => reply,
--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -600,3 +600,42 @@
         }
     });
 }
+
+/// Guards against a planned end that overtakes the end of an attempt at a far server: the final answer that is
+/// due does not wait for it, and does not promise that the request has not run.
+#[test]
+fn an_answer_that_is_due_does_not_wait_for_the_end_of_an_attempt() {
+    run_paused(async {
+        for (is_unsafe, replies) in
+            [(true, &[][..]), (true, &[Step::PrefillDone]), (false, &[]), (false, &[Step::PrefillDone])]
+        {
+            let servers = FakeServers::default();
+            servers.with(|cluster| cluster.cancellation_delay = Duration::from_millis(500));
+            let conductor = conductor(&servers);
+            settle().await;
+            let mut model = Model { is_unsafe, ..Model::default() };
+            let request = Request { query: query("id-1", usize::from(is_unsafe)), call: () };
+            let mut call = Box::pin(conductor.call(request));
+            for step in replies.iter().map(Some).chain([None]) {
+                for _ in 0..2 {
+                    assert!(poll_fn(|cx| Poll::Ready(call.as_mut().poll(cx))).await.is_pending());
+                    settle().await;
+                }
+                if let Some(step) = step {
+                    model.step(&servers, *step);
+                    settle().await;
+                }
+            }
+            conductor.close();
+            settle().await;
+            assert!(poll_fn(|cx| Poll::Ready(call.as_mut().poll(cx))).await.is_pending(), "no attempt ends");
+            conductor.demand_final_answers();
+            let answer = timeout(Duration::from_millis(50), call).await.expect("an answer in time").unwrap();
+            match answer {
+                Answer::Failed { .. } => assert!(is_unsafe, "{replies:?}: a retry is harmless"),
+                Answer::Refused { .. } => assert!(!is_unsafe, "{replies:?}: an attempt may be under way"),
+                Answer::Served(_) => panic!("{is_unsafe}, {replies:?}: served while the conductor closes"),
+            }
+        }
+    });
+}
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -65,6 +65,13 @@
         self.may_have_run |= std::mem::take(&mut self.is_in_flight);
     }
 
+    /// Records that the attempt in flight was cancelled and that its end may not have reached the server yet,
+    /// which rules out a refusal whatever the server is.
+    pub fn record_unconfirmed_end(&mut self) {
+        self.is_in_flight = false;
+        self.may_have_run = true;
+    }
+
     /// Whether the request may be refused, which promises that a retry is harmless.
     pub fn may_be_refused(&self) -> bool {
         let harmless = matches!(self.effect, Effect::Safe | Effect::Keyed { scope: DedupScope::All, .. });
