Hold a pushed KV cache that was accepted before a drain

Seen by callers: `transfer send` to a node that gets SIGTERM meanwhile ends with 0 (" bytes are at" the node), and a fetch a moment later fails: the node has dropped the KV cache, 7.8 s before its drain ended.

A node that drains refuses new announcements, but a push that it has accepted goes on and is granted, by which the node owns the KV cache; `Sender::store` then refused it because of the drain, as it does the result of a prefill.

Change: `Sender::store` refuses only once the drain is over, so that the KV cache is held like any other: fetched, expired, or freed and reported when the drain ends. The result of a prefill is refused as before, and its caller told.

Left: a node with a `store` folder that can't be written loses what arrives in a drain (`KV cache lost` in the log).

--- a/transfer/src/sender.rs
+++ b/transfer/src/sender.rs
@@ -162,6 +162,9 @@
         proof: Arc<Proof>,
     ) -> Result<(), Cause> {
         let id = self.prefills.remove(&prefill).ok_or(Cause::Released)?;
+        if self.is_draining() {
+            return Err(Cause::Drained);
+        }
         let layout = proof.layout();
         let chunk_at = |index: u32| {
             let start = index as usize * layout.chunk_bytes() as usize;
@@ -170,7 +173,8 @@
         self.store(now, id, (0..layout.chunk_count()).map(chunk_at).collect(), proof)
     }
 
-    /// Stores a complete, verified KV cache that was received from another server.
+    /// Stores a complete, verified KV cache that was received from another server, which no longer has it.
+    /// Rejected only once a drain is over: until then it may be fetched like all that is held.
     pub fn store(
         &mut self,
         now: Micros,
@@ -178,7 +182,7 @@
         chunks: Vec<Bytes>,
         proof: Arc<Proof>,
     ) -> Result<(), Cause> {
-        if self.drain_deadline.is_some() {
+        if self.drain_deadline.is_some_and(|end| end <= now) {
             return Err(Cause::Drained);
         }
         self.free(&id, Cause::Superseded);
--- a/transfer/tests/service.rs
+++ b/transfer/tests/service.rs
@@ -458,6 +458,36 @@
     assert_eq!(from.push(&id("r2"), pair.link.address).await, Err(Cause::Drained));
 }
 
+/// Guards against a drain that drops a KV cache which it has taken: the sender of a push that was accepted before
+/// the drain is told that the node owns it.
+#[tokio::test]
+async fn a_push_accepted_before_a_drain_is_held_until_it_is_fetched() {
+    let cache = content(1, 1_000_000);
+    let pair = Pair::with(Config { push_policy: PushPolicy::Store, ..config() }).await;
+    let mut reports = pair.sender.subscribe_freed();
+    let from = Node::new(config(), 9, log());
+    for name in ["r1", "r2"] {
+        from.begin_prefill(id(name)).unwrap().store(cache.clone()).await.unwrap();
+    }
+    pair.link.set_rate(4_000_000);
+    let (first, second) = (id("r1"), id("r2"));
+    let push_both =
+        async { tokio::join!(from.push(&first, pair.link.address), from.push(&second, pair.link.address)) };
+    let drain = async {
+        while pair.sender.status().fetching < 2 {
+            sleep(Duration::from_millis(1)).await;
+        }
+        pair.sender.drain(MAX_TIME_TO_FREE);
+    };
+    let (pushed, ()) = tokio::join!(push_both, drain);
+    assert_eq!(pushed, (Ok(()), Ok(())));
+    assert!(is_same(&pair.fetch("r1").await.unwrap(), &cache));
+    // What nobody fetches is freed and reported like anything else that is held.
+    let freed = timeout(TEST_TIMEOUT, reports.recv()).await.unwrap().map(|(freed_id, _)| freed_id);
+    assert_eq!(freed, Some(second));
+    assert_eq!(pair.sender.status().states, 0);
+}
+
 #[tokio::test]
 async fn bad_input_closes_its_connection_with_one_log_line_and_affects_nothing_else() {
     let lines = CapturedLog::default();
