Close inherited listeners that the new process of an upgrade does not serve

Seen by callers: after an upgrade whose new process is started without `--chat`, connections to the chat front's address are accepted by the kernel and requests on them never answered. Found by the review by reading only; shown here by the test.

Cause: the new process keeps every listener that it has inherited for as long as it runs, as they share an owner with the connection by which the old process knows that it lives. A listener that is in nobody's accept loop keeps its queue.

Change: once the new process serves, `InheritedListeners::close_remaining` closes what was not taken, with a log line each; the connection stays. Clients are refused once the old process has closed its own, and can go elsewhere.

--- a/daemon/src/command/operations.rs
+++ b/daemon/src/command/operations.rs
@@ -132,7 +132,11 @@
         log: &Logger,
     ) -> OpsService {
         let OpsSetup { folder, store, snapshot, calls, .. } = self;
-        let handover = ListenerHandover::offer(&folder, Arc::new(listeners.duplicates), log.clone());
+        let Listeners { mut inherited, duplicates, .. } = listeners;
+        if let Some(inherited) = &mut inherited {
+            inherited.close_remaining(log);
+        }
+        let handover = ListenerHandover::offer(&folder, Arc::new(duplicates), log.clone());
         let files = OpenWorkFiles::in_folder(&folder);
         let open_work_task = tokio::spawn(share_open_work(conductor.clone(), files.clone(), log.clone()));
         let snapshot_task = tokio::spawn(write_snapshots(conductor.clone(), snapshot, log.clone()));
@@ -143,7 +147,7 @@
             _exclusions_task: AbortOnDropHandle::new(exclusions_task),
             _open_work_task: AbortOnDropHandle::new(open_work_task),
             open_work: files,
-            _inherited: listeners.inherited,
+            _inherited: inherited,
         }
     }
 }
--- a/daemon/src/listener_handover.rs
+++ b/daemon/src/listener_handover.rs
@@ -64,6 +64,14 @@
             .position(|listener| listener.local_addr().is_ok_and(|local| local == address))?;
         Some(self.listeners.swap_remove(index))
     }
+
+    /// Closes the listeners that have not been taken. An open descriptor would keep the queue of an address
+    /// alive at which this process accepts nothing.
+    pub fn close_remaining(&mut self, log: &Logger) {
+        for listener in self.listeners.drain(..) {
+            info!(log, "a listener of the previous process is not taken over"; "at" => ?listener.local_addr());
+        }
+    }
 }
 
 fn socket_path(folder: &Path) -> PathBuf {
--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -8,6 +8,7 @@
 use frosttrail::setup::{settings, ConfiguredNames};
 use frosttrail_daemon::shutdown::ShutdownSchedule;
 use serde_json::{json, Value};
+use support::chat::write_chat_config;
 use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -205,11 +206,8 @@
 
 /// Starts a process with the chat front; its `listen` is the address of that front.
 fn start_with_chat(name: &str, config: &str) -> DaemonProcess {
-    let file = config_file(&format!("{name}-chat"));
-    let chat = "listen = \"127.0.0.1:0\"\nmodels = [\"chat\"]\nclass = \"book\"\nmax_tokens = 400\n";
-    std::fs::write(&file, chat).unwrap();
     let mut command = program(name, config);
-    command.arg("--chat").arg(&file);
+    command.arg("--chat").arg(write_chat_config(name));
     let mut process = DaemonProcess::start(command);
     process.wait_until_listening();
     process
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -2,6 +2,7 @@
 //! loopback.
 #![allow(dead_code)]
 
+pub mod chat;
 pub mod operations;
 
 use std::collections::VecDeque;
--- a/daemon/tests/upgrade.rs
+++ b/daemon/tests/upgrade.rs
@@ -10,8 +10,10 @@
 
 use serde_json::json;
 use socket2::{Domain, Protocol, Socket, Type};
+use support::chat::write_chat_config;
 use support::operations::*;
 use support::*;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, Instant};
 
@@ -131,6 +133,27 @@
     newer.expect_clean_exit().await;
 }
 
+/// Guards against clients that connect and are never answered: a listener that the new process has inherited
+/// and does not serve has to close with the old process.
+#[tokio::test]
+async fn a_front_that_the_new_process_does_not_open_refuses_connections() {
+    let (deployment, _reserved) = deployment_with_shared_address("upgrade-front").await;
+    let mut command = deployment.command("upgrade-front");
+    command.arg("--chat").arg(write_chat_config("upgrade-front"));
+    let mut old = DaemonProcess::start(command);
+    let platform = old.listen;
+    old.wait_until_listening();
+    let chat = old.listen;
+    let models = "GET /v1/models HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    assert_eq!(exchange(chat, models).await.status, 200);
+    let (_new, _) = deployment.start("upgrade-front-new").await;
+    old.signal("-TERM");
+    old.expect_clean_exit().await;
+    let connected = TcpStream::connect(chat).await;
+    assert_eq!(connected.map_err(|e| e.kind()).err(), Some(std::io::ErrorKind::ConnectionRefused));
+    wait_for_status(platform, "new", 200).await;
+}
+
 #[tokio::test]
 async fn connections_not_yet_accepted_by_a_killed_process_are_accepted_by_the_next() {
     let (deployment, _reserved) = deployment_with_shared_address("upgrade-queue").await;
