Start the conductor in one place, whatever the source of its members

`start_conductor` wrote `ConductorParts` out twice, as its type names the source of the members. An enum of the two sources, which is a source itself, leaves one. No change of behaviour; the tests of discovery, xDS and processes pass.

--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use frosttrail_core::{start, Clock, Conductor, ConductorParts, Metrics};
+use frosttrail_core::{start, Clock, Conductor, ConductorParts, MembershipSource, MembershipUpdate, Metrics};
 use frosttrail_daemon::config::{self, ChatConfig, Config, ConfigError, XdsConfig};
 use frosttrail_daemon::discovery::{Backoff, DiscoveryConfig, PlatformDiscovery, XdsDiscovery};
 use frosttrail_daemon::front::chat::ChatFront;
@@ -195,6 +195,21 @@
     Ok((membership, AbortOnDropHandle::new(quota_task)))
 }
 
+/// The source of the list of members that the configuration names.
+enum Discovery {
+    Platform(PlatformDiscovery),
+    Xds(XdsDiscovery),
+}
+
+impl MembershipSource for Discovery {
+    async fn next(&mut self) -> Option<MembershipUpdate> {
+        match self {
+            Discovery::Platform(platform) => platform.next().await,
+            Discovery::Xds(xds) => xds.next().await,
+        }
+    }
+}
+
 fn start_conductor(
     config: Config,
     discovery: watch::Receiver<DiscoveryConfig>,
@@ -216,26 +231,11 @@
     let upstream = Arc::new(HttpUpstream::new(addresses.clone(), limits, metrics.sends.clone()));
     let Config { name, known_members, names, settings, seed, .. } = config;
     let (log, shared_upstream, metrics) = (log.clone(), upstream.clone(), metrics.clone());
-    // The exclusions are restored later, before any request is served.
-    let excluded = Vec::new();
-    let conductor = match xds {
-        Some(xds) => {
-            let members = XdsDiscovery::new(xds, name, names, clock, addresses, log.clone());
-            start(ConductorParts {
-                settings,
-                seed,
-                clock,
-                upstream,
-                members,
-                excluded,
-                metrics,
-                inherited: previous_state,
-                log,
-            })
-        }
+    let members = match xds {
+        Some(xds) => Discovery::Xds(XdsDiscovery::new(xds, name, names, clock, addresses, log.clone())),
         None => {
             let backoff = Backoff::new(settings.conductors, seed);
-            let members = PlatformDiscovery::new(
+            let platform = PlatformDiscovery::new(
                 discovery,
                 known_members,
                 backoff,
@@ -244,18 +244,20 @@
                 addresses,
                 log.clone(),
             );
-            start(ConductorParts {
-                settings,
-                seed,
-                clock,
-                upstream,
-                members,
-                excluded,
-                metrics,
-                inherited: previous_state,
-                log,
-            })
+            Discovery::Platform(platform)
         }
     };
+    let conductor = start(ConductorParts {
+        settings,
+        seed,
+        clock,
+        upstream,
+        members,
+        // Restored later, before any request is served.
+        excluded: Vec::new(),
+        metrics,
+        inherited: previous_state,
+        log,
+    });
     (conductor, shared_upstream)
 }
