--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -601,8 +601,8 @@
     });
 }
 
-/// Guards against a planned end that overtakes the end of an attempt at a far server: the final answer that is
-/// due does not wait for it, and does not promise that the request has not run.
+/// Guards against a planned end that overtakes the end of an attempt at a far server: the final answer that
+/// is due does not wait for it, and does not promise that the request has not run.
 #[test]
 fn an_answer_that_is_due_does_not_wait_for_the_end_of_an_attempt() {
     run_paused(async {
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -150,7 +150,8 @@
     let handover = service.as_mut().and_then(OpsService::begin_shutdown);
     let schedule = ShutdownSchedule::new(&conductor.settings());
     let has_successor = handover.as_ref().is_some_and(ListenerHandover::has_successor);
-    info!(log, "SIGTERM: closing"; "within" => ?schedule.exit_after, "another process accepts" => has_successor);
+    info!(log, "SIGTERM: closing"; "within" => ?schedule.exit_after,
+        "another process accepts" => has_successor);
     client_listeners.end_keep_alive();
     if has_successor {
         client_listeners.stop_accepting();
--- a/daemon/src/listener_handover.rs
+++ b/daemon/src/listener_handover.rs
@@ -69,7 +69,8 @@
     /// alive at which this process accepts nothing.
     pub fn close_remaining(&mut self, log: &Logger) {
         for listener in self.listeners.drain(..) {
-            info!(log, "a listener of the previous process is not taken over"; "at" => ?listener.local_addr());
+            let address = listener.local_addr();
+            info!(log, "a listener of the previous process is not taken over"; "at" => ?address);
         }
     }
 }
--- a/transfer/tests/service.rs
+++ b/transfer/tests/service.rs
@@ -458,8 +458,8 @@
     assert_eq!(from.push(&id("r2"), pair.link.address).await, Err(Cause::Drained));
 }
 
-/// Guards against a drain that drops a KV cache which it has taken: the sender of a push that was accepted before
-/// the drain is told that the node owns it.
+/// Guards against a drain that drops a KV cache which it has taken: the sender of a push that was accepted
+/// before the drain is told that the node owns it.
 #[tokio::test]
 async fn a_push_accepted_before_a_drain_is_held_until_it_is_fetched() {
     let cache = content(1, 1_000_000);
