--- a/review/standins-2/src/bin/memory.rs
+++ b/review/standins-2/src/bin/memory.rs
@@ -5,9 +5,9 @@
 
 use review_standins_2::*;
 
-const MEMORY_MB: u64 = 64;
+const MEMORY_MB: u64 = 96;
 /// Clients hold no more than a third of the 1,024 descriptors.
-const REQUESTS: usize = 300;
+const REQUESTS: usize = 330;
 const PACE: Pace =
     Pace { first: Duration::from_millis(150), events: 25, interval: Duration::from_millis(60) };
 
