--- a/review/standins-2/src/bin/shares.rs
+++ b/review/standins-2/src/bin/shares.rs
@@ -81,7 +81,7 @@
         // Acceptors are silent for one lease of 3 s; then a leader is elected and shares are leased.
         thread::sleep(Duration::from_secs(9));
         let before = most_prefills(case, "before", &meter, &listen);
-        if before > WHOLE || before < 3 {
+        if !(3..=WHOLE).contains(&before) {
             return Err(format!("shares have not settled: {before} prefills"));
         }
         thread::sleep(Duration::from_secs(4));
