Keep the buffers of requests below the configuration's limit on memory

The platform kills a process for that, and all its open requests are lost.

Cause: `memory_mb` was read nowhere. Bodies were bounded by the number of client connections alone (488 at 1,024 descriptors). Evidence, by a probe with the same flood against the untouched build: bodies of 256 KiB 117,856 KiB at the peak, of 1 KiB 20,332 KiB, so 43 KiB for each request and its connections, the rest is bodies. The chat front's requests that don't stream: 133,400 KiB, as they are rewritten. 100 bodies in chunks of one byte: 1,309,968 KiB, as each part of a body kept the whole buffer that it was read into. Ruled out: the allocator (what is held explains the peak) and the state of decisions (the run with small bodies).

Change: `BufferBudget`, derived from the limit, the number of connections and the list of servers. Bodies are copied into buffers that reserve what they allocate; the reservation is returned with the last reference to the bytes. A request without room is read to its end and refused (503): nothing of it has run. The same budget binds on related paths: input that is read ahead, requests that the chat front rewrites, answers that it collects. A limit below 32 MB is an error at start.

Not mended: events without an end of a server, 64 KiB for each stream; two processes of an upgrade.

--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use frosttrail_core::{start, Clock, Conductor, ConductorParts, MembershipSource, MembershipUpdate, Metrics};
+use frosttrail_daemon::buffer_budget::BufferBudget;
 use frosttrail_daemon::config::{self, ChatConfig, Config, ConfigError, XdsConfig};
 use frosttrail_daemon::discovery::{Backoff, DiscoveryConfig, PlatformDiscovery, XdsDiscovery};
 use frosttrail_daemon::front::chat::ChatFront;
@@ -100,7 +101,9 @@
 ) -> Result<(), CommandError> {
     let max_connections = (config.max_sockets - RESERVED_SOCKETS) / 2;
     let mut ops = config.ops.map(|address| OpsSetup::open(address, &config, &log)).transpose()?;
-    let client_listeners = ClientListeners::new(max_connections, CLIENT_TIMEOUTS, log.clone());
+    let buffers = buffer_budget(&config, 2 * max_connections);
+    let client_listeners =
+        ClientListeners::new(max_connections, CLIENT_TIMEOUTS, log.clone()).with_buffer_budget(buffers);
     let client_listeners = if ops.is_some() { client_listeners.sharing_address() } else { client_listeners };
     let listen = config.listen;
     let (discovery, members) = watch::channel(config.discovery_config());
@@ -164,6 +167,13 @@
     Ok(())
 }
 
+/// The memory for requests, with this many connections to clients and servers.
+fn buffer_budget(config: &Config, connections: usize) -> BufferBudget {
+    let Some(bytes) = config.max_memory_bytes else { return BufferBudget::unlimited() };
+    let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+    BufferBudget::for_process(bytes, connections, config.known_members.entry_count())
+}
+
 /// Joins the membership of the instances that share the servers, and passes this instance's share of the
 /// quota to the conductor.
 async fn join_membership(
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -48,6 +48,9 @@
     /// The limit on descriptors is too low to serve clients.
     #[error("{0}: limits.sockets: {1} is too low; set it to at least {MIN_SOCKETS}")]
     TooFewSockets(PathBuf, usize),
+    /// The limit on memory is too low to serve clients.
+    #[error("{0}: limits.memory_mb: {1} is too low; set it to at least {MIN_MEMORY_MB}")]
+    TooLittleMemory(PathBuf, u64),
 }
 
 impl ConfigError {
@@ -59,6 +62,10 @@
 
 /// With fewer descriptors, none are left for clients.
 const MIN_SOCKETS: usize = 64;
+/// With less memory, none is left for requests.
+const MIN_MEMORY_MB: u64 = 32;
+/// The unit of `limits.memory_mb` in bytes.
+const MEGABYTE: u64 = 1_000_000;
 
 #[derive(Deserialize)]
 struct ConfigFile {
@@ -76,6 +83,8 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
+    #[serde(default)]
+    memory_mb: Option<u64>,
 }
 
 /// A conductor's configuration.
@@ -93,6 +102,8 @@
     pub seed: u64,
     /// How many descriptors the process may have open.
     pub max_sockets: usize,
+    /// How many bytes of memory the process may take, if that is limited.
+    pub max_memory_bytes: Option<u64>,
     /// The last known list of members, used until discovery answers.
     pub known_members: Listing,
     /// The settings.
@@ -191,7 +202,10 @@
             ("name", self.name != newer.name),
             ("listen", self.listen != newer.listen),
             ("ops", self.ops != newer.ops),
-            ("limits", self.max_sockets != newer.max_sockets),
+            (
+                "limits",
+                self.max_sockets != newer.max_sockets || self.max_memory_bytes != newer.max_memory_bytes,
+            ),
         ];
         differs.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
     }
@@ -218,6 +232,9 @@
         if file.limits.sockets < MIN_SOCKETS {
             return Err(ConfigError::TooFewSockets(owned_path(), file.limits.sockets));
         }
+        if let Some(memory_mb) = file.limits.memory_mb.filter(|memory_mb| *memory_mb < MIN_MEMORY_MB) {
+            return Err(ConfigError::TooLittleMemory(owned_path(), memory_mb));
+        }
         Ok(Config {
             name: file.name,
             listen: file.listen,
@@ -225,6 +242,7 @@
             ops: file.ops,
             seed,
             max_sockets: file.limits.sockets,
+            max_memory_bytes: file.limits.memory_mb.map(|memory_mb| memory_mb.saturating_mul(MEGABYTE)),
             known_members: file.known,
             settings: setup::settings(&file.settings, &names).map_err(settings_error)?,
             names,
--- a/daemon/src/discovery/platform.rs
+++ b/daemon/src/discovery/platform.rs
@@ -48,6 +48,11 @@
             ListEntry::Invalid(entry) => Some(entry_error(entry)),
         })
     }
+
+    /// The number of entries.
+    pub fn entry_count(&self) -> usize {
+        self.targets.len()
+    }
 }
 
 /// Names an invalid entry and says why it is invalid.
--- a/daemon/src/front/chat/error.rs
+++ b/daemon/src/front/chat/error.rs
@@ -24,6 +24,8 @@
     ServerFailed,
     #[error("No answer came in time. The request may have taken effect.")]
     TimedOut,
+    #[error("No memory is left to collect the answer. The request may have taken effect.")]
+    OutOfMemory,
     #[error("This conductor stops before the answer is complete. The request may have taken effect.")]
     Stopping,
 }
@@ -55,7 +57,7 @@
             ApiError::NoServerReachable => {
                 (StatusCode::SERVICE_UNAVAILABLE, "server_error", None, Some("service_unavailable"))
             }
-            ApiError::ServerFailed | ApiError::Stopping => {
+            ApiError::ServerFailed | ApiError::OutOfMemory | ApiError::Stopping => {
                 (StatusCode::BAD_GATEWAY, "server_error", None, Some("bad_gateway"))
             }
             ApiError::TimedOut => (StatusCode::GATEWAY_TIMEOUT, "server_error", None, Some("timeout")),
@@ -67,7 +69,11 @@
         let (status, kind, param, code) = self.status_and_fields();
         let object = json!({"message": self.to_string(), "type": kind, "param": param, "code": code});
         let mut response = full_response(status, JSON, json!({ "error": object }).to_string());
-        if matches!(self, ApiError::ServerFailed | ApiError::TimedOut | ApiError::Stopping) {
+        let may_have_run = matches!(
+            self,
+            ApiError::ServerFailed | ApiError::TimedOut | ApiError::OutOfMemory | ApiError::Stopping
+        );
+        if may_have_run {
             response.headers_mut().insert(SHOULD_RETRY, HeaderValue::from_static("false"));
         }
         response
--- a/daemon/src/front/chat/mod.rs
+++ b/daemon/src/front/chat/mod.rs
@@ -8,6 +8,7 @@
 
 use std::future::poll_fn;
 
+use bytes::Bytes;
 use frosttrail::Outcome;
 use frosttrail_core::{Answer, AnswerStream, CallError, Conductor, EventStream, StreamBroken, Upstream};
 use hyper::body::Incoming;
@@ -21,8 +22,9 @@
 use self::error::ApiError;
 use self::request::{ParsedRequest, RequestParser};
 use super::body::{event_stream_response, full_response, set_retry_after, ResponseBody, ServiceResult};
-use super::input::{read_body, InputError};
+use super::input::{buffer_budget, read_body, InputError};
 use super::listener::Service;
+use crate::buffer_budget::{BudgetExhausted, BufferBudget};
 use crate::config::ChatConfig;
 use crate::upstream::Call;
 
@@ -68,10 +70,12 @@
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody<B::Events>>, ApiError> {
         let (head, incoming) = request.into_parts();
+        let buffers = buffer_budget(&head);
         let ParsedRequest { query, call, stream, include_usage, model } = self.parser.parse(
             &self.conductor.settings(),
             &head.headers,
             read_body(&head, incoming).await?,
+            &buffers,
         )?;
         let id = query.id.clone();
         let answer = self.conductor.call(frosttrail_core::Request { query, call }).await;
@@ -79,7 +83,7 @@
             Ok(Answer::Served(answer)) if stream => {
                 event_stream_response(ResponseBody::Chat(ChatStream::new(answer, include_usage)))
             }
-            Ok(Answer::Served(answer)) => match self.collect_until_due(answer, &id, model).await {
+            Ok(Answer::Served(answer)) => match self.collect_until_due(answer, &id, model, &buffers).await {
                 Ok(text) => full_response(StatusCode::OK, JSON, text),
                 Err(e) => e.response(),
             },
@@ -115,10 +119,11 @@
         events: AnswerStream<B::Events>,
         id: &str,
         model: String,
-    ) -> Result<String, ApiError> {
+        buffers: &BufferBudget,
+    ) -> Result<Bytes, ApiError> {
         tokio::select! {
             biased;
-            completion = collect_completion(events, id, model) => completion,
+            completion = collect_completion(events, id, model, buffers) => completion,
             () = self.conductor.final_answers_due() => Err(ApiError::Stopping),
         }
     }
@@ -136,16 +141,20 @@
     }
 }
 
-/// Collects a stream into one completion object. Fails if the stream breaks, or ends without its final event.
+/// Collects a stream into one completion object. Fails if the stream breaks, ends without its final event, or
+/// exceeds the memory for buffers.
 async fn collect_completion<E: EventStream>(
     mut events: AnswerStream<E>,
     id: &str,
     model: String,
-) -> Result<String, ApiError> {
+    buffers: &BufferBudget,
+) -> Result<Bytes, ApiError> {
+    let mut reservation = buffers.empty_reservation();
     let mut completion = CompletionBuilder::new(format!("chatcmpl-{id}"), model);
     while let Some(data) = poll_fn(|cx| events.poll_next(cx)).await {
         let data = data.map_err(|StreamBroken| ApiError::ServerFailed)?;
+        reservation.try_grow(data.len()).map_err(|BudgetExhausted| ApiError::OutOfMemory)?;
         completion.push_event(&data)?;
     }
-    completion.finish()
+    Ok(reservation.attach_to(completion.finish()?.into_boxed_str().into_boxed_bytes().into()))
 }
--- a/daemon/src/front/chat/request.rs
+++ b/daemon/src/front/chat/request.rs
@@ -13,6 +13,7 @@
 use serde_json::{json, Map, Value};
 
 use super::error::ApiError;
+use crate::buffer_budget::{BudgetExhausted, BufferBudget};
 use crate::front::input::{
     header_text, is_valid_id, parse_duration, parse_labels, retry_flags, tenant_index, InputError,
     CHARS_PER_TOKEN,
@@ -123,12 +124,13 @@
         settings: &Settings,
         headers: &HeaderMap,
         bytes: Bytes,
+        buffers: &BufferBudget,
     ) -> Result<ParsedRequest, ApiError> {
         let body: Body = serde_json::from_slice(&bytes).map_err(invalid_json)?;
         self.validate(&body)?;
         let query = self.build_query(settings, headers, &body)?;
         let stream = body.stream.unwrap_or(false);
-        let bytes = if stream { bytes } else { as_streaming(&bytes)? };
+        let bytes = if stream { bytes } else { as_streaming(bytes, buffers)? };
         let call = Call {
             method: Method::POST,
             target: Uri::from_static("/v1/chat/completions"),
@@ -287,9 +289,13 @@
 }
 
 /// Rewrites a request body to ask for a stream with usage, because servers only stream.
-fn as_streaming(bytes: &Bytes) -> Result<Bytes, InputError> {
-    let mut body: Map<String, Value> = serde_json::from_slice(bytes).map_err(invalid_json)?;
+fn as_streaming(bytes: Bytes, buffers: &BufferBudget) -> Result<Bytes, InputError> {
+    let mut body: Map<String, Value> = serde_json::from_slice(&bytes).map_err(invalid_json)?;
+    drop(bytes);
     body.insert("stream".into(), json!(true));
     body.insert("stream_options".into(), json!({"include_usage": true}));
-    serde_json::to_vec(&body).map(Bytes::from).map_err(invalid_json)
+    let rewritten = serde_json::to_vec(&body).map_err(invalid_json)?;
+    let mut reservation = buffers.empty_reservation();
+    reservation.try_grow(rewritten.len()).map_err(|BudgetExhausted| InputError::OutOfMemory)?;
+    Ok(reservation.attach_to(rewritten.into_boxed_slice().into()))
 }
--- a/daemon/src/front/input.rs
+++ b/daemon/src/front/input.rs
@@ -17,6 +17,7 @@
 use tokio::time::{timeout_at, Instant};
 
 use super::clients::BodyReadNotice;
+use crate::buffer_budget::{BufferBudget, ReservedBuffer};
 
 /// Largest request body.
 const MAX_BODY_BYTES: usize = 256 << 10;
@@ -83,12 +84,15 @@
     /// Open requests hold all connection slots; a retry is safe.
     #[error("refused: too many requests are open, try again")]
     TooManyOpenRequests,
+    /// Open requests take all memory for bodies; a retry is safe.
+    #[error("refused: open requests take all memory, try again")]
+    OutOfMemory,
 }
 
 impl InputError {
     /// Whether the request arrived in full and is refused only for lack of time or capacity.
     pub fn is_refusal(&self) -> bool {
-        matches!(self, InputError::Closing | InputError::TooManyOpenRequests)
+        matches!(self, InputError::Closing | InputError::TooManyOpenRequests | InputError::OutOfMemory)
     }
 
     /// The status code of the response.
@@ -103,7 +107,9 @@
             InputError::MethodNotAllowed(_) => StatusCode::METHOD_NOT_ALLOWED,
             InputError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             InputError::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            InputError::Closing | InputError::TooManyOpenRequests => StatusCode::SERVICE_UNAVAILABLE,
+            InputError::Closing | InputError::TooManyOpenRequests | InputError::OutOfMemory => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
         }
     }
 }
@@ -119,6 +125,8 @@
     pub(super) closed_at: Arc<OnceLock<Instant>>,
     /// Whether the connection holds a regular slot.
     pub(super) has_slot: bool,
+    /// The memory for the bodies of requests.
+    pub(super) buffers: BufferBudget,
 }
 
 impl Admission {
@@ -134,29 +142,33 @@
     }
 }
 
-/// Checks the request headers, then reads the body within its limits of size and time.
+/// The memory for what belongs to this request.
+pub(super) fn buffer_budget(head: &Parts) -> BufferBudget {
+    head.extensions
+        .get::<Admission>()
+        .map_or_else(BufferBudget::unlimited, |admission| admission.buffers.clone())
+}
+
+/// Checks the request headers, then reads the body within its limits of size, time and memory.
 pub(super) async fn read_body(head: &Parts, body: Incoming) -> Result<Bytes, InputError> {
     check_request_headers(&head.headers)?;
     if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Err(InputError::BodyTooLarge);
     }
-    let collected = Limited::new(body, MAX_BODY_BYTES).collect();
+    let buffers = buffer_budget(head);
+    let collected = collect_body(body, &buffers);
     let collected = match head.extensions.get::<ArrivalDeadline>() {
         Some(ArrivalDeadline(deadline)) => {
             timeout_at(*deadline, collected).await.map_err(|_| InputError::BodyTimeout)?
         }
         None => collected.await,
     };
-    let bytes = match collected {
-        Ok(body) => {
-            if let Some(notice) = head.extensions.get::<BodyReadNotice>() {
-                notice.notify();
-            }
-            body.to_bytes()
+    if matches!(collected, Ok(_) | Err(InputError::OutOfMemory)) {
+        if let Some(notice) = head.extensions.get::<BodyReadNotice>() {
+            notice.notify();
         }
-        Err(e) if e.is::<LengthLimitError>() => return Err(InputError::BodyTooLarge),
-        Err(_) => return Err(InputError::InvalidBody("the body broke off".into())),
-    };
+    }
+    let bytes = collected?;
     head.extensions.get::<Admission>().map_or(Ok(()), Admission::check)?;
     // A server could only reject an empty body.
     match bytes.is_empty() {
@@ -165,6 +177,31 @@
     }
 }
 
+/// Copies the body into one buffer, since a part that is kept as it arrived would keep all of the buffer that
+/// it was read into. Where the budget has no room, reads the body to its end all the same, so that the client
+/// gets its refusal on a connection that remains usable.
+async fn collect_body(body: Incoming, buffers: &BufferBudget) -> Result<Bytes, InputError> {
+    let max_bytes = body.size_hint().exact().map_or(MAX_BODY_BYTES, |length| length as usize);
+    let mut body = Limited::new(body, MAX_BODY_BYTES);
+    let mut buffer = ReservedBuffer::new(buffers, max_bytes);
+    let mut is_out_of_memory = false;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| match e.is::<LengthLimitError>() {
+            true => InputError::BodyTooLarge,
+            false => InputError::InvalidBody("the body broke off".into()),
+        })?;
+        let Some(data) = frame.data_ref() else { continue };
+        if !is_out_of_memory && buffer.try_extend(data).is_err() {
+            is_out_of_memory = true;
+            buffer.clear();
+        }
+    }
+    match is_out_of_memory {
+        true => Err(InputError::OutOfMemory),
+        false => Ok(buffer.into_bytes()),
+    }
+}
+
 /// Checks that each request header occurs at most once, has a bounded length, and is not listed as
 /// hop-by-hop: otherwise the server and the conductor could read one request differently.
 fn check_request_headers(headers: &HeaderMap) -> Result<(), InputError> {
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -27,6 +27,7 @@
 use super::framing::{FramingState, FramingStream, MAX_HEADERS};
 use super::input::{Admission, ArrivalDeadline, InputError};
 use super::socket::ClientSocket;
+use crate::buffer_budget::BufferBudget;
 use crate::transient::{is_resource_shortage, retry_at_start};
 
 /// Connections that the kernel queues until they are accepted.
@@ -102,6 +103,8 @@
     timeouts: ClientTimeouts,
     /// Whether another process may listen on the same address (`SO_REUSEPORT`).
     share_address: bool,
+    /// The memory for what clients send.
+    buffers: BufferBudget,
     /// Cancelled once shutdown is planned: each response then carries `Connection: close`.
     keep_alive_ended: CancellationToken,
     /// Cancelled once another process accepts the queued connections.
@@ -125,6 +128,7 @@
             limiter: ConnectionLimiter::new(max_connections),
             timeouts,
             share_address: false,
+            buffers: BufferBudget::unlimited(),
             keep_alive_ended: CancellationToken::new(),
             handed_over: CancellationToken::new(),
             closing: CancellationToken::new(),
@@ -141,6 +145,11 @@
         ClientListeners { share_address: true, ..self }
     }
 
+    /// Limits the memory for what clients send.
+    pub fn with_buffer_budget(self, buffers: BufferBudget) -> Self {
+        ClientListeners { buffers, ..self }
+    }
+
     /// Listens on an address and serves connections; returns the bound address.
     pub fn open<S: Service>(&self, address: SocketAddr, service: S) -> std::io::Result<SocketAddr> {
         self.serve_on(self.bind(address)?, service)
@@ -252,7 +261,12 @@
         let (closing, keep_alive_ended, log) =
             (self.closing.clone(), self.keep_alive_ended.clone(), self.log.clone());
         let unanswered = self.unanswered.clone();
-        let admission = Admission { closed_at: self.closed_at.clone(), has_slot: !slot.is_refusing() };
+        let buffers = self.buffers.clone();
+        let admission = Admission {
+            closed_at: self.closed_at.clone(),
+            has_slot: !slot.is_refusing(),
+            buffers: buffers.clone(),
+        };
         self.connections.spawn(async move {
             let (eviction, slot, framing) =
                 (slot.eviction_token(), Arc::new(slot), Arc::new(FramingState::default()));
@@ -260,7 +274,7 @@
             // only on a connection that is already closed.
             let _ = stream.set_nodelay(true);
             let peer = stream.peer_addr().ok();
-            let socket = ClientSocket::new(stream, write);
+            let socket = ClientSocket::new(stream, write, &buffers);
             let stream = FramingStream::new(socket.clone(), framing.clone(), slot.clone());
             let (request_slot, request_socket, head_state) = (slot.clone(), socket.clone(), framing.clone());
             let handler = service_fn(move |mut request: Request<Incoming>| {
--- a/daemon/src/front/socket.rs
+++ b/daemon/src/front/socket.rs
@@ -10,16 +10,16 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use bytes::{Buf, BytesMut};
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Sleep};
 use tokio_io_timeout::TimeoutStream;
 
+use crate::buffer_budget::{BufferBudget, ReservedBuffer};
 use crate::tcp::TcpConnection;
 
-/// Input kept while a request is open. Regular clients send one request at a time and stay below it; what
-/// comes beyond is read, since the client's disconnect may follow it, and dropped.
+/// Input kept while a request is open, if there is memory for it. Regular clients send one request at a time
+/// and stay below it; what comes beyond is read, since the client's disconnect may follow it, and dropped.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
 /// Size of one read while reading ahead.
 const READ_CHUNK_BYTES: usize = 16 << 10;
@@ -43,7 +43,7 @@
 struct Inner {
     stream: Pin<Box<TimeoutStream<TcpConnection>>>,
     /// Input that was read ahead and has not been handed to hyper.
-    read_ahead: BytesMut,
+    read_ahead: ReservedBuffer,
     /// How the input ended: `UnexpectedEof` at a regular end, otherwise the error.
     read_end: Option<ErrorKind>,
     /// Bytes read ahead since hyper last read from the socket itself.
@@ -55,11 +55,12 @@
 }
 
 impl ClientSocket {
-    /// Wraps a connection; writes fail once the client has taken nothing for `write_timeout`.
-    pub(super) fn new(stream: TcpStream, write_timeout: Duration) -> Self {
+    /// Wraps a connection; writes fail once the client has taken nothing for `write_timeout`. Input that is
+    /// read ahead takes memory from `buffers`.
+    pub(super) fn new(stream: TcpStream, write_timeout: Duration, buffers: &BufferBudget) -> Self {
         let mut stream = TimeoutStream::new(TcpConnection::new(stream));
         stream.set_write_timeout(Some(write_timeout));
-        let (stream, read_ahead) = (Box::pin(stream), BytesMut::new());
+        let (stream, read_ahead) = (Box::pin(stream), ReservedBuffer::new(buffers, MAX_READ_AHEAD_BYTES));
         let inner = Inner {
             stream,
             read_ahead,
@@ -112,8 +113,8 @@
                         .filled()
                         .len()
                         .min(MAX_READ_AHEAD_BYTES - inner.read_ahead.len().min(MAX_READ_AHEAD_BYTES));
-                    inner.read_ahead.extend_from_slice(&read.filled()[..kept]);
-                    inner.has_dropped_bytes |= kept < read.filled().len();
+                    let is_kept = inner.read_ahead.try_extend(&read.filled()[..kept]).is_ok();
+                    inner.has_dropped_bytes |= !is_kept || kept < read.filled().len();
                 }
                 Poll::Ready(Err(e)) => inner.read_end = Some(e.kind()),
             }
@@ -150,9 +151,7 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<Result<()>> {
         let inner = &mut *self.lock();
         if !inner.read_ahead.is_empty() {
-            let copied_bytes = inner.read_ahead.len().min(buf.remaining());
-            buf.put_slice(&inner.read_ahead[..copied_bytes]);
-            inner.read_ahead.advance(copied_bytes);
+            inner.read_ahead.read_into(buf);
             return Poll::Ready(Ok(()));
         }
         match inner.read_end {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod buffer_budget;
 pub mod config;
 pub mod discovery;
 pub mod front;
--- a/daemon/tests/platform.rs
+++ b/daemon/tests/platform.rs
@@ -279,6 +279,8 @@
         config.as_object_mut().unwrap().remove(key);
         config
     };
+    let mut too_little_memory = good.clone();
+    too_little_memory["limits"]["memory_mb"] = json!(31);
     let mut too_few_sockets = good.clone();
     too_few_sockets["limits"]["sockets"] = json!(10);
     let mut missing_rule = good.clone();
@@ -288,6 +290,7 @@
     let cases = [
         (without("listen"), "listen"),
         (too_few_sockets, "limits.sockets"),
+        (too_little_memory, "limits.memory_mb"),
         (missing_rule, "rules.fall"),
         (missing_endpoint, "known.targets: s-1: missing field `endpoint`"),
         (json!(7), "struct"),
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -765,8 +765,17 @@
 
     /// Resident memory in KiB.
     pub fn resident_kib(&self) -> u64 {
+        self.memory_figure("VmRSS:")
+    }
+
+    /// The largest resident memory so far, in KiB.
+    pub fn peak_memory_kib(&self) -> u64 {
+        self.memory_figure("VmHWM:")
+    }
+
+    fn memory_figure(&self, name: &str) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
         line.trim().trim_end_matches(" kB").parse().unwrap()
     }
 
