Copy the short replies of servers instead of keeping the buffers they came in

Seen: a prefill server whose replies come in chunks of one byte, 20,000 bytes each, took the conductor to 65,064 KiB with eight requests.

Cause: the same as for bodies of requests: `collect` keeps each part as it arrived, and with it the buffer of some KiB that it was read into. A reply may have 256 KiB, so one alone could exceed any limit.

--- a/daemon/src/upstream/attempt.rs
+++ b/daemon/src/upstream/attempt.rs
@@ -12,7 +12,6 @@
 use frosttrail::{Id, LoadReport, Outcome};
 use frosttrail_core::{AttemptReply, EventStream, SendPermit, StreamStep};
 use http_body::Body;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
@@ -20,7 +19,8 @@
 use tokio::time::{timeout_at, Instant};
 
 use super::connection::{Connection, WriteProgress};
-use super::pool::{ConnectFailure, ConnectionPool, MAX_BODY_BYTES};
+use super::pool::{ConnectFailure, ConnectionPool};
+use super::response_body::read_to_end;
 use super::sse::{load_report_comment, EventSplitter, InvalidEvent};
 use super::Call;
 
@@ -181,12 +181,12 @@
     body: Incoming,
     load: Option<LoadReport>,
 ) -> AttemptReply<ServerEvents> {
-    let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
+    let Ok(body) = read_to_end(body).await else {
         return AttemptReply::Ended(Outcome::ConnectionLost, load);
     };
     pool.put(server, connection);
     // The number of cached tokens is a hint; the prefill is valid without it.
-    let prefill_body = serde_json::from_slice(&body.to_bytes()).unwrap_or(PrefillBody { cached_tokens: 0 });
+    let prefill_body = serde_json::from_slice(&body).unwrap_or(PrefillBody { cached_tokens: 0 });
     AttemptReply::PrefillDone { cached_tokens: prefill_body.cached_tokens, load }
 }
 
--- a/daemon/src/upstream/calls.rs
+++ b/daemon/src/upstream/calls.rs
@@ -5,14 +5,14 @@
 
 use bytes::Bytes;
 use frosttrail::{Id, LoadReport, Outcome};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::time::timeout;
 
 use super::connection::{Connection, WriteProgress};
-use super::pool::{ConnectionPool, MAX_BODY_BYTES};
+use super::pool::ConnectionPool;
+use super::response_body::read_to_end;
 
 /// After this time without a response to a probe, the server counts as not answering.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -60,7 +60,7 @@
     let load_request = async {
         let (connection, response) = send_repeatable(pool, server, &Method::GET, "/_load").await?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await.ok()?.to_bytes();
+        let body = read_to_end(response.into_body()).await.ok()?;
         pool.put_settled(server, connection);
         Some((status, body))
     };
--- a/daemon/src/upstream/mod.rs
+++ b/daemon/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod idle_age;
 mod pool;
+mod response_body;
 mod sse;
 
 use std::collections::HashMap;
--- a/daemon/src/upstream/pool.rs
+++ b/daemon/src/upstream/pool.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use frosttrail::Id;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use prometheus::IntCounter;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -13,14 +12,13 @@
 
 use super::connection::Connection;
 use super::idle_age::IdleAgeLimits;
+use super::response_body::read_to_end;
 use super::{lock, AddressTable};
 
 /// Limits reading a response body to its end only to reuse the connection.
 const BODY_READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// The wait after a connection that failed for lack of descriptors, ports or memory on this machine.
 const LOCAL_RETRY_INTERVAL: Duration = Duration::from_millis(20);
-/// The largest response body that is read to its end. The protocol of the servers has none larger.
-pub(super) const MAX_BODY_BYTES: usize = 256 << 10;
 
 /// Why there is no new connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -203,8 +201,7 @@
     pub(super) fn put_after_body(self: &Arc<Self>, server: &Id, connection: Connection, body: Incoming) {
         let (pool, server) = (self.clone(), server.clone());
         tokio::spawn(async move {
-            let body = Limited::new(body, MAX_BODY_BYTES).collect();
-            if matches!(timeout(BODY_READ_TIMEOUT, body).await, Ok(Ok(_))) {
+            if matches!(timeout(BODY_READ_TIMEOUT, read_to_end(body)).await, Ok(Ok(_))) {
                 pool.put(&server, connection);
             }
         });
--- a/daemon/tests/memory.rs
+++ b/daemon/tests/memory.rs
@@ -10,7 +10,7 @@
 use support::chat::write_chat_config;
 use support::*;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
@@ -107,6 +107,49 @@
     stream.write_all(b"0\r\n\r\n").await
 }
 
+/// Starts a prefill server that writes its replies in tiny chunks; returns its address.
+async fn start_slow_writer() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                stream.set_nodelay(true).unwrap();
+                let mut buffer = Vec::new();
+                while let Ok(Some(_)) = read_request(&mut stream, &mut buffer).await {
+                    let head = b"HTTP/1.1 202 -\r\ntransfer-encoding: chunked\r\n\r\n";
+                    if stream.write_all(head).await.is_err()
+                        || write_tiny_chunks(&mut stream, 20_000).await.is_err()
+                    {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against servers' replies whose parts keep the buffers that they were read into.
+#[tokio::test]
+async fn a_reply_in_tiny_chunks_takes_little_memory() {
+    let decode = StandIn::start(COMPLETE_STREAM).await;
+    let servers = [("p", "prefill", start_slow_writer().await), ("d", "decode", decode.address)];
+    let config = config_json("n1", "127.0.0.1:9", DESCRIPTORS, &servers, &setup());
+    let process = DaemonProcess::start(program("memory-replies", &config));
+    let mut clients = JoinSet::new();
+    for n in 0..8 {
+        let (to, text) = (process.listen, chat(&format!("reply-{n}"), "ask", 6_000));
+        clients.spawn(async move { timeout(ANSWER_TIMEOUT, exchange(to, &text)).await.unwrap().status });
+    }
+    let statuses = clients.join_all().await;
+    assert!(statuses.contains(&200), "{statuses:?}");
+    let peak_kib = process.peak_memory_kib();
+    assert!(peak_kib * 1_024 <= 32_000_000, "{peak_kib} KiB at the peak");
+    process.signal("-TERM");
+    process.expect_clean_exit().await;
+}
+
 /// Guards against bodies whose parts keep the buffers that they were read into: a body in chunks of one byte
 /// took hundreds of times its size.
 #[tokio::test]
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -391,7 +391,7 @@
 }
 
 /// Reads one request; returns `None` at the end of the connection.
-async fn read_request(
+pub async fn read_request(
     stream: &mut TcpStream,
     buffer: &mut Vec<u8>,
 ) -> std::io::Result<Option<ReceivedRequest>> {
