Let streams that clients can't resume run to their ends after SIGTERM

Cause: `ShutdownSchedule` has one end for all sites, and `settings.resume` was used by nothing. Ruled out: a break by the servers (they write on) and a signal (none was sent).

What still could take one too late: a process held up between SIGTERM, the close and the check.

Change: the final answers are given as before. Where `resume` is false the process then waits for responses that have begun, and for nothing else; their last bytes and releases get 0.5 s. There the listeners close at 0.5 s, so that with 30 ms of grace and 0.15 s of delay nothing is taken past 0.7 s; the time of the close is fixed at SIGTERM. The membership is left with the final answers. Sites with `resume` keep their schedule.

--- a/daemon/src/command/graceful_shutdown.rs
+++ b/daemon/src/command/graceful_shutdown.rs
@@ -1,15 +1,22 @@
 //! The graceful shutdown of `frosttrail serve`: what happens between SIGTERM and the exit of the process.
 
+use std::time::Duration;
+
 use frosttrail_core::Conductor;
 use frosttrail_daemon::front::ClientListeners;
 use frosttrail_daemon::listener_handover::ListenerHandover;
 use frosttrail_daemon::shutdown::ShutdownSchedule;
 use frosttrail_daemon::upstream::HttpUpstream;
 use slog::{info, Logger};
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
+/// Time to send the last bytes of streams that ran on, and to release what they have left.
+const LAST_STREAM_FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// What a graceful shutdown ends.
 pub struct GracefulShutdown {
+    /// When SIGTERM was received.
+    pub started_at: Instant,
     pub schedule: ShutdownSchedule,
     pub conductor: Conductor<HttpUpstream>,
     pub client_listeners: ClientListeners,
@@ -18,49 +25,54 @@
 }
 
 impl GracefulShutdown {
-    /// Runs the steps of the schedule. Resolves once all requests and releases have ended, or when the
-    /// process has to exit; only streams that have begun at their clients may be cut off then.
-    pub async fn run(self, log: &Logger) {
-        let GracefulShutdown { schedule, conductor, client_listeners, handover } = self;
-        let started_at = Instant::now();
-        let last_answers = give_last_answers(schedule, started_at, &conductor);
+    /// Runs the steps of the schedule. Resolves once all requests and releases have ended, or when the time of
+    /// the schedule is over; only streams that have begun at their clients still run then.
+    pub async fn give_final_answers(&mut self, log: &Logger) {
+        let handover = self.handover.take();
         tokio::select! {
-            () = drain(schedule, started_at, &conductor, &client_listeners, handover) => {}
-            () = last_answers => {
-                info!(log, "shutdown timed out"; "connections" => client_listeners.connection_count(),
-                    "unanswered" => client_listeners.unanswered_count());
+            () = self.drain(handover) => {}
+            () = self.answer_remaining() => {
+                info!(log, "shutdown timed out"; "connections" => self.client_listeners.connection_count(),
+                    "streams" => self.client_listeners.stream_count(),
+                    "unanswered" => self.client_listeners.unanswered_count());
             }
         }
     }
-}
 
-/// Closes the listeners; resolves once every request has been answered and every KV cache released.
-async fn drain(
-    schedule: ShutdownSchedule,
-    started_at: Instant,
-    conductor: &Conductor<HttpUpstream>,
-    client_listeners: &ClientListeners,
-    handover: Option<ListenerHandover>,
-) {
-    sleep_until(started_at + schedule.close_listeners_after).await;
-    if let Some(handover) = handover {
-        handover.close().await;
+    /// Waits for the streams that still run, unless they may be cut off. Each ends with its server's stream, or
+    /// once its server or its client has been silent for too long.
+    pub async fn finish_streams(self, log: &Logger) {
+        if self.schedule.cuts_streams || self.client_listeners.stream_count() == 0 {
+            return;
+        }
+        self.client_listeners.wait_for_streams().await;
+        info!(log, "the last stream has ended"; "after" => ?self.started_at.elapsed());
+        let last_bytes_and_releases = async {
+            self.client_listeners.close().await;
+            self.conductor.wait_for_releases().await;
+        };
+        let _ = timeout(LAST_STREAM_FLUSH_TIMEOUT, last_bytes_and_releases).await;
     }
-    client_listeners.close().await;
-    conductor.wait_for_releases().await;
-}
 
-/// Has the remaining requests answered, first by the decisions, then whatever they have left unanswered.
-/// Resolves when the process has to exit.
-async fn give_last_answers(
-    schedule: ShutdownSchedule,
-    started_at: Instant,
-    conductor: &Conductor<HttpUpstream>,
-) {
-    sleep_until(started_at + schedule.answer_all_after).await;
-    conductor.close();
-    sleep_until(started_at + schedule.demand_answers_after).await;
-    conductor.demand_final_answers();
-    // Counted from the demand: if the process stalled before it, the answers still get their time to be sent.
-    sleep(schedule.exit_after - schedule.demand_answers_after).await;
+    /// Closes the listeners; resolves once every request has been answered and every KV cache released.
+    async fn drain(&self, handover: Option<ListenerHandover>) {
+        sleep_until(self.started_at + self.schedule.close_listeners_after).await;
+        if let Some(handover) = handover {
+            handover.close().await;
+        }
+        self.client_listeners.close().await;
+        self.conductor.wait_for_releases().await;
+    }
+
+    /// Has the remaining requests answered, first by the decisions, then whatever they have left unanswered.
+    /// Resolves when the time of the schedule is over.
+    async fn answer_remaining(&self) {
+        sleep_until(self.started_at + self.schedule.answer_all_after).await;
+        self.conductor.close();
+        sleep_until(self.started_at + self.schedule.demand_answers_after).await;
+        self.conductor.demand_final_answers();
+        // Counted from the demand: if the process stalled before it, the answers still get their time to be
+        // sent.
+        sleep(self.schedule.exit_after - self.schedule.demand_answers_after).await;
+    }
 }
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -22,7 +22,7 @@
 use slog::{info, Logger};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 use tokio_util::task::AbortOnDropHandle;
 
 use super::graceful_shutdown::GracefulShutdown;
@@ -149,21 +149,25 @@
     };
     is_serving.store(true, Ordering::Relaxed);
     signals.terminate.recv().await;
+    let started_at = Instant::now();
     is_serving.store(false, Ordering::Relaxed);
     let handover = service.as_mut().and_then(OpsService::begin_shutdown);
     let schedule = ShutdownSchedule::new(&conductor.settings());
     let has_successor = handover.as_ref().is_some_and(ListenerHandover::has_successor);
     info!(log, "SIGTERM: closing"; "within" => ?schedule.exit_after,
         "another process accepts" => has_successor);
+    client_listeners.plan_close(started_at + schedule.close_listeners_after);
     client_listeners.end_keep_alive();
     if has_successor {
         client_listeners.stop_accepting();
     }
-    GracefulShutdown { schedule, conductor, client_listeners, handover }.run(&log).await;
+    let mut shutdown = GracefulShutdown { started_at, schedule, conductor, client_listeners, handover };
+    shutdown.give_final_answers(&log).await;
     if let Some((membership, _quota_task)) = membership {
         // This instance sends nothing more, so the others take over its share.
         let _ = timeout(LEAVE_TIMEOUT, membership.leave()).await;
     }
+    shutdown.finish_streams(&log).await;
     Ok(())
 }
 
--- a/daemon/src/front/body.rs
+++ b/daemon/src/front/body.rs
@@ -13,6 +13,7 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
 use hyper::{Response, StatusCode};
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
 /// The body of a response.
 pub enum ResponseBody<E: EventStream> {
@@ -57,15 +58,20 @@
     }
 }
 
-/// A body that keeps its request open until the body has been sent or dropped.
+/// A body that keeps its request open, and counts as a response in progress, until it has been sent or dropped.
 pub(super) struct TrackedBody<E: EventStream> {
     body: ResponseBody<E>,
     _open_request: OpenRequestGuard,
+    _in_progress: TaskTrackerToken,
 }
 
 impl<E: EventStream> TrackedBody<E> {
-    pub(super) fn new(body: ResponseBody<E>, open_request: OpenRequestGuard) -> Self {
-        TrackedBody { body, _open_request: open_request }
+    pub(super) fn new(
+        body: ResponseBody<E>,
+        open_request: OpenRequestGuard,
+        in_progress: TaskTrackerToken,
+    ) -> Self {
+        TrackedBody { body, _open_request: open_request, _in_progress: in_progress }
     }
 }
 
--- a/daemon/src/front/input.rs
+++ b/daemon/src/front/input.rs
@@ -36,7 +36,7 @@
     ("x-resent", "X-Resent"),
     ("x-org", "X-Org"),
 ];
-/// Requests that are complete later than this after the listeners have closed are refused. The listeners
+/// Requests that are complete later than this after the time at which the listeners close are refused. They
 /// close at most 0.65 s after SIGTERM, and a stream that was admitted more than 0.7 s after SIGTERM and still
 /// runs at SIGKILL is lost.
 const ADMISSION_GRACE: Duration = Duration::from_millis(30);
@@ -121,8 +121,8 @@
 /// Decides whether a request may start once it has arrived in full.
 #[derive(Clone, Debug)]
 pub(super) struct Admission {
-    /// When the listeners were closed, if they are.
-    pub(super) closed_at: Arc<OnceLock<Instant>>,
+    /// When the listeners close or were closed, once that is known.
+    pub(super) closes_at: Arc<OnceLock<Instant>>,
     /// Whether the connection holds a regular slot.
     pub(super) has_slot: bool,
     /// The memory for the bodies of requests.
@@ -132,7 +132,7 @@
 impl Admission {
     fn check(&self) -> Result<(), InputError> {
         // A stream that starts now might still run when the process is killed.
-        if self.closed_at.get().is_some_and(|at| at.elapsed() > ADMISSION_GRACE) {
+        if self.closes_at.get().is_some_and(|at| at.elapsed() > ADMISSION_GRACE) {
             return Err(InputError::Closing);
         }
         match self.has_slot {
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -112,12 +112,14 @@
     /// Cancelled at shutdown: no connection is accepted any more, and each closes once it has no open
     /// request.
     closing: CancellationToken,
-    /// When `closing` was cancelled.
-    closed_at: Arc<OnceLock<Instant>>,
+    /// When `closing` is cancelled, once that is known.
+    closes_at: Arc<OnceLock<Instant>>,
     accepting: TaskTracker,
     connections: TaskTracker,
     /// Holds a token for each request whose response has not begun.
     unanswered: TaskTracker,
+    /// Holds a token for each response that has begun and not ended.
+    streams: TaskTracker,
     log: Logger,
 }
 
@@ -132,10 +134,11 @@
             keep_alive_ended: CancellationToken::new(),
             handed_over: CancellationToken::new(),
             closing: CancellationToken::new(),
-            closed_at: Arc::default(),
+            closes_at: Arc::default(),
             accepting: TaskTracker::new(),
             connections: TaskTracker::new(),
             unanswered: TaskTracker::new(),
+            streams: TaskTracker::new(),
             log,
         }
     }
@@ -184,6 +187,12 @@
         Ok(address)
     }
 
+    /// Announces when the listeners will close: what arrives later is refused, even if the process is held up
+    /// and closes them after that.
+    pub fn plan_close(&self, at: Instant) {
+        self.closes_at.get_or_init(|| at);
+    }
+
     /// Ends keep-alive ahead of shutdown: requests are still served, but each connection closes after its
     /// next response.
     pub fn end_keep_alive(&self) {
@@ -198,7 +207,7 @@
     /// Stops accepting connections; resolves once every accepted request is answered and all connections are
     /// closed.
     pub async fn close(&self) {
-        self.closed_at.get_or_init(Instant::now);
+        self.closes_at.get_or_init(Instant::now);
         self.closing.cancel();
         for tasks in [&self.accepting, &self.connections] {
             tasks.close();
@@ -216,6 +225,17 @@
         self.unanswered.len()
     }
 
+    /// The number of responses that have begun and not ended.
+    pub fn stream_count(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Resolves once every response that has begun has ended. The last bytes may not have been written yet.
+    pub async fn wait_for_streams(&self) {
+        self.streams.close();
+        self.streams.wait().await;
+    }
+
     async fn accept<S: Service>(self, listener: TcpListener, service: Arc<S>) {
         let (mut failures, mut warn_at) = (0, Instant::now());
         loop {
@@ -260,10 +280,10 @@
         let ClientTimeouts { request_arrival, idle, write } = self.timeouts;
         let (closing, keep_alive_ended, log) =
             (self.closing.clone(), self.keep_alive_ended.clone(), self.log.clone());
-        let unanswered = self.unanswered.clone();
+        let (unanswered, streams) = (self.unanswered.clone(), self.streams.clone());
         let buffers = self.buffers.clone();
         let admission = Admission {
-            closed_at: self.closed_at.clone(),
+            closes_at: self.closes_at.clone(),
             has_slot: !slot.is_refusing(),
             buffers: buffers.clone(),
         };
@@ -288,7 +308,7 @@
                 let (service, keep_alive_ended, framing) =
                     (service.clone(), keep_alive_ended.clone(), framing.clone());
                 let request_socket = request_socket.clone();
-                let unanswered_token = unanswered.token();
+                let (unanswered_token, streams) = (unanswered.token(), streams.clone());
                 async move {
                     let _unanswered_token = unanswered_token;
                     let mut response = match framing.is_ambiguous() {
@@ -305,7 +325,9 @@
                     if is_last || (is_client_error && !is_refused) {
                         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                     }
-                    Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, open_request)))
+                    Ok::<_, Infallible>(
+                        response.map(|body| TrackedBody::new(body, open_request, streams.token())),
+                    )
                 }
             });
             let connection = http1::Builder::new()
--- a/daemon/src/shutdown.rs
+++ b/daemon/src/shutdown.rs
@@ -19,6 +19,9 @@
 /// How long new requests are accepted at most after SIGTERM, while clients and the load balancer notice the
 /// shutdown. It is below 0.7 s: a stream that begins later than that and still runs at SIGKILL is lost.
 const MAX_NOTICE_PERIOD: Duration = Duration::from_millis(650);
+/// The same where streams that run on are not cut off. It leaves time for a process that is held up before it
+/// notices SIGTERM or reads the last request.
+const MAX_NOTICE_PERIOD_WITHOUT_CUT: Duration = Duration::from_millis(500);
 /// New connections keep arriving for at least this long after SIGTERM. Clients that then find the listeners
 /// closed reach another instance.
 const MIN_NOTICE_PERIOD: Duration = Duration::from_millis(400);
@@ -33,8 +36,11 @@
     pub answer_all_after: Duration,
     /// Every other request whose client has received nothing gets its final answer.
     pub demand_answers_after: Duration,
-    /// Streams that still run are cut off, and the process exits.
+    /// The process exits, unless streams still run that must not be cut off.
     pub exit_after: Duration,
+    /// Whether streams that still run then are cut off, as their clients resume them elsewhere. Otherwise a cut
+    /// loses the answer, so the process exits with the last stream.
+    pub cuts_streams: bool,
 }
 
 impl ShutdownSchedule {
@@ -44,9 +50,17 @@
         let exit_after = kill_time - KILL_MARGIN;
         let answer_all_after = exit_after.saturating_sub(FINAL_ANSWERS_TIME);
         let demand_answers_after = exit_after - DEMANDED_ANSWERS_TIME;
+        let cuts_streams = settings.resume;
+        let max_notice_period = if cuts_streams { MAX_NOTICE_PERIOD } else { MAX_NOTICE_PERIOD_WITHOUT_CUT };
         // About half of the time until the final answers is left for the requests that are accepted last.
         let close_listeners_after =
-            MAX_NOTICE_PERIOD.min((answer_all_after / 2).max(MIN_NOTICE_PERIOD)).min(answer_all_after);
-        ShutdownSchedule { close_listeners_after, answer_all_after, demand_answers_after, exit_after }
+            max_notice_period.min((answer_all_after / 2).max(MIN_NOTICE_PERIOD)).min(answer_all_after);
+        ShutdownSchedule {
+            close_listeners_after,
+            answer_all_after,
+            demand_answers_after,
+            exit_after,
+            cuts_streams,
+        }
     }
 }
--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -37,8 +37,14 @@
 fn shutdown_ends_before_sigkill_whatever_the_deadlines() {
     for deadline_ms in [1].into_iter().chain((50..=9_000).step_by(50)) {
         let setup = settings_with_deadline(deadline_ms);
-        let ShutdownSchedule { close_listeners_after, answer_all_after, demand_answers_after, exit_after } =
-            ShutdownSchedule::new(&settings(&setup, &ConfiguredNames::new(&setup).unwrap()).unwrap());
+        let ShutdownSchedule {
+            close_listeners_after,
+            answer_all_after,
+            demand_answers_after,
+            exit_after,
+            cuts_streams,
+        } = ShutdownSchedule::new(&settings(&setup, &ConfiguredNames::new(&setup).unwrap()).unwrap());
+        assert!(cuts_streams, "{deadline_ms} ms");
         assert!(
             close_listeners_after <= answer_all_after && answer_all_after < exit_after,
             "{deadline_ms} ms"
@@ -57,6 +63,30 @@
     assert!(settings(&setup, &ConfiguredNames::new(&setup).unwrap()).is_err());
 }
 
+/// Settings whose classes all have this deadline, of a site whose clients can't resume a stream.
+fn settings_without_resume(deadline_ms: u64) -> Value {
+    let mut setup = settings_with_deadline(deadline_ms);
+    setup["specifics"]["resume"] = json!(false);
+    setup
+}
+
+/// Guards against streams that are taken so late that SIGKILL may lose them: what is complete over 0.7 s after
+/// SIGTERM has no stream, even if the process was held up for 0.15 s.
+#[test]
+fn where_streams_run_on_none_is_taken_within_a_delay_of_the_last_moment() {
+    let last_moment = Duration::from_millis(700);
+    let admission_grace = Duration::from_millis(30);
+    let delay = Duration::from_millis(150);
+    for deadline_ms in [1].into_iter().chain((50..=9_000).step_by(50)) {
+        let setup = settings_without_resume(deadline_ms);
+        let schedule =
+            ShutdownSchedule::new(&settings(&setup, &ConfiguredNames::new(&setup).unwrap()).unwrap());
+        assert!(!schedule.cuts_streams, "{deadline_ms} ms");
+        assert!(schedule.close_listeners_after + admission_grace + delay <= last_moment, "{deadline_ms} ms");
+        assert!(schedule.exit_after < time_until_sigkill(deadline_ms), "{deadline_ms} ms");
+    }
+}
+
 fn request(id: &str, class: &str, remaining_ms: u64) -> String {
     keep_alive(&chat(id, class, remaining_ms))
 }
@@ -250,3 +280,109 @@
     assert!(sigterm_sent.elapsed() < time_until_sigkill(1_000), "{:?}", sigterm_sent.elapsed());
     process.expect_clean_exit().await;
 }
+
+/// The configuration of a process with these two servers, at a site whose clients can't resume a stream.
+fn config_without_resume(prefill: &StandIn, decode: &StandIn, deadline_ms: u64) -> String {
+    let servers = [("p", "prefill", prefill.address), ("d", "decode", decode.address)];
+    config_json("n1", "127.0.0.1:9", 512, &servers, &settings_without_resume(deadline_ms))
+}
+
+/// A request of the chat front whose client streams.
+fn streamed_chat_request(id: &str, class: &str) -> String {
+    let headers = format!("x-txn: {id}\r\nx-lane: {class}\r\n");
+    let messages = json!([{"role": "user", "content": "Two at eight."}]);
+    let body = json!({"model": "chat", "stream": true, "messages": messages});
+    keep_alive(&post("/v1/chat/completions", &headers, &body.to_string()))
+}
+
+/// Starts two streams of 3 s, sends SIGTERM, and returns whether each was whole. The schedule is over 1.4 s after
+/// SIGTERM. Checks that the process ends with the last stream.
+async fn streams_over_a_planned_end(process: DaemonProcess, decode: &StandIn, text: &[String]) -> Vec<bool> {
+    let mut clients = Vec::new();
+    for text in text {
+        decode.next(Behavior::StreamsTimestamps(300, 10));
+        let client = send(process.listen, text).await;
+        client.readable().await.unwrap();
+        clients.push(client);
+    }
+    process.signal("-TERM");
+    let mut outcomes = Vec::new();
+    for mut client in clients {
+        outcomes.push(read_outcome(&mut client).await == Some((200, true)));
+    }
+    timeout(Duration::from_secs(1), process.expect_clean_exit()).await.expect("an end with the last stream");
+    outcomes
+}
+
+/// Guards against a planned end that cuts streams which their clients can't resume: each is lost, although its
+/// server goes on writing.
+#[tokio::test]
+async fn streams_that_clients_can_not_resume_run_to_their_ends() {
+    let (prefill, decode) = (StandIn::start(PREFILL_RESPONSE).await, StandIn::start(COMPLETE_STREAM).await);
+    let requests = ["ask", "book"].map(|class| request(&format!("runs-on-{class}"), class, 1_000));
+    let config_text = config_without_resume(&prefill, &decode, 1_000);
+    let process = DaemonProcess::start(program("runs-on", &config_text));
+    assert_eq!(streams_over_a_planned_end(process, &decode, &requests).await, [true, true]);
+    let requests = ["ask", "book"].map(|class| streamed_chat_request(&format!("chat-{class}"), class));
+    let process = start_with_chat("runs-on-chat", &config_text);
+    assert_eq!(streams_over_a_planned_end(process, &decode, &requests).await, [true, true]);
+    // Where clients resume streams, they are cut off in time for that.
+    let requests = ["ask", "book"].map(|class| request(&format!("resumes-{class}"), class, 1_000));
+    let process = DaemonProcess::start(program("resumes", &config(&prefill, &decode, 1_000)));
+    assert_eq!(streams_over_a_planned_end(process, &decode, &requests).await, [false, false]);
+}
+
+/// Guards against a process that stays until SIGKILL although it owes nobody anything: a silent server, a
+/// request that arrives in part, an idle client and a release that no server accepts don't keep it.
+#[tokio::test]
+async fn a_process_that_owes_no_stream_ends_before_sigkill_where_streams_run_on() {
+    let (prefill, mut decode) =
+        (StandIn::start(PREFILL_RESPONSE).await, StandIn::start(Behavior::StaysSilent).await);
+    let process =
+        DaemonProcess::start(program("owes-nothing", &config_without_resume(&prefill, &decode, 1_000)));
+    let mut open = Vec::new();
+    for class in ["ask", "book"] {
+        open.push(send(process.listen, &request(&format!("open-{class}"), class, 8_000)).await);
+    }
+    while decode.posts().len() < 2 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let _idle = TcpStream::connect(process.listen).await.unwrap();
+    let sigterm_sent = Instant::now();
+    process.signal("-TERM");
+    sleep(Duration::from_millis(300)).await;
+    let partial = request("partial", "ask", 8_000);
+    let _partial = send(process.listen, &partial[..partial.len() - 1]).await;
+    decode.refuse_all().await;
+    for mut client in open {
+        let answer = read_outcome(&mut client).await;
+        assert!(answer.is_some_and(|(status, _)| status >= 500), "{answer:?}");
+        assert!(sigterm_sent.elapsed() < time_until_sigkill(1_000), "{:?}", sigterm_sent.elapsed());
+    }
+    process.expect_clean_exit().await;
+    assert!(sigterm_sent.elapsed() < time_until_sigkill(1_000), "{:?}", sigterm_sent.elapsed());
+}
+
+/// Guards against a stream that is taken late on a connection that stays open, and that SIGKILL may lose.
+#[tokio::test]
+async fn a_request_that_is_complete_after_the_close_is_refused_where_streams_run_on() {
+    let (prefill, decode) =
+        (StandIn::start(PREFILL_RESPONSE).await, StandIn::start(Behavior::StreamsTimestamps(100, 60)).await);
+    let process =
+        DaemonProcess::start(program("runs-on-late", &config_without_resume(&prefill, &decode, 3_000)));
+    let text = request("late", "ask", 3_000);
+    let (first, last) = text.split_at(text.len() - 1);
+    let mut client = send(process.listen, &keep_alive(READY_REQUEST)).await;
+    let mut seen = Vec::new();
+    while !seen.ends_with(b"ready\n") {
+        assert!(client.read_buf(&mut seen).await.unwrap() > 0);
+    }
+    process.signal("-TERM");
+    sleep(Duration::from_millis(400)).await;
+    client.write_all(first.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(200)).await;
+    client.write_all(last.as_bytes()).await.unwrap();
+    assert_eq!(read_outcome(&mut client).await, Some((503, true)));
+    assert!(prefill.posts().is_empty(), "the request was sent on");
+    process.expect_clean_exit().await;
+}
--- a/daemon/tests/upgrade.rs
+++ b/daemon/tests/upgrade.rs
@@ -231,3 +231,25 @@
         wait_for_status(process.listen, &format!("after-{index}"), 200).await;
     }
 }
+
+/// Guards against an upgrade that cuts streams which their clients can't resume: the old process stays for them.
+#[tokio::test]
+async fn streams_that_clients_can_not_resume_outlive_an_upgrade() {
+    let (mut deployment, _reserved) = deployment_with_shared_address("upgrade-streams").await;
+    deployment.config["settings"]["specifics"]["resume"] = json!(false);
+    for class in deployment.config["settings"]["grades"].as_array_mut().unwrap() {
+        class["deadline"] = json!(1_000_000);
+    }
+    let (old, _) = deployment.start("upgrade-streams").await;
+    deployment.servers[1].next(Behavior::StreamsTimestamps(300, 10));
+    let stream = send(old.listen, &chat("stream", "book", 1_000)).await;
+    stream.readable().await.unwrap();
+    let (new, _) = deployment.start("upgrade-streams-new").await;
+    old.signal("-TERM");
+    // New requests are served meanwhile, and the stream is whole.
+    assert_eq!(exchange(new.listen, &request("beside")).await.status, 200);
+    assert!(read_answer(stream).await.whole, "the stream was cut off");
+    old.expect_clean_exit().await;
+    new.signal("-TERM");
+    new.expect_clean_exit().await;
+}
