Report a push once its receiver has confirmed the grant

Cause: `HandedOver` resolved the push when the grant was queued. With the push the route was forgotten, so nobody dialed again, and the receiver of a push can't. Ruled out: the receiver (it waits 0.9 s for the grant, and resumes if a connection comes).

Change: the receiver confirms each grant (kind 18, feature bit 0). Unconfirmed grants are repeated on its next connection, a push dials until its receipt has come, and fails with contact lost after the hold time. The receiver confirms repeated grants, and takes one on another connection of the same sender. Why not less: without a receipt a lost grant can't be told from one that arrived. Earlier builds: their status reply, asked for behind the grant, shows that it was read.

Related path, the same cause: a node that drains ended with the hand-over of its last KV cache, so that a fetch could lose the grant; `wait_until_idle` waits for receipts.

The simulated receivers now answer receipts and status requests; no check was changed.

--- a/transfer/src/lease.rs
+++ b/transfer/src/lease.rs
@@ -21,8 +21,9 @@
     /// Held here and claimed by a receiver; `disconnected_at` is when it was last active, if its
     /// connection is lost.
     Claimed { by: Claimant, disconnected_at: Option<Micros> },
-    /// Owned by the receiver; kept so that a receiver that missed the grant learns of it.
-    HandedOver { to: Claimant, at: Micros },
+    /// Owned by the receiver; kept so that a receiver that missed the grant learns of it, until it has
+    /// confirmed the grant and beyond.
+    HandedOver { to: Claimant, at: Micros, is_confirmed: bool },
 }
 
 /// The ownership of one KV cache.
@@ -98,7 +99,7 @@
     pub fn hand_over(&mut self, now: Micros, claimant: Claimant) -> Result<(), Cause> {
         match self.ownership {
             Ownership::Claimed { by, .. } if by == claimant => {
-                self.ownership = Ownership::HandedOver { to: claimant, at: now };
+                self.ownership = Ownership::HandedOver { to: claimant, at: now, is_confirmed: false };
                 Ok(())
             }
             Ownership::HandedOver { to, .. } if to == claimant => Ok(()),
@@ -107,6 +108,24 @@
         }
     }
 
+    /// Records that the owner has received the grant. Returns whether that is new.
+    pub fn confirm(&mut self, claimant: Claimant) -> bool {
+        match &mut self.ownership {
+            Ownership::HandedOver { to, is_confirmed, .. } if *to == claimant => {
+                !std::mem::replace(is_confirmed, true)
+            }
+            _ => false,
+        }
+    }
+
+    /// The owner, if it is not known whether the grant has reached it.
+    pub fn unconfirmed_owner(&self) -> Option<Claimant> {
+        match self.ownership {
+            Ownership::HandedOver { to, is_confirmed: false, .. } => Some(to),
+            _ => None,
+        }
+    }
+
     /// Whether this server is the owner.
     pub fn is_held_here(&self) -> bool {
         !matches!(self.ownership, Ownership::HandedOver { .. })
--- a/transfer/src/receiver.rs
+++ b/transfer/src/receiver.rs
@@ -46,6 +46,9 @@
     }
 }
 
+/// Completed transfers whose tokens are remembered, so that a repeated grant is confirmed again.
+const MAX_REMEMBERED_GRANTS: usize = 1_024;
+
 /// An action for the service to carry out.
 #[derive(Debug)]
 pub enum Action {
@@ -146,6 +149,8 @@
     fetches: BTreeMap<TransferToken, Fetch>,
     peers: HashMap<ConnectionId, Peer>,
     last_token: TransferToken,
+    /// The tokens of the latest completed transfers.
+    granted: VecDeque<TransferToken>,
     actions: VecDeque<Action>,
 }
 
@@ -159,6 +164,7 @@
             fetches: BTreeMap::new(),
             peers: HashMap::new(),
             last_token: 0,
+            granted: VecDeque::new(),
             actions: VecDeque::new(),
         }
     }
@@ -405,11 +411,24 @@
         }
     }
 
-    /// Handles the sender's grant of ownership.
+    /// Handles the sender's grant of ownership, and confirms it. It may come on another connection of the same
+    /// sender than the transfer, before the loss of that one is noticed, and again if the receipt was lost.
     pub fn handle_grant(&mut self, conn: ConnectionId, token: TransferToken) {
-        if self.fetch_on(conn, token).is_none_or(|fetch| !matches!(fetch.stage, Stage::AwaitingGrant(_))) {
+        if self.granted.contains(&token) {
+            self.actions.push_back(Action::Send(conn, Frame::GrantReceipt(token)));
+            return;
+        }
+        let route = self.peers.get(&conn).and_then(|peer| peer.route);
+        let is_awaited =
+            |fetch: &Fetch| Some(fetch.route) == route && matches!(fetch.stage, Stage::AwaitingGrant(_));
+        if !self.fetches.get(&token).is_some_and(is_awaited) {
             return;
         }
+        if self.granted.len() == MAX_REMEMBERED_GRANTS {
+            self.granted.pop_front();
+        }
+        self.granted.push_back(token);
+        self.actions.push_back(Action::Send(conn, Frame::GrantReceipt(token)));
         if let Some(Fetch { id, stage: Stage::AwaitingGrant(chunks), offer: Some(offer), .. }) =
             self.remove_fetch(token)
         {
--- a/transfer/src/sender.rs
+++ b/transfer/src/sender.rs
@@ -62,6 +62,11 @@
     Freed(RequestId, Cause),
     /// A KV cache was handed over to its receiver and is no longer held here.
     HandedOver(RequestId),
+    /// The receiver of a KV cache that was handed over has received the grant.
+    GrantConfirmed(RequestId),
+    /// It is not known whether the receiver of a KV cache that was handed over has received the grant, and
+    /// for this reason it will not be known. A receiver without the grant frees its copy.
+    GrantUnconfirmed(RequestId, Cause),
 }
 
 /// Identifies a prefill that has begun. Its KV cache is dropped at once if the request is released meanwhile.
@@ -91,6 +96,12 @@
     incarnation: Incarnation,
     last_activity: Micros,
     transfers: BTreeMap<TransferToken, FlowId>,
+    /// Whether it sends receipts for grants.
+    has_grant_receipts: bool,
+    /// Grants that were sent on this connection and are not confirmed.
+    unconfirmed_grants: BTreeMap<TransferToken, RequestId>,
+    /// The grants that were each followed by a status request, in order, if it sends no receipts.
+    awaiting_status: VecDeque<TransferToken>,
 }
 
 /// State machine of a process's sending side.
@@ -205,12 +216,75 @@
 
     /// Adds a connection after the handshake.
     pub fn add_connection(&mut self, now: Micros, conn: ConnectionId, hello: Hello) {
-        let peer = Peer { incarnation: hello.incarnation, last_activity: now, transfers: BTreeMap::new() };
+        let peer = Peer {
+            incarnation: hello.incarnation,
+            last_activity: now,
+            transfers: BTreeMap::new(),
+            has_grant_receipts: hello.has_grant_receipts(),
+            unconfirmed_grants: BTreeMap::new(),
+            awaiting_status: VecDeque::new(),
+        };
         self.peers.insert(conn, peer);
         self.scheduler.add_peer(conn, u64::from(hello.window_bytes));
         if let Some(end) = self.drain_deadline {
             self.actions.push_back(Action::Send(conn, Frame::Drain(millis(end.saturating_sub(now)))));
         }
+        self.resend_grants(conn, hello.incarnation);
+    }
+
+    /// Repeats the grants to a receiver that may have been lost with its previous connection.
+    fn resend_grants(&mut self, conn: ConnectionId, incarnation: Incarnation) {
+        let unconfirmed = self.caches.iter().filter_map(|(id, held)| {
+            let owner = held.lease.unconfirmed_owner()?;
+            (owner.incarnation == incarnation).then(|| (owner.token, id.clone()))
+        });
+        for (token, id) in unconfirmed.collect::<Vec<_>>() {
+            self.send_grant(conn, token, id);
+        }
+    }
+
+    /// Sends a grant, which its receiver is to confirm. One that sends no receipts is asked for its status: as
+    /// it handles frames in order, the reply shows that the grant has arrived.
+    fn send_grant(&mut self, conn: ConnectionId, token: TransferToken, id: RequestId) {
+        self.actions.push_back(Action::Send(conn, Frame::Grant(token)));
+        let Some(peer) = self.peers.get_mut(&conn) else { return };
+        peer.unconfirmed_grants.insert(token, id);
+        if !peer.has_grant_receipts {
+            peer.awaiting_status.push_back(token);
+            self.actions.push_back(Action::Send(conn, Frame::StatusAsk));
+        }
+    }
+
+    /// Handles a status, which confirms the earliest grant to a receiver that sends no receipts.
+    pub fn handle_status(&mut self, conn: ConnectionId) {
+        if let Some(token) = self.peers.get_mut(&conn).and_then(|peer| peer.awaiting_status.pop_front()) {
+            self.handle_grant_receipt(conn, token);
+        }
+    }
+
+    /// Handles a receiver's receipt for a grant.
+    pub fn handle_grant_receipt(&mut self, conn: ConnectionId, token: TransferToken) {
+        let Some(peer) = self.peers.get(&conn) else { return };
+        let owner = Claimant { incarnation: peer.incarnation, token };
+        let Some(id) = self.forget_grant(owner) else { return };
+        if self.caches.get_mut(&id).is_some_and(|held| held.lease.confirm(owner)) {
+            self.actions.push_back(Action::GrantConfirmed(id));
+        }
+    }
+
+    /// Removes a grant from the connections on which its receipt is awaited.
+    fn forget_grant(&mut self, owner: Claimant) -> Option<RequestId> {
+        let peers = self.peers.values_mut().filter(|peer| peer.incarnation == owner.incarnation);
+        peers.filter_map(|peer| peer.unconfirmed_grants.remove(&owner.token)).last()
+    }
+
+    /// Whether the owner confirms nothing, and the connection still stands on which it was sent the grant.
+    fn is_presumed_granted(&self, owner: Claimant) -> bool {
+        self.peers.values().any(|peer| {
+            peer.incarnation == owner.incarnation
+                && !peer.has_grant_receipts
+                && peer.unconfirmed_grants.contains_key(&owner.token)
+        })
     }
 
     /// Records that data arrived on a connection.
@@ -251,7 +325,10 @@
         };
         let frame = match claim {
             Err(cause) => Frame::Abort(token, cause),
-            Ok(ClaimOutcome::AlreadyOwner) => Frame::Grant(token),
+            Ok(ClaimOutcome::AlreadyOwner) => {
+                self.send_grant(conn, token, id);
+                return Ok(());
+            }
             Ok(ClaimOutcome::New { .. } | ClaimOutcome::Unchanged) => {
                 let deadline = (deadline_ms > 0).then(|| now + Micros::from(deadline_ms) * 1_000);
                 return {
@@ -342,19 +419,17 @@
             None => Err(Cause::NotFound),
         };
         self.end_transfer(flow);
-        let frame = match handed_over {
-            Ok(()) => {
-                if let Some(held) = self.caches.get_mut(&id) {
-                    held.flow = None;
-                    held.chunks = Vec::new();
-                    self.held_bytes -= held.proof.layout().length();
-                }
-                self.actions.push_back(Action::HandedOver(id));
-                Frame::Grant(token)
-            }
-            Err(cause) => Frame::Abort(token, cause),
-        };
-        self.actions.push_back(Action::Send(conn, frame));
+        if let Err(cause) = handed_over {
+            self.actions.push_back(Action::Send(conn, Frame::Abort(token, cause)));
+            return;
+        }
+        if let Some(held) = self.caches.get_mut(&id) {
+            held.flow = None;
+            held.chunks = Vec::new();
+            self.held_bytes -= held.proof.layout().length();
+        }
+        self.actions.push_back(Action::HandedOver(id.clone()));
+        self.send_grant(conn, token, id);
     }
 
     /// Handles the end of a transfer by its receiver. The KV cache waits for another receiver, unless it
@@ -407,6 +482,20 @@
             self.held_bytes -= held.proof.layout().length();
             self.actions.push_back(Action::Freed(id.clone(), cause));
         }
+        if let Some(owner) = held.lease.unconfirmed_owner() {
+            self.end_unconfirmed(id, owner, cause);
+        }
+    }
+
+    /// Reports what is known of a grant whose receipt is no longer awaited.
+    fn end_unconfirmed(&mut self, id: &RequestId, owner: Claimant, cause: Cause) {
+        let is_presumed_granted = self.is_presumed_granted(owner);
+        self.forget_grant(owner);
+        let cause = if cause == Cause::Expired { Cause::PeerLost } else { cause };
+        self.actions.push_back(match is_presumed_granted {
+            true => Action::GrantConfirmed(id.clone()),
+            false => Action::GrantUnconfirmed(id.clone(), cause),
+        });
     }
 
     /// Stops new prefills. KV caches that are held may be fetched until `end` and are freed then.
@@ -456,9 +545,16 @@
         self.actions.pop_front()
     }
 
-    /// Whether transfers are under way on a connection.
+    /// Whether transfers are under way on a connection, or receipts for grants are to come.
     pub fn has_transfers(&self, conn: ConnectionId) -> bool {
-        self.peers.get(&conn).is_some_and(|peer| !peer.transfers.is_empty())
+        self.peers.get(&conn).is_some_and(|peer| {
+            !peer.transfers.is_empty() || (peer.has_grant_receipts && !peer.unconfirmed_grants.is_empty())
+        })
+    }
+
+    /// Whether it is not known of some grant whether it has reached its receiver.
+    pub fn has_unconfirmed_grants(&self) -> bool {
+        self.caches.values().any(|held| held.lease.unconfirmed_owner().is_some())
     }
 
     /// Whether a KV cache of the request is held here.
--- a/transfer/src/service/connection.rs
+++ b/transfer/src/service/connection.rs
@@ -19,7 +19,7 @@
 use super::session_manager::{queued_size, OpenConnection, SessionManager, WriteItem};
 use crate::receiver::RouteId;
 use crate::sender::ProtocolError;
-use crate::wire::{chunk_header, Codec, Frame, Hello, WireError, VERSION};
+use crate::wire::{chunk_header, Codec, Frame, Hello, WireError, FEATURE_GRANT_RECEIPTS, VERSION};
 use crate::ConnectionId;
 
 /// Initial and smallest size of a read buffer. A chunk keeps the buffer that it was read into, so with a
@@ -137,7 +137,8 @@
     writer: &mut (impl AsyncWrite + Unpin),
 ) -> Result<Hello, WireError> {
     let (incarnation, window_bytes) = (manager.incarnation, manager.config.receiver.window_bytes);
-    let hello = Frame::Hello(Hello { version: VERSION, features: 0, incarnation, window_bytes });
+    let hello =
+        Frame::Hello(Hello { version: VERSION, features: FEATURE_GRANT_RECEIPTS, incarnation, window_bytes });
     let mut bytes = BytesMut::new();
     Codec::default().encode(&hello, &mut bytes)?;
     writer.write_all(&bytes).await?;
--- a/transfer/src/service/node.rs
+++ b/transfer/src/service/node.rs
@@ -225,7 +225,9 @@
         }
     }
 
-    /// Announces a KV cache that is held here to the node at an address; returns once that node owns it.
+    /// Announces a KV cache that is held here to the node at an address; returns once that node has confirmed
+    /// that it owns it. After an error the node may own it all the same: [`Cause::PeerLost`] says that its
+    /// confirmation did not come in time.
     pub async fn push(&self, id: &RequestId, to: SocketAddr) -> Result<(), Cause> {
         self.manager.push(id.clone(), to)?.await.unwrap_or(Err(Cause::PeerLost))
     }
@@ -249,7 +251,8 @@
         self.manager.drain(within.as_micros() as u64);
     }
 
-    /// Waits until no KV cache is held and no fetch is under way.
+    /// Waits until no KV cache is held, the receivers of all others have confirmed them, and no fetch is under
+    /// way. A receiver that does not respond is waited for no longer than a KV cache is held.
     pub async fn wait_until_idle(&self) {
         loop {
             let transfer_ended = self.manager.transfer_ended.notified();
--- a/transfer/src/service/session_manager.rs
+++ b/transfer/src/service/session_manager.rs
@@ -47,6 +47,8 @@
     /// Notified when a transfer may have started, as that shortens the timeout of the connection.
     transfers_changed: Arc<Notify>,
     route: RouteId,
+    /// Whether the peer takes receipts for grants.
+    has_grant_receipts: bool,
 }
 
 /// Notifies the caller that waits for a push to end.
@@ -185,11 +187,19 @@
         while let Some(action) = inner.sender.next_action() {
             match action {
                 sender::Action::Send(conn, frame) => inner.send(conn, frame),
-                sender::Action::HandedOver(id) => {
+                sender::Action::HandedOver(_) => {
                     inner.totals.given += 1;
+                    self.transfer_ended.notify_waiters();
+                }
+                sender::Action::GrantConfirmed(id) => {
                     inner.finish_push(&id, Ok(()));
                     self.transfer_ended.notify_waiters();
                 }
+                sender::Action::GrantUnconfirmed(id, cause) => {
+                    info!(self.log, "a receiver did not confirm its KV cache"; "request" => %id, "why" => %cause);
+                    inner.finish_push(&id, Err(cause));
+                    self.transfer_ended.notify_waiters();
+                }
                 sender::Action::Freed(id, cause) => {
                     inner.totals.freed += 1;
                     info!(self.log, "freed a KV cache"; "request" => %id, "why" => %cause);
@@ -286,12 +296,15 @@
                 overflowed: overflowed.clone(),
                 transfers_changed: transfers_changed.clone(),
                 route,
+                has_grant_receipts: hello.has_grant_receipts(),
             };
             inner.connections.insert(conn, connection);
             inner.sender.add_connection(now, conn, hello);
             inner.receiver.add_connection(now, conn, Some(route));
-            let announcements = inner.pushes.iter().filter(|(_, (r, _))| *r == route);
-            for id in announcements.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            let pushed_here = inner.pushes.iter().filter(|(_, (r, _))| *r == route);
+            // One that has been handed over is granted again instead.
+            let announcements = pushed_here.map(|(id, _)| id).filter(|id| inner.sender.holds(id));
+            for id in announcements.cloned().collect::<Vec<_>>() {
                 inner.send(conn, Frame::Announce(id));
             }
             conn
@@ -346,6 +359,7 @@
             Frame::Credit(bytes) => inner.sender.handle_credit(conn, bytes),
             Frame::Complete(token) => inner.sender.handle_complete(now, conn, token),
             Frame::Grant(token) => inner.receiver.handle_grant(conn, token),
+            Frame::GrantReceipt(token) => inner.sender.handle_grant_receipt(conn, token),
             Frame::GiveUp(token, cause) => inner.sender.handle_give_up(now, conn, token, cause),
             Frame::Abort(token, cause) => inner.receiver.handle_abort(conn, token, cause),
             // Concerns only what is held here: a fetch by this node has a caller that waits for it.
@@ -357,7 +371,8 @@
                 inner.send(conn, Frame::Status(text.into()));
             }
             Frame::Drain(left_ms) => info!(self.log, "peer is draining"; "left_ms" => left_ms),
-            Frame::Hello(_) | Frame::Beat | Frame::Status(_) => {}
+            Frame::Status(_) => inner.sender.handle_status(conn),
+            Frame::Hello(_) | Frame::Beat => {}
         }
         Ok(())
     }
@@ -490,10 +505,11 @@
         }
     }
 
-    /// Whether no KV cache is held and no fetch is under way.
+    /// Whether no KV cache is held, no grant is unconfirmed and no fetch is under way.
     pub(crate) fn is_idle(&self) -> bool {
         let inner = self.lock();
-        inner.sender.held().0 == 0 && inner.receiver.usage().0 == 0
+        let is_sender_idle = inner.sender.held().0 == 0 && !inner.sender.has_unconfirmed_grants();
+        is_sender_idle && inner.receiver.usage().0 == 0
     }
 
     /// Closes all connections and stops all dialers, as the node is dropped.
@@ -617,6 +633,9 @@
 
     fn send(&mut self, conn: ConnectionId, frame: Frame) {
         let Some(connection) = self.connections.get_mut(&conn) else { return };
+        if matches!(frame, Frame::GrantReceipt(_)) && !connection.has_grant_receipts {
+            return;
+        }
         connection.queued_bytes += queued_size(&frame);
         if connection.queued_bytes > MAX_QUEUED_BYTES {
             connection.overflowed.cancel();
--- a/transfer/src/wire/codec.rs
+++ b/transfer/src/wire/codec.rs
@@ -87,6 +87,7 @@
     pub const STATUS_ASK: u8 = 15;
     pub const STATUS: u8 = 16;
     pub const GIVE_UP: u8 = 17;
+    pub const GRANT_RECEIPT: u8 = 18;
 }
 
 const OFFER_FIXED_BYTES: usize = 8 + 4 + 8 + 4 + 32;
@@ -103,7 +104,7 @@
         kind::REFUSE => 1 + MAX_REQUEST_ID_BYTES,
         kind::ABORT | kind::GIVE_UP => 1,
         kind::CREDIT | kind::DRAIN => 4,
-        kind::COMPLETE | kind::GRANT | kind::BEAT | kind::STATUS_ASK => 0,
+        kind::COMPLETE | kind::GRANT | kind::GRANT_RECEIPT | kind::BEAT | kind::STATUS_ASK => 0,
         kind::STATUS => MAX_STATUS_BYTES,
         _ => return None,
     })
@@ -232,6 +233,7 @@
         kind::CREDIT => Frame::Credit(body.get_u32()),
         kind::COMPLETE => Frame::Complete(token),
         kind::GRANT => Frame::Grant(token),
+        kind::GRANT_RECEIPT => Frame::GrantReceipt(token),
         kind::ABORT => Frame::Abort(token, decode_cause(kind, &mut body)?),
         kind::GIVE_UP => Frame::GiveUp(token, decode_cause(kind, &mut body)?),
         kind::DRAIN => Frame::Drain(body.get_u32()),
@@ -349,6 +351,7 @@
         }
         Frame::Complete(token) => (kind::COMPLETE, *token),
         Frame::Grant(token) => (kind::GRANT, *token),
+        Frame::GrantReceipt(token) => (kind::GRANT_RECEIPT, *token),
         Frame::Abort(token, cause) => {
             body.put_u8(*cause as u8);
             (kind::ABORT, *token)
--- a/transfer/src/wire/frame.rs
+++ b/transfer/src/wire/frame.rs
@@ -11,6 +11,8 @@
 
 /// Protocol version of this implementation.
 pub const VERSION: u16 = 1;
+/// Feature bit of a side that sends [`Frame::GrantReceipt`] for each grant, and takes it.
+pub const FEATURE_GRANT_RECEIPTS: u32 = 1;
 /// Maximum length of a request id, in bytes.
 pub const MAX_REQUEST_ID_BYTES: usize = 128;
 /// Maximum number of ranges in one frame: enough for every other chunk of the largest KV cache.
@@ -52,7 +54,7 @@
 pub struct Hello {
     /// Protocol version of the side.
     pub version: u16,
-    /// Optional features that it supports, one bit each; none are defined yet.
+    /// Optional features that it supports, one bit each: [`FEATURE_GRANT_RECEIPTS`].
     pub features: u32,
     /// Identifies its process.
     pub incarnation: Incarnation,
@@ -60,6 +62,13 @@
     pub window_bytes: u32,
 }
 
+impl Hello {
+    /// Whether the side sends and takes receipts for grants.
+    pub fn has_grant_receipts(&self) -> bool {
+        self.features & FEATURE_GRANT_RECEIPTS != 0
+    }
+}
+
 /// A receiver's request for a KV cache.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Want {
@@ -105,6 +114,8 @@
     Complete(TransferToken),
     /// Sender to receiver: the receiver is the owner; the sender's copy is freed.
     Grant(TransferToken),
+    /// Receiver to sender: the grant has arrived. Sent only to a side with [`FEATURE_GRANT_RECEIPTS`].
+    GrantReceipt(TransferToken),
     /// Sender to receiver: ends the transfer.
     Abort(TransferToken, Cause),
     /// Receiver to sender: ends the transfer. Distinct from `Abort`, as each side of a connection chooses the
--- a/transfer/tests/hard_cases.rs
+++ b/transfer/tests/hard_cases.rs
@@ -53,6 +53,78 @@
     }
 }
 
+/// Guards against a hand-over that counts as done although its grant, or the receipt for it, is lost: wherever the
+/// connection breaks, the sender learns that the receiver has the cache.
+#[test]
+fn a_hand_over_is_confirmed_wherever_the_connection_is_lost() {
+    for frames in 0..60 {
+        let (mut sim, token) = sim_after(frames);
+        sim.close_connections();
+        sim.advance(TIME_STEP);
+        // The sender of a push opens the next connection, even if the receiver has all that it wants.
+        sim.reconnect(0);
+        sim.advance(100_000);
+        assert_eq!(fetch_result(&sim, 0, token), Some(Ok(())), "cut at {frames}");
+        assert_eq!((sim.confirmed.clone(), sim.unconfirmed.len()), (vec![id(1)], 0), "cut at {frames}");
+        assert!(!sim.sender.has_unconfirmed_grants());
+    }
+}
+
+/// The number of frames each way after which the sender has handed the cache over and the grant is in flight.
+fn frames_until_grant() -> usize {
+    let handed_over = |frames: &usize| sim_after(*frames).0.sender.has_unconfirmed_grants();
+    (0..60).find(handed_over).expect("a hand-over")
+}
+
+#[test]
+fn a_grant_that_can_not_be_repeated_is_reported_as_unconfirmed() {
+    let (mut sim, token) = sim_after(frames_until_grant());
+    sim.is_offline = true;
+    sim.close_connections();
+    sim.advance(MAX_TIME_TO_FREE);
+    assert_eq!(fetch_result(&sim, 0, token), Some(Err(Cause::PeerLost)));
+    assert_eq!((sim.confirmed.len(), sim.unconfirmed.clone()), (0, vec![(id(1), Cause::PeerLost)]));
+    assert!(!sim.sender.has_unconfirmed_grants());
+}
+
+#[test]
+fn a_newer_prefill_or_a_release_ends_the_wait_for_a_receipt() {
+    let (mut sim, _) = sim_after(frames_until_grant());
+    sim.close_connections();
+    sim.store(1, LENGTH).unwrap();
+    assert_eq!(sim.unconfirmed, [(id(1), Cause::Superseded)]);
+    let (mut sim, _) = sim_after(frames_until_grant());
+    sim.close_connections();
+    sim.sender.release(&id(1));
+    sim.run_actions();
+    assert_eq!(sim.unconfirmed, [(id(1), Cause::Released)]);
+}
+
+/// A receiver of an earlier build sends no receipts: its status shows that it has read the grant.
+#[test]
+fn a_receiver_without_receipts_confirms_by_its_status() {
+    let start = |frames| {
+        let mut sim = sim(1);
+        sim.features = 0;
+        sim.store(1, LENGTH).unwrap();
+        let token = sim.fetch(0, 1, None).unwrap();
+        sim.deliver_frames(frames);
+        sim.close_connections();
+        (sim, token)
+    };
+    for frames in 0..60 {
+        let (mut sim, token) = start(frames);
+        sim.reconnect(0);
+        sim.advance(100_000);
+        assert_eq!(fetch_result(&sim, 0, token), Some(Ok(())), "cut at {frames}");
+        assert_eq!((sim.confirmed.clone(), sim.unconfirmed.len()), (vec![id(1)], 0), "cut at {frames}");
+    }
+    let (mut sim, _) = start(frames_until_grant());
+    sim.is_offline = true;
+    sim.advance(MAX_TIME_TO_FREE);
+    assert_eq!((sim.confirmed.len(), sim.unconfirmed.len()), (0, 1));
+}
+
 #[test]
 fn both_ends_are_free_after_an_outage_of_five_seconds() {
     for frames in 0..60 {
--- a/transfer/tests/service.rs
+++ b/transfer/tests/service.rs
@@ -443,6 +443,84 @@
     assert!(start.elapsed() <= MAX_TIME_TO_FREE);
 }
 
+/// Bytes of a frame without a body: the header and a checksum.
+const EMPTY_FRAME_BYTES: u64 = 28;
+
+/// A push over a link with one fault, counted in bytes from the end of what a push without faults forwards.
+async fn push_with_fault(fault: Option<(Direction, u64, Fault)>, totals: (u64, u64)) -> (u64, u64) {
+    let cache = content(1, 10 * CHUNK_BYTES as usize);
+    let service = Node::new(Config { push_policy: PushPolicy::Deliver, ..config() }, 2, log());
+    let mut arrived = service.subscribe_pushed();
+    let link = Link::start(service.listen(any_address()).await.unwrap()).await.unwrap();
+    if let Some((direction, before_end, fault)) = fault {
+        let total = if direction == Direction::Upstream { totals.0 } else { totals.1 };
+        link.add_faults(&[ScriptedFault { direction, offset: total - before_end, fault }]);
+    }
+    let from = Node::new(config(), 1, log());
+    from.begin_prefill(id("r1")).unwrap().store(cache.clone()).await.unwrap();
+    let end_stall = async {
+        if let Some((_, _, Fault::Stall)) = fault {
+            // The silence is noticed after 0.4 s.
+            sleep(Duration::from_millis(500)).await;
+            link.set_stalled(false);
+        }
+    };
+    let request = id("r1");
+    let push = timeout(TEST_TIMEOUT, from.push(&request, link.address));
+    let (pushed, ()) = tokio::join!(push, end_stall);
+    assert_eq!(pushed.unwrap(), Ok(()), "{fault:?}");
+    let got = arrived.try_recv().unwrap_or_else(|_| panic!("{fault:?}: pushed, and not at the node"));
+    assert!(is_same(&got.cache, &cache));
+    assert_eq!(service.status().total.arrived, 1, "{fault:?}");
+    link.forwarded_bytes()
+}
+
+/// Guards against a push that is reported as delivered although the grant is lost with the connection: the node
+/// then frees the cache, and nobody has it.
+#[tokio::test]
+async fn a_push_is_at_the_node_once_it_is_reported_wherever_the_connection_is_lost() {
+    let totals = push_with_fault(None, (0, 0)).await;
+    for direction in [Direction::Upstream, Direction::Downstream] {
+        for before_end in [1, EMPTY_FRAME_BYTES / 2, EMPTY_FRAME_BYTES, EMPTY_FRAME_BYTES + 1] {
+            push_with_fault(Some((direction, before_end, Fault::Reset)), totals).await;
+        }
+        push_with_fault(Some((direction, EMPTY_FRAME_BYTES, Fault::Stall)), totals).await;
+    }
+}
+
+/// Guards against a node that ends as soon as it has handed over its last cache, with the grant on its way: the
+/// fetching node can't ask for it again.
+#[tokio::test]
+async fn a_draining_node_stays_until_its_last_grant_has_arrived() {
+    let cache = content(1, 10 * CHUNK_BYTES as usize);
+    let fetch_with_fault = async |before_end: Option<(u64, u64)>| {
+        let Pair { sender, receiver, link } = Pair::start().await;
+        sender.begin_prefill(id("r1")).unwrap().store(cache.clone()).await.unwrap();
+        if let Some((total, before_end)) = before_end {
+            let offset = total - before_end;
+            link.add_faults(&[ScriptedFault {
+                direction: Direction::Downstream,
+                offset,
+                fault: Fault::Reset,
+            }]);
+        }
+        let end_when_idle = async {
+            sender.drain(Duration::from_secs(5));
+            sender.wait_until_idle().await;
+            drop(sender);
+        };
+        let (request, from) = (id("r1"), [link.address]);
+        let fetch = timeout(TEST_TIMEOUT, receiver.fetch(&request, &from, None));
+        let (fetched, ()) = tokio::join!(fetch, end_when_idle);
+        assert!(is_same(&fetched.unwrap().unwrap(), &cache));
+        link.forwarded_bytes().1
+    };
+    let total = fetch_with_fault(None).await;
+    for before_end in [1, EMPTY_FRAME_BYTES] {
+        fetch_with_fault(Some((total, before_end))).await;
+    }
+}
+
 #[tokio::test]
 async fn a_node_beside_a_server_holds_pushed_caches_until_they_are_fetched() {
     let cache = content(1, 1_000_000);
--- a/transfer/tests/support/mod.rs
+++ b/transfer/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use frosttrail_transfer::proof::Proof;
 use frosttrail_transfer::receiver::{self, KvCache, Receiver};
 use frosttrail_transfer::sender::{self, Sender};
-use frosttrail_transfer::wire::{Frame, Hello, RequestId, VERSION};
+use frosttrail_transfer::wire::{Frame, Hello, RequestId, FEATURE_GRANT_RECEIPTS, VERSION};
 use frosttrail_transfer::{ConnectionId, Incarnation, Micros, Timeouts, TransferToken};
 
 pub const CHUNK_BYTES: u32 = 4_096;
@@ -68,6 +68,11 @@
     /// Since when a KV cache has been held without an open fetch for it.
     unclaimed_since: HashMap<RequestId, Micros>,
     pub freed: Vec<(RequestId, Cause)>,
+    /// KV caches whose grants were confirmed, and those of which it can't be known any more.
+    pub confirmed: Vec<RequestId>,
+    pub unconfirmed: Vec<(RequestId, Cause)>,
+    /// The feature bits of the receivers.
+    pub features: u32,
     limits: sender::Limits,
 }
 
@@ -95,6 +100,9 @@
             all_content: HashMap::new(),
             unclaimed_since: HashMap::new(),
             freed: Vec::new(),
+            confirmed: Vec::new(),
+            unconfirmed: Vec::new(),
+            features: FEATURE_GRANT_RECEIPTS,
             limits: sender,
         }
     }
@@ -157,6 +165,11 @@
         self.run_actions();
     }
 
+    /// Opens a connection from a receiver, whether or not it needs one.
+    pub fn reconnect(&mut self, receiver: usize) {
+        self.receivers[receiver].wants_connection = true;
+    }
+
     fn close_connection(&mut self, conn: ConnectionId) {
         if let Some(connection) = self.connections.remove(&conn) {
             self.sender.remove_connection(conn);
@@ -183,7 +196,7 @@
             self.connections.insert(conn, connection);
             let receiver = &mut self.receivers[receiver];
             let (incarnation, window_bytes) = (receiver.incarnation, receiver.machine.window_bytes());
-            let hello = Hello { version: VERSION, features: 0, incarnation, window_bytes };
+            let hello = Hello { version: VERSION, features: self.features, incarnation, window_bytes };
             receiver.machine.add_connection(self.now, conn, Some(1));
             self.sender.add_connection(self.now, conn, hello);
         }
@@ -200,11 +213,15 @@
                 }
                 sender::Action::Freed(id, cause) => self.freed.push((id, cause)),
                 sender::Action::HandedOver(_) => {}
+                sender::Action::GrantConfirmed(id) => self.confirmed.push(id),
+                sender::Action::GrantUnconfirmed(id, cause) => self.unconfirmed.push((id, cause)),
             }
         }
         for receiver in 0..self.receivers.len() {
             while let Some(action) = self.receivers[receiver].machine.next_action() {
                 match action {
+                    // As the service does: not to a sender that does not take them.
+                    receiver::Action::Send(_, Frame::GrantReceipt(_)) if self.features == 0 => {}
                     receiver::Action::Send(conn, frame) => {
                         if let Some(connection) = self.connections.get_mut(&conn) {
                             connection.to_sender.push_back(frame);
@@ -304,6 +321,8 @@
             Frame::Complete(token) => self.sender.handle_complete(self.now, conn, token),
             Frame::GiveUp(token, cause) => self.sender.handle_give_up(self.now, conn, token, cause),
             Frame::Release(id) => self.sender.release_unclaimed(&id, Some(conn)),
+            Frame::GrantReceipt(token) => self.sender.handle_grant_receipt(conn, token),
+            Frame::Status(_) => self.sender.handle_status(conn),
             other => panic!("{other:?} sent to a sender"),
         }
     }
@@ -316,6 +335,11 @@
             Frame::Grant(token) => machine.handle_grant(conn, token),
             Frame::Abort(token, cause) => machine.handle_abort(conn, token, cause),
             Frame::Drain(_) => {}
+            Frame::StatusAsk => {
+                if let Some(connection) = self.connections.get_mut(&conn) {
+                    connection.to_sender.push_back(Frame::Status(Bytes::new()));
+                }
+            }
             other => panic!("{other:?} sent to a receiver"),
         }
     }
--- a/transfer/tests/wire.rs
+++ b/transfer/tests/wire.rs
@@ -22,7 +22,7 @@
         let id = RequestId::new(&text).unwrap();
         let cause = Cause::from_wire(1 + (number % 11) as u8).unwrap();
         let data: Bytes = Vec::<u8>::arbitrary(g).into();
-        AnyFrame(match u8::arbitrary(g) % 16 {
+        AnyFrame(match u8::arbitrary(g) % 17 {
             0 => Frame::Want(Want { token, id, deadline_ms: number, resume_incarnation: u64::arbitrary(g) }),
             1 => {
                 let cache: Bytes = vec![7; 1 + number as usize % 20_000].into();
@@ -42,6 +42,7 @@
             12 => Frame::Beat,
             13 => Frame::StatusAsk,
             14 => Frame::GiveUp(token, cause),
+            15 => Frame::GrantReceipt(token),
             _ => Frame::Status(data),
         })
     }
