Keep unconfirmed grants in a module of their own, and wrap long lines

`Sender` had grown by the grants that wait for a receipt; `GrantTracker` holds those of one connection, and its methods say what the two collections mean.

--- a/daemon/src/command/graceful_shutdown.rs
+++ b/daemon/src/command/graceful_shutdown.rs
@@ -25,8 +25,8 @@
 }
 
 impl GracefulShutdown {
-    /// Runs the steps of the schedule. Resolves once all requests and releases have ended, or when the time of
-    /// the schedule is over; only streams that have begun at their clients still run then.
+    /// Runs the steps of the schedule. Resolves once all requests and releases have ended, or when the time
+    /// of the schedule is over; only streams that have begun at their clients still run then.
     pub async fn give_final_answers(&mut self, log: &Logger) {
         let handover = self.handover.take();
         tokio::select! {
@@ -39,8 +39,8 @@
         }
     }
 
-    /// Waits for the streams that still run, unless they may be cut off. Each ends with its server's stream, or
-    /// once its server or its client has been silent for too long.
+    /// Waits for the streams that still run, unless they may be cut off. Each ends with its server's
+    /// stream, or once its server or its client has been silent for too long.
     pub async fn finish_streams(self, log: &Logger) {
         if self.schedule.cuts_streams || self.client_listeners.stream_count() == 0 {
             return;
--- a/daemon/src/front/body.rs
+++ b/daemon/src/front/body.rs
@@ -58,7 +58,8 @@
     }
 }
 
-/// A body that keeps its request open, and counts as a response in progress, until it has been sent or dropped.
+/// A body that keeps its request open, and counts as a response in progress, until it has been sent or
+/// dropped.
 pub(super) struct TrackedBody<E: EventStream> {
     body: ResponseBody<E>,
     _open_request: OpenRequestGuard,
--- a/daemon/src/shutdown.rs
+++ b/daemon/src/shutdown.rs
@@ -38,8 +38,8 @@
     pub demand_answers_after: Duration,
     /// The process exits, unless streams still run that must not be cut off.
     pub exit_after: Duration,
-    /// Whether streams that still run then are cut off, as their clients resume them elsewhere. Otherwise a cut
-    /// loses the answer, so the process exits with the last stream.
+    /// Whether streams that still run then are cut off, as their clients resume them elsewhere. Otherwise a
+    /// cut loses the answer, so the process exits with the last stream.
     pub cuts_streams: bool,
 }
 
--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -70,8 +70,8 @@
     setup
 }
 
-/// Guards against streams that are taken so late that SIGKILL may lose them: what is complete over 0.7 s after
-/// SIGTERM has no stream, even if the process was held up for 0.15 s.
+/// Guards against streams that are taken so late that SIGKILL may lose them: what is complete over 0.7 s
+/// after SIGTERM has no stream, even if the process was held up for 0.15 s.
 #[test]
 fn where_streams_run_on_none_is_taken_within_a_delay_of_the_last_moment() {
     let last_moment = Duration::from_millis(700);
@@ -295,8 +295,8 @@
     keep_alive(&post("/v1/chat/completions", &headers, &body.to_string()))
 }
 
-/// Starts two streams of 3 s, sends SIGTERM, and returns whether each was whole. The schedule is over 1.4 s after
-/// SIGTERM. Checks that the process ends with the last stream.
+/// Starts two streams of 3 s, sends SIGTERM, and returns whether each was whole. The schedule is over 1.4 s
+/// after SIGTERM. Checks that the process ends with the last stream.
 async fn streams_over_a_planned_end(process: DaemonProcess, decode: &StandIn, text: &[String]) -> Vec<bool> {
     let mut clients = Vec::new();
     for text in text {
@@ -314,8 +314,8 @@
     outcomes
 }
 
-/// Guards against a planned end that cuts streams which their clients can't resume: each is lost, although its
-/// server goes on writing.
+/// Guards against a planned end that cuts streams which their clients can't resume: each is lost, although
+/// its server goes on writing.
 #[tokio::test]
 async fn streams_that_clients_can_not_resume_run_to_their_ends() {
     let (prefill, decode) = (StandIn::start(PREFILL_RESPONSE).await, StandIn::start(COMPLETE_STREAM).await);
--- a/daemon/tests/upgrade.rs
+++ b/daemon/tests/upgrade.rs
@@ -232,7 +232,8 @@
     }
 }
 
-/// Guards against an upgrade that cuts streams which their clients can't resume: the old process stays for them.
+/// Guards against an upgrade that cuts streams which their clients can't resume: the old process stays for
+/// them.
 #[tokio::test]
 async fn streams_that_clients_can_not_resume_outlive_an_upgrade() {
     let (mut deployment, _reserved) = deployment_with_shared_address("upgrade-streams").await;
--- a/transfer/src/lib.rs
+++ b/transfer/src/lib.rs
@@ -12,6 +12,7 @@
 #![warn(missing_docs)]
 
 pub mod cause;
+mod grant_tracker;
 pub mod lease;
 pub mod link_scheduler;
 pub mod memory_budget;
--- a/transfer/src/receiver.rs
+++ b/transfer/src/receiver.rs
@@ -411,8 +411,9 @@
         }
     }
 
-    /// Handles the sender's grant of ownership, and confirms it. It may come on another connection of the same
-    /// sender than the transfer, before the loss of that one is noticed, and again if the receipt was lost.
+    /// Handles the sender's grant of ownership, and confirms it. It may come on another connection of the
+    /// same sender than the transfer, before the loss of that one is noticed, and again if the receipt was
+    /// lost.
     pub fn handle_grant(&mut self, conn: ConnectionId, token: TransferToken) {
         if self.granted.contains(&token) {
             self.actions.push_back(Action::Send(conn, Frame::GrantReceipt(token)));
--- a/transfer/src/sender.rs
+++ b/transfer/src/sender.rs
@@ -8,6 +8,7 @@
 use roaring::RoaringBitmap;
 
 use crate::cause::Cause;
+use crate::grant_tracker::GrantTracker;
 use crate::lease::{ClaimOutcome, Claimant, Lease};
 use crate::link_scheduler::{FlowId, LinkScheduler};
 use crate::proof::Proof;
@@ -96,12 +97,7 @@
     incarnation: Incarnation,
     last_activity: Micros,
     transfers: BTreeMap<TransferToken, FlowId>,
-    /// Whether it sends receipts for grants.
-    has_grant_receipts: bool,
-    /// Grants that were sent on this connection and are not confirmed.
-    unconfirmed_grants: BTreeMap<TransferToken, RequestId>,
-    /// The grants that were each followed by a status request, in order, if it sends no receipts.
-    awaiting_status: VecDeque<TransferToken>,
+    grants: GrantTracker,
 }
 
 /// State machine of a process's sending side.
@@ -220,9 +216,7 @@
             incarnation: hello.incarnation,
             last_activity: now,
             transfers: BTreeMap::new(),
-            has_grant_receipts: hello.has_grant_receipts(),
-            unconfirmed_grants: BTreeMap::new(),
-            awaiting_status: VecDeque::new(),
+            grants: GrantTracker::new(&hello),
         };
         self.peers.insert(conn, peer);
         self.scheduler.add_peer(conn, u64::from(hello.window_bytes));
@@ -243,21 +237,19 @@
         }
     }
 
-    /// Sends a grant, which its receiver is to confirm. One that sends no receipts is asked for its status: as
-    /// it handles frames in order, the reply shows that the grant has arrived.
+    /// Sends a grant, which its receiver is to confirm.
     fn send_grant(&mut self, conn: ConnectionId, token: TransferToken, id: RequestId) {
         self.actions.push_back(Action::Send(conn, Frame::Grant(token)));
         let Some(peer) = self.peers.get_mut(&conn) else { return };
-        peer.unconfirmed_grants.insert(token, id);
-        if !peer.has_grant_receipts {
-            peer.awaiting_status.push_back(token);
+        if peer.grants.record(token, id) {
             self.actions.push_back(Action::Send(conn, Frame::StatusAsk));
         }
     }
 
     /// Handles a status, which confirms the earliest grant to a receiver that sends no receipts.
     pub fn handle_status(&mut self, conn: ConnectionId) {
-        if let Some(token) = self.peers.get_mut(&conn).and_then(|peer| peer.awaiting_status.pop_front()) {
+        let confirmed = self.peers.get_mut(&conn).and_then(|peer| peer.grants.take_confirmed_by_status());
+        if let Some(token) = confirmed {
             self.handle_grant_receipt(conn, token);
         }
     }
@@ -275,16 +267,14 @@
     /// Removes a grant from the connections on which its receipt is awaited.
     fn forget_grant(&mut self, owner: Claimant) -> Option<RequestId> {
         let peers = self.peers.values_mut().filter(|peer| peer.incarnation == owner.incarnation);
-        peers.filter_map(|peer| peer.unconfirmed_grants.remove(&owner.token)).last()
+        peers.filter_map(|peer| peer.grants.remove(owner.token)).last()
     }
 
     /// Whether the owner confirms nothing, and the connection still stands on which it was sent the grant.
     fn is_presumed_granted(&self, owner: Claimant) -> bool {
-        self.peers.values().any(|peer| {
-            peer.incarnation == owner.incarnation
-                && !peer.has_grant_receipts
-                && peer.unconfirmed_grants.contains_key(&owner.token)
-        })
+        self.peers
+            .values()
+            .any(|peer| peer.incarnation == owner.incarnation && peer.grants.is_unconfirmable(owner.token))
     }
 
     /// Records that data arrived on a connection.
@@ -547,9 +537,7 @@
 
     /// Whether transfers are under way on a connection, or receipts for grants are to come.
     pub fn has_transfers(&self, conn: ConnectionId) -> bool {
-        self.peers.get(&conn).is_some_and(|peer| {
-            !peer.transfers.is_empty() || (peer.has_grant_receipts && !peer.unconfirmed_grants.is_empty())
-        })
+        self.peers.get(&conn).is_some_and(|peer| !peer.transfers.is_empty() || peer.grants.awaits_receipt())
     }
 
     /// Whether it is not known of some grant whether it has reached its receiver.
--- a/transfer/src/service/node.rs
+++ b/transfer/src/service/node.rs
@@ -251,8 +251,8 @@
         self.manager.drain(within.as_micros() as u64);
     }
 
-    /// Waits until no KV cache is held, the receivers of all others have confirmed them, and no fetch is under
-    /// way. A receiver that does not respond is waited for no longer than a KV cache is held.
+    /// Waits until no KV cache is held, the receivers of all others have confirmed them, and no fetch is
+    /// under way. A receiver that does not respond is waited for no longer than a KV cache is held.
     pub async fn wait_until_idle(&self) {
         loop {
             let transfer_ended = self.manager.transfer_ended.notified();
--- a/transfer/src/service/session_manager.rs
+++ b/transfer/src/service/session_manager.rs
@@ -196,7 +196,8 @@
                     self.transfer_ended.notify_waiters();
                 }
                 sender::Action::GrantUnconfirmed(id, cause) => {
-                    info!(self.log, "a receiver did not confirm its KV cache"; "request" => %id, "why" => %cause);
+                    info!(self.log, "a receiver did not confirm its KV cache";
+                        "request" => %id, "why" => %cause);
                     inner.finish_push(&id, Err(cause));
                     self.transfer_ended.notify_waiters();
                 }
--- a/transfer/tests/hard_cases.rs
+++ b/transfer/tests/hard_cases.rs
@@ -53,8 +53,8 @@
     }
 }
 
-/// Guards against a hand-over that counts as done although its grant, or the receipt for it, is lost: wherever the
-/// connection breaks, the sender learns that the receiver has the cache.
+/// Guards against a hand-over that counts as done although its grant, or the receipt for it, is lost:
+/// wherever the connection breaks, the sender learns that the receiver has the cache.
 #[test]
 fn a_hand_over_is_confirmed_wherever_the_connection_is_lost() {
     for frames in 0..60 {
--- a/transfer/tests/service.rs
+++ b/transfer/tests/service.rs
@@ -475,8 +475,8 @@
     link.forwarded_bytes()
 }
 
-/// Guards against a push that is reported as delivered although the grant is lost with the connection: the node
-/// then frees the cache, and nobody has it.
+/// Guards against a push that is reported as delivered although the grant is lost with the connection: the
+/// node then frees the cache, and nobody has it.
 #[tokio::test]
 async fn a_push_is_at_the_node_once_it_is_reported_wherever_the_connection_is_lost() {
     let totals = push_with_fault(None, (0, 0)).await;
@@ -488,8 +488,8 @@
     }
 }
 
-/// Guards against a node that ends as soon as it has handed over its last cache, with the grant on its way: the
-/// fetching node can't ask for it again.
+/// Guards against a node that ends as soon as it has handed over its last cache, with the grant on its way:
+/// the fetching node can't ask for it again.
 #[tokio::test]
 async fn a_draining_node_stays_until_its_last_grant_has_arrived() {
     let cache = content(1, 10 * CHUNK_BYTES as usize);
