Let both processes of an upgrade share the memory for requests

Seen: 341 requests of 256 KiB at once, while two processes of one conductor accept from the same queue, took 58,312 and 44,500 KiB at their peaks, 105 MB of 96 MB.

Cause: each process derived its budget from the whole limit, and neither knows how much the other holds.

Change: with an operators' address, without which there is no upgrade, each process takes half of what two processes and their connections leave. The connections are counted once, as clients' requests have one limit of descriptors. Why not only while the other process lives: what is held then can't be taken back. The platform's configurations without `ops` keep the whole budget.

--- a/daemon/src/buffer_budget.rs
+++ b/daemon/src/buffer_budget.rs
@@ -30,6 +30,19 @@
 #[error("the memory for requests is in use; try again, or raise limits.memory_mb")]
 pub struct BudgetExhausted;
 
+/// What a budget is derived from.
+#[derive(Clone, Copy, Debug)]
+pub struct MemoryLimits {
+    /// How many bytes all processes together may take.
+    pub memory_bytes: usize,
+    /// How many processes there may be at a time.
+    pub processes: usize,
+    /// How many connections all processes together may open.
+    pub max_connections: usize,
+    /// How many servers each process has in its list.
+    pub servers: usize,
+}
+
 /// Memory in bytes that buffers may take together. Clones share one budget.
 #[derive(Clone)]
 pub struct BufferBudget(Arc<State>);
@@ -50,14 +63,16 @@
         BufferBudget::new(usize::MAX)
     }
 
-    /// The budget of a process that may take `memory_bytes` in all and open this many connections, with this
-    /// many servers in its list.
-    pub fn for_process(memory_bytes: usize, max_connections: usize, servers: usize) -> Self {
-        let other_bytes = BASE_BYTES
-            .saturating_add(max_connections.saturating_mul(CONNECTION_BYTES))
-            .saturating_add(servers.saturating_mul(SERVER_BYTES));
+    /// The budget of each of the processes that share a limit on memory.
+    pub fn for_process(limits: MemoryLimits) -> Self {
+        let MemoryLimits { memory_bytes, processes, max_connections, servers } = limits;
+        let bytes_per_process = BASE_BYTES.saturating_add(servers.saturating_mul(SERVER_BYTES));
+        let other_bytes = bytes_per_process
+            .saturating_mul(processes)
+            .saturating_add(max_connections.saturating_mul(CONNECTION_BYTES));
         let (share, whole) = BUDGET_SHARE;
-        BufferBudget::new((memory_bytes.saturating_sub(other_bytes) / whole * share).max(MIN_BUDGET_BYTES))
+        let shared_bytes = memory_bytes.saturating_sub(other_bytes) / whole * share;
+        BufferBudget::new((shared_bytes / processes.max(1)).max(MIN_BUDGET_BYTES))
     }
 
     /// The number of bytes that may be in use.
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use frosttrail_core::{start, Clock, Conductor, ConductorParts, MembershipSource, MembershipUpdate, Metrics};
-use frosttrail_daemon::buffer_budget::BufferBudget;
+use frosttrail_daemon::buffer_budget::{BufferBudget, MemoryLimits};
 use frosttrail_daemon::config::{self, ChatConfig, Config, ConfigError, XdsConfig};
 use frosttrail_daemon::discovery::{Backoff, DiscoveryConfig, PlatformDiscovery, XdsDiscovery};
 use frosttrail_daemon::front::chat::ChatFront;
@@ -172,10 +172,15 @@
 }
 
 /// The memory for requests, with this many connections to clients and servers.
-fn buffer_budget(config: &Config, connections: usize) -> BufferBudget {
-    let Some(bytes) = config.max_memory_bytes else { return BufferBudget::unlimited() };
-    let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
-    BufferBudget::for_process(bytes, connections, config.known_members.entry_count())
+fn buffer_budget(config: &Config, max_connections: usize) -> BufferBudget {
+    let Some(memory_bytes) = config.max_memory_bytes else { return BufferBudget::unlimited() };
+    BufferBudget::for_process(MemoryLimits {
+        memory_bytes: usize::try_from(memory_bytes).unwrap_or(usize::MAX),
+        // With an operators' address there may be an upgrade, in which two processes share the limit.
+        processes: if config.ops.is_some() { 2 } else { 1 },
+        max_connections,
+        servers: config.known_members.entry_count(),
+    })
 }
 
 /// Joins the membership of the instances that share the servers, and passes this instance's share of the
--- a/daemon/tests/memory.rs
+++ b/daemon/tests/memory.rs
@@ -6,8 +6,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde_json::Value;
+use serde_json::{json, Value};
+use socket2::{Domain, Protocol, Socket, Type};
 use support::chat::write_chat_config;
+use support::operations::*;
 use support::*;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -177,3 +179,30 @@
     process.signal("-TERM");
     process.expect_clean_exit().await;
 }
+
+/// Guards against two processes of an upgrade that each take the whole limit: their memory counts together.
+#[tokio::test]
+async fn both_processes_of_an_upgrade_stay_below_the_memory_limit_together() {
+    for memory_mb in [32, 96] {
+        let name = format!("memory-upgrade-{memory_mb}");
+        let mut deployment = Deployment::new(&name).await;
+        let reserved = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).unwrap();
+        reserved.set_reuse_port(true).unwrap();
+        reserved.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        let address = reserved.local_addr().unwrap().as_socket().unwrap();
+        deployment.config["listen"] = json!(address);
+        deployment.config["limits"] = json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": DESCRIPTORS});
+        let (old, _) = deployment.start(&name).await;
+        let (new, _) = deployment.start(&format!("{name}-new")).await;
+        let statuses = flood(address, &name, true).await;
+        assert!(statuses.iter().all(|status| matches!(status, 200 | 503)), "{memory_mb} MB: {statuses:?}");
+        assert!(statuses.contains(&200), "{memory_mb} MB: no request was served");
+        let peaks_kib = [&old, &new].map(DaemonProcess::peak_memory_kib);
+        let peak_bytes = peaks_kib.iter().sum::<u64>() * 1_024;
+        assert!(peak_bytes <= memory_mb * 1_000_000, "{memory_mb} MB: {peaks_kib:?} KiB at the peaks");
+        for process in [old, new] {
+            process.signal("-TERM");
+            process.expect_clean_exit().await;
+        }
+    }
+}
--- a/daemon/tests/unit/buffer_budget.rs
+++ b/daemon/tests/unit/buffer_budget.rs
@@ -68,12 +68,16 @@
 
 #[test]
 fn every_limit_leaves_memory_to_requests_and_none_is_exceeded() {
-    let mut smaller_budget = 0;
-    for memory_mb in 32..=2_048 {
-        let budget = BufferBudget::for_process(memory_mb * 1_000_000, 976, 100).limit_bytes();
-        assert!(budget >= 4 * MAX_BODY_BYTES, "{memory_mb} MB: {budget}");
-        assert!(budget < memory_mb * 1_000_000, "{memory_mb} MB: {budget}");
-        assert!(budget >= smaller_budget);
-        smaller_budget = budget;
+    for processes in [1, 2] {
+        let mut smaller_budget = 0;
+        for memory_mb in 32..=2_048 {
+            let memory_bytes = memory_mb * 1_000_000;
+            let limits = MemoryLimits { memory_bytes, processes, max_connections: 976, servers: 100 };
+            let budget = BufferBudget::for_process(limits).limit_bytes();
+            assert!(budget >= 4 * MAX_BODY_BYTES, "{processes} x {memory_mb} MB: {budget}");
+            assert!(processes * budget < memory_bytes, "{processes} x {memory_mb} MB: {budget}");
+            assert!(budget >= smaller_budget);
+            smaller_budget = budget;
+        }
     }
 }
