Rewrite chat requests without parsing the values that stay as they are

Seen: a request of 256 KiB of `{"a":1}` to the chat front, not streamed, takes the process to 38,564 KiB where the limit is 32 MB (by a probe 42,004 KiB).

Cause: to ask the server for a stream the front parsed the whole body into values. An object of one field takes 632 bytes as a value and 8 as text, so one request took 18 MB for a moment, which no budget counts. `metadata` was parsed the same way.

Change: the values of the body and of `metadata` are kept as text (`RawValue`); only `stream` and `stream_options` are written anew. What reaches the server is the client's own text of each value, where it was written out again before.

Test: `requests_of_many_small_values_that_the_chat_front_rewrites_stay_below_the_memory_limit` failed before (38,564 KiB) and passed in 1 of 1 run since; the chat front's 12 tests pass.

--- a/daemon/src/front/chat/request.rs
+++ b/daemon/src/front/chat/request.rs
@@ -1,6 +1,7 @@
 //! Translates chat requests into queries; what a request does not state is derived by the rules in the
 //! README.
 
+use std::collections::BTreeMap;
 use std::hash::{BuildHasher, Hash, Hasher, RandomState};
 use std::sync::Arc;
 
@@ -9,8 +10,8 @@
 use frosttrail::{Id, Query, RequestClass, Settings};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
 use hyper::{HeaderMap, Method, Uri};
-use serde::Deserialize;
-use serde_json::{json, Map, Value};
+use serde::{Deserialize, Serialize};
+use serde_json::value::{to_raw_value, RawValue};
 
 use super::error::ApiError;
 use crate::buffer_budget::{BudgetExhausted, BufferBudget};
@@ -37,10 +38,13 @@
     #[serde(default)]
     user: Option<String>,
     #[serde(default)]
-    metadata: Option<Map<String, Value>>,
+    metadata: Option<RawObject>,
 }
 
-#[derive(Deserialize)]
+/// A JSON object whose values are kept as text. Parsed values may take 70 times the memory of their text.
+type RawObject = BTreeMap<String, Box<RawValue>>;
+
+#[derive(Deserialize, Serialize)]
 struct StreamOptions {
     #[serde(default)]
     include_usage: bool,
@@ -205,9 +209,10 @@
         headers: &HeaderMap,
         body: &Body,
     ) -> Result<Arc<RequestClass>, InputError> {
-        let in_body = || body.metadata.as_ref()?.get("class")?.as_str();
-        let name = header_text(headers, "x-lane").or_else(in_body).unwrap_or(&self.default_class);
-        settings.class(name).ok_or(InputError::UnknownName("class"))
+        let in_body = || serde_json::from_str::<String>(body.metadata.as_ref()?.get("class")?.get()).ok();
+        let in_header = header_text(headers, "x-lane").map(String::from);
+        let name = in_header.or_else(in_body).unwrap_or_else(|| self.default_class.clone());
+        settings.class(&name).ok_or(InputError::UnknownName("class"))
     }
 }
 
@@ -290,10 +295,11 @@
 
 /// Rewrites a request body to ask for a stream with usage, because servers only stream.
 fn as_streaming(bytes: Bytes, buffers: &BufferBudget) -> Result<Bytes, InputError> {
-    let mut body: Map<String, Value> = serde_json::from_slice(&bytes).map_err(invalid_json)?;
+    let mut body: RawObject = serde_json::from_slice(&bytes).map_err(invalid_json)?;
     drop(bytes);
-    body.insert("stream".into(), json!(true));
-    body.insert("stream_options".into(), json!({"include_usage": true}));
+    body.insert("stream".into(), to_raw_value(&true).map_err(invalid_json)?);
+    let stream_options = StreamOptions { include_usage: true };
+    body.insert("stream_options".into(), to_raw_value(&stream_options).map_err(invalid_json)?);
     let rewritten = serde_json::to_vec(&body).map_err(invalid_json)?;
     let mut reservation = buffers.empty_reservation();
     reservation.try_grow(rewritten.len()).map_err(|BudgetExhausted| InputError::OutOfMemory)?;
--- a/daemon/tests/memory.rs
+++ b/daemon/tests/memory.rs
@@ -38,19 +38,29 @@
         format!("{{\"model\":\"chat\",\"stream\":{stream},\"messages\":[{{\"role\":\"user\",\"content\":\"");
     let ending = "\"}]}";
     let content = "a".repeat(bytes - opening.len() - ending.len());
+    chat_request(id, &format!("{opening}{content}{ending}"))
+}
+
+/// A chat completion request with this body.
+fn chat_request(id: &str, body: &str) -> String {
     let headers = format!(
         "x-txn: {id}\r\nx-lane: ask\r\nx-entity: s-{id}\r\nx-remaining: 6000m\r\n\
          x-labels: prompt_len=600,max_out=100\r\n"
     );
-    post("/v1/chat/completions", &headers, &format!("{opening}{content}{ending}"))
+    post("/v1/chat/completions", &headers, body)
 }
 
 /// Sends as many requests of the largest size at once as clients may, and returns the statuses of the
 /// answers.
 async fn flood(to: SocketAddr, name: &str, stream: bool) -> Vec<u16> {
+    send_all(to, |n| large_request(&format!("{name}-{n}"), MAX_BODY_BYTES, stream)).await
+}
+
+/// Sends as many of these requests at once as clients may, and returns the statuses of the answers.
+async fn send_all(to: SocketAddr, request: impl Fn(usize) -> String) -> Vec<u16> {
     let mut clients = JoinSet::new();
     for n in 0..MAX_REQUESTS {
-        let text = large_request(&format!("{name}-{n}"), MAX_BODY_BYTES, stream);
+        let text = request(n);
         clients.spawn(async move { timeout(ANSWER_TIMEOUT, exchange(to, &text)).await.unwrap().status });
     }
     clients.join_all().await
@@ -100,6 +110,31 @@
     }
 }
 
+/// Guards against requests whose parsed values take many times the memory of their text.
+#[tokio::test]
+async fn requests_of_many_small_values_that_the_chat_front_rewrites_stay_below_the_memory_limit() {
+    let memory_mb = 32;
+    let (prefill, decode) = (StandIn::start(PREFILL_RESPONSE).await, StandIn::start(COMPLETE_STREAM).await);
+    let name = "memory-values";
+    let mut command = program(name, &config(memory_mb, &prefill, &decode));
+    command.arg("--chat").arg(write_chat_config(name));
+    let mut process = DaemonProcess::start(command);
+    process.wait_until_listening();
+    let value = "{\"a\":1},";
+    let values = value.repeat((MAX_BODY_BYTES - 200) / value.len());
+    for field in ["extra", "metadata"] {
+        let (open, close) = if field == "extra" { ("[", "1]") } else { ("{\"b\":[", "1]}") };
+        let opening = "{\"model\":\"chat\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]";
+        let body = format!("{opening},\"{field}\":{open}{values}{close}}}");
+        assert!(body.len() <= MAX_BODY_BYTES);
+        let statuses =
+            send_all(process.listen, |n| chat_request(&format!("{name}-{field}-{n}"), &body)).await;
+        check_after_flood(&process, process.listen, memory_mb, &statuses).await;
+    }
+    process.signal("-TERM");
+    process.expect_clean_exit().await;
+}
+
 /// Writes a chunked body, each byte of which is a chunk and a segment of its own.
 async fn write_tiny_chunks(stream: &mut TcpStream, bytes: usize) -> std::io::Result<()> {
     for _ in 0..bytes {
