--- a/daemon/src/front/chat/mod.rs
+++ b/daemon/src/front/chat/mod.rs
@@ -109,9 +109,7 @@
         }
         Ok(response)
     }
-}
 
-impl<B: Upstream<Call = Call>> ChatFront<B> {
     /// Collects a stream into one completion object. Fails if the final answers are due first: the client has
     /// received nothing, however much of the stream has arrived.
     async fn collect_until_due(
--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -8,7 +8,7 @@
 use frosttrail::setup::{settings, ConfiguredNames};
 use frosttrail_daemon::shutdown::ShutdownSchedule;
 use serde_json::{json, Value};
-use support::chat::write_chat_config;
+use support::chat::start_with_chat;
 use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -203,13 +203,13 @@
     process.expect_clean_exit().await;
 }
 
-/// A request whose last byte arrives more than 0.7 s after SIGTERM could still stream at SIGKILL. It must be
-/// refused and never sent on, as its client loses nothing by retrying elsewhere.
-#[tokio::test]
-async fn a_request_completed_after_the_listeners_closed_starts_no_stream() {
-    let (prefill, decode) =
-        (StandIn::start(PREFILL_RESPONSE).await, StandIn::start(Behavior::StreamsTimestamps(100, 60)).await);
-    let process = DaemonProcess::start(program("whole-late", &config(&prefill, &decode, 3_000)));
+/// Sends SIGTERM, then a request on a connection that has been used before: all but its last byte at the first
+/// time after SIGTERM, the last byte at the second. Returns what `read_outcome` does.
+async fn complete_after_sigterm(
+    process: &DaemonProcess,
+    first_at: Duration,
+    last_at: Duration,
+) -> Option<(u16, bool)> {
     let text = request("late", "ask", 3_000);
     let (first, last) = text.split_at(text.len() - 1);
     let mut client = send(process.listen, &keep_alive(READY_REQUEST)).await;
@@ -218,11 +218,23 @@
         assert!(client.read_buf(&mut seen).await.unwrap() > 0);
     }
     process.signal("-TERM");
-    sleep(Duration::from_millis(400)).await;
+    sleep(first_at).await;
     client.write_all(first.as_bytes()).await.unwrap();
-    sleep(Duration::from_millis(500)).await;
+    sleep(last_at - first_at).await;
     client.write_all(last.as_bytes()).await.unwrap();
-    assert_eq!(read_outcome(&mut client).await, Some((503, true)));
+    read_outcome(&mut client).await
+}
+
+/// A request whose last byte arrives more than 0.7 s after SIGTERM could still stream at SIGKILL. It must be
+/// refused and never sent on, as its client loses nothing by retrying elsewhere.
+#[tokio::test]
+async fn a_request_completed_after_the_listeners_closed_starts_no_stream() {
+    let (prefill, decode) =
+        (StandIn::start(PREFILL_RESPONSE).await, StandIn::start(Behavior::StreamsTimestamps(100, 60)).await);
+    let process = DaemonProcess::start(program("whole-late", &config(&prefill, &decode, 3_000)));
+    let answer =
+        complete_after_sigterm(&process, Duration::from_millis(400), Duration::from_millis(900)).await;
+    assert_eq!(answer, Some((503, true)));
     assert!(prefill.posts().is_empty(), "the request was sent on");
     process.expect_clean_exit().await;
 }
@@ -234,15 +246,6 @@
     keep_alive(&post("/v1/chat/completions", &headers, &body.to_string()))
 }
 
-/// Starts a process with the chat front; its `listen` is the address of that front.
-fn start_with_chat(name: &str, config: &str) -> DaemonProcess {
-    let mut command = program(name, config);
-    command.arg("--chat").arg(write_chat_config(name));
-    let mut process = DaemonProcess::start(command);
-    process.wait_until_listening();
-    process
-}
-
 /// Guards against a planned restart that leaves requests without an answer: a client that does not stream has
 /// received nothing while its answer is collected, although the stream at the server has begun.
 #[tokio::test]
@@ -370,19 +373,9 @@
         (StandIn::start(PREFILL_RESPONSE).await, StandIn::start(Behavior::StreamsTimestamps(100, 60)).await);
     let process =
         DaemonProcess::start(program("runs-on-late", &config_without_resume(&prefill, &decode, 3_000)));
-    let text = request("late", "ask", 3_000);
-    let (first, last) = text.split_at(text.len() - 1);
-    let mut client = send(process.listen, &keep_alive(READY_REQUEST)).await;
-    let mut seen = Vec::new();
-    while !seen.ends_with(b"ready\n") {
-        assert!(client.read_buf(&mut seen).await.unwrap() > 0);
-    }
-    process.signal("-TERM");
-    sleep(Duration::from_millis(400)).await;
-    client.write_all(first.as_bytes()).await.unwrap();
-    sleep(Duration::from_millis(200)).await;
-    client.write_all(last.as_bytes()).await.unwrap();
-    assert_eq!(read_outcome(&mut client).await, Some((503, true)));
+    let answer =
+        complete_after_sigterm(&process, Duration::from_millis(400), Duration::from_millis(600)).await;
+    assert_eq!(answer, Some((503, true)));
     assert!(prefill.posts().is_empty(), "the request was sent on");
     process.expect_clean_exit().await;
 }
--- a/daemon/tests/memory.rs
+++ b/daemon/tests/memory.rs
@@ -8,7 +8,7 @@
 
 use serde_json::{json, Value};
 use socket2::{Domain, Protocol, Socket, Type};
-use support::chat::write_chat_config;
+use support::chat::start_with_chat;
 use support::operations::*;
 use support::*;
 use tokio::io::AsyncWriteExt;
@@ -99,10 +99,7 @@
         let (prefill, decode) =
             (StandIn::start(PREFILL_RESPONSE).await, StandIn::start(COMPLETE_STREAM).await);
         let name = format!("memory-chat-{memory_mb}");
-        let mut command = program(&name, &config(memory_mb, &prefill, &decode));
-        command.arg("--chat").arg(write_chat_config(&name));
-        let mut process = DaemonProcess::start(command);
-        process.wait_until_listening();
+        let process = start_with_chat(&name, &config(memory_mb, &prefill, &decode));
         let statuses = flood(process.listen, &name, false).await;
         check_after_flood(&process, process.listen, memory_mb, &statuses).await;
         process.signal("-TERM");
@@ -116,10 +113,7 @@
     let memory_mb = 32;
     let (prefill, decode) = (StandIn::start(PREFILL_RESPONSE).await, StandIn::start(COMPLETE_STREAM).await);
     let name = "memory-values";
-    let mut command = program(name, &config(memory_mb, &prefill, &decode));
-    command.arg("--chat").arg(write_chat_config(name));
-    let mut process = DaemonProcess::start(command);
-    process.wait_until_listening();
+    let process = start_with_chat(name, &config(memory_mb, &prefill, &decode));
     let value = "{\"a\":1},";
     let values = value.repeat((MAX_BODY_BYTES - 200) / value.len());
     for field in ["extra", "metadata"] {
