--- a/daemon/src/config/mod.rs
+++ b/daemon/src/config/mod.rs
@@ -48,7 +48,7 @@
     TooFewSockets(PathBuf, usize),
     /// The limit on memory is too low to serve clients.
     #[error("{0}: limits.memory_mb: {1} is too low; set it to at least {MIN_MEMORY_MB}")]
-    TooLittleMemory(PathBuf, u64),
+    TooLittleMemory(PathBuf, f64),
 }
 
 impl ConfigError {
@@ -61,9 +61,9 @@
 /// With fewer descriptors, none are left for clients.
 const MIN_SOCKETS: usize = 64;
 /// With less memory, none is left for requests.
-const MIN_MEMORY_MB: u64 = 32;
+const MIN_MEMORY_MB: f64 = 32.0;
 /// The unit of `limits.memory_mb` in bytes.
-const MEGABYTE: u64 = 1_000_000;
+const MEGABYTE: f64 = 1e6;
 
 #[derive(Deserialize)]
 struct ConfigFile {
@@ -82,7 +82,7 @@
 struct Limits {
     sockets: usize,
     #[serde(default)]
-    memory_mb: Option<u64>,
+    memory_mb: Option<f64>,
 }
 
 /// A conductor's configuration.
@@ -240,7 +240,7 @@
             ops: file.ops,
             seed,
             max_sockets: file.limits.sockets,
-            max_memory_bytes: file.limits.memory_mb.map(|memory_mb| memory_mb.saturating_mul(MEGABYTE)),
+            max_memory_bytes: file.limits.memory_mb.map(|memory_mb| (memory_mb * MEGABYTE) as u64),
             known_members: file.known,
             settings: setup::settings(&file.settings, &names).map_err(settings_error)?,
             names,
--- a/daemon/tests/platform.rs
+++ b/daemon/tests/platform.rs
@@ -280,7 +280,7 @@
         config
     };
     let mut too_little_memory = good.clone();
-    too_little_memory["limits"]["memory_mb"] = json!(31);
+    too_little_memory["limits"]["memory_mb"] = json!(31.9);
     let mut too_few_sockets = good.clone();
     too_few_sockets["limits"]["sockets"] = json!(10);
     let mut missing_rule = good.clone();
