--- a/daemon/src/config/mod.rs
+++ b/daemon/src/config/mod.rs
@@ -1,4 +1,5 @@
-//! Reads and checks configuration files: the JSON file that `EDGE_CONFIG` names, and those that switch parts on.
+//! Reads and checks configuration files: the JSON file that `EDGE_CONFIG` names, and those that switch parts
+//! on.
 
 mod deploy_files;
 
--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -203,8 +203,8 @@
     process.expect_clean_exit().await;
 }
 
-/// Sends SIGTERM, then a request on a connection that has been used before: all but its last byte at the first
-/// time after SIGTERM, the last byte at the second. Returns what `read_outcome` does.
+/// Sends SIGTERM, then a request on a connection that has been used before: all but its last byte at the
+/// first time after SIGTERM, the last byte at the second. Returns what `read_outcome` does.
 async fn complete_after_sigterm(
     process: &DaemonProcess,
     first_at: Duration,
