Share the set-up of two processes with one address between two test files

The memory test of upgrades wrote out what `deployment_with_shared_address` of upgrade.rs does. Both use it from `support/operations.rs` now.

--- a/daemon/tests/memory.rs
+++ b/daemon/tests/memory.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use serde_json::{json, Value};
-use socket2::{Domain, Protocol, Socket, Type};
 use support::chat::start_with_chat;
 use support::operations::*;
 use support::*;
@@ -214,16 +213,11 @@
 async fn both_processes_of_an_upgrade_stay_below_the_memory_limit_together() {
     for memory_mb in [32, 96] {
         let name = format!("memory-upgrade-{memory_mb}");
-        let mut deployment = Deployment::new(&name).await;
-        let reserved = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).unwrap();
-        reserved.set_reuse_port(true).unwrap();
-        reserved.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
-        let address = reserved.local_addr().unwrap().as_socket().unwrap();
-        deployment.config["listen"] = json!(address);
+        let (mut deployment, _reserved) = deployment_with_shared_address(&name).await;
         deployment.config["limits"] = json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": DESCRIPTORS});
         let (old, _) = deployment.start(&name).await;
         let (new, _) = deployment.start(&format!("{name}-new")).await;
-        let statuses = flood(address, &name, true).await;
+        let statuses = flood(new.listen, &name, true).await;
         assert!(statuses.iter().all(|status| matches!(status, 200 | 503)), "{memory_mb} MB: {statuses:?}");
         assert!(statuses.contains(&200), "{memory_mb} MB: no request was served");
         let peaks_kib = [&old, &new].map(DaemonProcess::peak_memory_kib);
--- a/daemon/tests/support/operations.rs
+++ b/daemon/tests/support/operations.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use serde_json::{json, Value};
+use socket2::{Domain, Protocol, Socket, Type};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Instant};
@@ -69,6 +70,23 @@
     }
 }
 
+/// Reserves an address for the processes of a test, by a socket that is bound but does not listen.
+pub fn reserve_address() -> (Socket, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).unwrap();
+    socket.set_reuse_port(true).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    (socket, address)
+}
+
+/// A deployment whose processes share a listen address, and the socket that reserves it.
+pub async fn deployment_with_shared_address(name: &str) -> (Deployment, Socket) {
+    let mut deployment = Deployment::new(name).await;
+    let (reserved, address) = reserve_address();
+    deployment.config["listen"] = json!(address);
+    (deployment, reserved)
+}
+
 /// Polls a process until it reports that it is ready.
 pub async fn wait_until_ready(ops: SocketAddr) {
     let end = Instant::now() + WAIT_TIMEOUT;
--- a/daemon/tests/upgrade.rs
+++ b/daemon/tests/upgrade.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use serde_json::json;
-use socket2::{Domain, Protocol, Socket, Type};
 use support::chat::write_chat_config;
 use support::operations::*;
 use support::*;
@@ -17,23 +16,6 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, Instant};
 
-/// Reserves an address for the processes of a test, by a socket that is bound but does not listen.
-fn reserve_address() -> (Socket, SocketAddr) {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).unwrap();
-    socket.set_reuse_port(true).unwrap();
-    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
-    let address = socket.local_addr().unwrap().as_socket().unwrap();
-    (socket, address)
-}
-
-/// A deployment whose processes share a listen address, and the socket that reserves it.
-async fn deployment_with_shared_address(name: &str) -> (Deployment, Socket) {
-    let mut deployment = Deployment::new(name).await;
-    let (reserved, address) = reserve_address();
-    deployment.config["listen"] = json!(address);
-    (deployment, reserved)
-}
-
 /// Clients that each send one request after another, every one on a new connection, until they are stopped.
 struct LoadGenerator {
     stop: Arc<AtomicBool>,
