Don't presume that a receiver which confirms nothing has its grant

Cause: `is_presumed_granted`, made for receivers without status replies, which no build is. Change: it is gone.

--- a/transfer/src/grant_tracker.rs
+++ b/transfer/src/grant_tracker.rs
@@ -45,13 +45,8 @@
         self.unconfirmed.remove(&token)
     }
 
-    /// Whether a receipt is to come.
-    pub(crate) fn awaits_receipt(&self) -> bool {
-        self.has_receipts && !self.unconfirmed.is_empty()
-    }
-
-    /// Whether the grant was sent to a receiver that sends no receipts, and was not confirmed otherwise.
-    pub(crate) fn is_unconfirmable(&self, token: TransferToken) -> bool {
-        !self.has_receipts && self.unconfirmed.contains_key(&token)
+    /// Whether the receiver is to confirm a grant.
+    pub(crate) fn awaits_confirmation(&self) -> bool {
+        !self.unconfirmed.is_empty()
     }
 }
--- a/transfer/src/sender.rs
+++ b/transfer/src/sender.rs
@@ -270,13 +270,6 @@
         peers.filter_map(|peer| peer.grants.remove(owner.token)).last()
     }
 
-    /// Whether the owner confirms nothing, and the connection still stands on which it was sent the grant.
-    fn is_presumed_granted(&self, owner: Claimant) -> bool {
-        self.peers
-            .values()
-            .any(|peer| peer.incarnation == owner.incarnation && peer.grants.is_unconfirmable(owner.token))
-    }
-
     /// Records that data arrived on a connection.
     pub fn record_activity(&mut self, now: Micros, conn: ConnectionId) {
         if let Some(peer) = self.peers.get_mut(&conn) {
@@ -473,21 +466,12 @@
             self.actions.push_back(Action::Freed(id.clone(), cause));
         }
         if let Some(owner) = held.lease.unconfirmed_owner() {
-            self.end_unconfirmed(id, owner, cause);
+            self.forget_grant(owner);
+            let cause = if cause == Cause::Expired { Cause::PeerLost } else { cause };
+            self.actions.push_back(Action::GrantUnconfirmed(id.clone(), cause));
         }
     }
 
-    /// Reports what is known of a grant whose receipt is no longer awaited.
-    fn end_unconfirmed(&mut self, id: &RequestId, owner: Claimant, cause: Cause) {
-        let is_presumed_granted = self.is_presumed_granted(owner);
-        self.forget_grant(owner);
-        let cause = if cause == Cause::Expired { Cause::PeerLost } else { cause };
-        self.actions.push_back(match is_presumed_granted {
-            true => Action::GrantConfirmed(id.clone()),
-            false => Action::GrantUnconfirmed(id.clone(), cause),
-        });
-    }
-
     /// Stops new prefills. KV caches that are held may be fetched until `end` and are freed then.
     pub fn drain(&mut self, now: Micros, end: Micros) {
         let end = self.drain_deadline.map_or(end, |earlier| earlier.min(end));
@@ -535,9 +519,11 @@
         self.actions.pop_front()
     }
 
-    /// Whether transfers are under way on a connection, or receipts for grants are to come.
+    /// Whether transfers are under way on a connection, or confirmations of grants are to come.
     pub fn has_transfers(&self, conn: ConnectionId) -> bool {
-        self.peers.get(&conn).is_some_and(|peer| !peer.transfers.is_empty() || peer.grants.awaits_receipt())
+        self.peers
+            .get(&conn)
+            .is_some_and(|peer| !peer.transfers.is_empty() || peer.grants.awaits_confirmation())
     }
 
     /// Whether it is not known of some grant whether it has reached its receiver.
--- a/transfer/tests/hard_cases.rs
+++ b/transfer/tests/hard_cases.rs
@@ -70,6 +70,21 @@
     }
 }
 
+/// Guards against a grant that counts as confirmed because its connection still stands: a receiver of an
+/// earlier build whose link has stalled does not have it.
+#[test]
+fn a_receiver_that_confirms_nothing_is_not_presumed_to_have_the_grant() {
+    let mut sim = sim(1);
+    sim.features = 0;
+    sim.store(1, LENGTH).unwrap();
+    sim.fetch(0, 1, None).unwrap();
+    sim.deliver_frames(frames_until_grant());
+    assert!(sim.sender.has_unconfirmed_grants());
+    sim.sender.expire(sim.now + MAX_TIME_TO_FREE);
+    sim.run_actions();
+    assert_eq!((sim.confirmed.len(), sim.unconfirmed.clone()), (0, vec![(id(1), Cause::PeerLost)]));
+}
+
 /// The number of frames each way after which the sender has handed the cache over and the grant is in flight.
 fn frames_until_grant() -> usize {
     let handed_over = |frames: &usize| sim_after(*frames).0.sender.has_unconfirmed_grants();
