Claim the ids of open requests in both processes of an upgrade

What callers saw: during an upgrade, a client that sent the id of a `book` which streams at the old process was served by the new one.

Cause: the ids of open requests were a set in each process's memory, though the processes of an upgrade are one conductor.

Change: where there is an operators' address, each id is also claimed by a lock on one byte of a file in the conductor's folder (open file description lock, by the nix crate; no unsafe). The kernel arbitrates between processes, and drops the claims of one that is killed. A request waits up to 0.5 s for an id that another process has, on its client's time.

Tests of core and daemon pass.

Ruled out: ids in the files of the open work, which are up to 0.1 s old; a question to the other process, which may be paused.

--- a/core/src/conductor.rs
+++ b/core/src/conductor.rs
@@ -15,9 +15,9 @@
 use crate::command::{CallId, Command};
 use crate::command_queue::CommandSender;
 use crate::exclusion::{ExclusionError, Exclusions};
+use crate::id_claim::{OpenIds, SharedIdClaims};
 use crate::metrics::Metrics;
 use crate::permit::AdmittingServers;
-use crate::registration::OpenIds;
 use crate::release::{lock, UpstreamReleaser};
 use crate::traits::Upstream;
 
@@ -51,6 +51,8 @@
     pub metrics: Metrics,
     /// What the previous process has learned, and how long ago it exported that.
     pub inherited: Option<(InheritedState, Duration)>,
+    /// Claims the ids of open requests among the processes of the conductor, where there may be several.
+    pub shared_id_claims: Option<Arc<dyn SharedIdClaims>>,
     /// The logger.
     pub log: Logger,
 }
--- a/core/src/dispatcher.rs
+++ b/core/src/dispatcher.rs
@@ -20,6 +20,7 @@
 use crate::command_queue::{command_queue, CommandInProgress, CommandReceiver, WeakCommandSender};
 use crate::conductor::{Conductor, ConductorParts};
 use crate::exclusion::Exclusions;
+use crate::id_claim::OpenIds;
 use crate::metrics::Metrics;
 use crate::permit::{AdmittingServers, PermitConditions, SendPermit};
 use crate::release::{lock, ReleaseState, Releaser, UpstreamReleaser};
@@ -46,8 +47,18 @@
 
 /// Starts a conductor on the current runtime. It runs until every handle has been dropped.
 pub fn start<U: Upstream, M: MembershipSource>(parts: ConductorParts<U, M>) -> Conductor<U> {
-    let ConductorParts { settings, seed, clock, upstream, members, excluded, metrics, inherited, log } =
-        parts;
+    let ConductorParts {
+        settings,
+        seed,
+        clock,
+        upstream,
+        members,
+        excluded,
+        metrics,
+        inherited,
+        shared_id_claims,
+        log,
+    } = parts;
     metrics.add_classes(&settings);
     let (sender, receiver) = command_queue(clock);
     let (has_members_sender, has_members) = watch::channel(false);
@@ -93,7 +104,7 @@
         clock,
         settings: current_settings,
         next_call_id: Arc::default(),
-        open_ids: Arc::default(),
+        open_ids: OpenIds::new(shared_id_claims),
         has_members,
         releaser,
         exclusions,
--- a/core/src/registration.rs
+++ b/core/src/registration.rs
@@ -1,6 +1,5 @@
 //! A request's registration with the dispatcher, and the cleanup when the request ends in any way.
 
-use std::collections::HashSet;
 use std::future::Future;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -13,32 +12,10 @@
 use crate::cache_clock::CacheClock;
 use crate::command::{CallId, Command, Instruction};
 use crate::command_queue::CommandSender;
+use crate::id_claim::IdClaim;
 use crate::metrics::RequestMetrics;
 use crate::release::{lock, ReleaseState, Releaser};
 
-/// The ids of open requests.
-pub(crate) type OpenIds = Arc<Mutex<HashSet<Id>>>;
-
-/// Reserves a request id for as long as its request is open.
-#[derive(Debug)]
-pub(crate) struct IdClaim {
-    ids: OpenIds,
-    id: Id,
-}
-
-impl IdClaim {
-    /// Reserves the id; `None` if a request with this id is open.
-    pub(crate) fn acquire(ids: &OpenIds, id: &Id) -> Option<Self> {
-        lock(ids).insert(id.clone()).then(|| IdClaim { ids: ids.clone(), id: id.clone() })
-    }
-}
-
-impl Drop for IdClaim {
-    fn drop(&mut self) {
-        lock(&self.ids).remove(&self.id);
-    }
-}
-
 /// A request's registration with the dispatcher. However the request ends, dropping this reports it closed,
 /// which cancels an attempt in flight, and releases its KV cache.
 pub(crate) struct Registration {
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -17,9 +17,10 @@
 use crate::cache_clock::CacheClock;
 use crate::command::{Command, Instruction, NewRequest};
 use crate::conductor::Conductor;
+use crate::id_claim::IdClaim;
 use crate::metrics::Metrics;
 use crate::permit::SendPermit;
-use crate::registration::{IdClaim, Registration};
+use crate::registration::Registration;
 use crate::release::{lock, Releaser};
 use crate::traits::{AttemptReply, EventStream, Upstream};
 
@@ -166,9 +167,11 @@
 impl<U: Upstream> Conductor<U> {
     /// Runs a request to its final answer. Dropping the future cancels the request.
     pub async fn call(&self, request: Request<U::Call>) -> Result<Answer<U::Events>, CallError> {
-        let Request { query, call } = request;
+        let Request { mut query, call } = request;
+        let arrived_at = self.clock.now();
         // Checked first: a refusal of a request that is open would promise that nothing of it has run.
-        let Some(claim) = IdClaim::acquire(&self.open_ids, &query.id) else { return Err(CallError::IdInUse) };
+        let Some(claim) = self.claim_id(&query.id).await else { return Err(CallError::IdInUse) };
+        query.budget = query.budget.saturating_sub(self.clock.now().saturating_sub(arrived_at));
         if !admission::admits(self.commands.backlog().expected_wait(), query.budget) {
             return Ok(self.refuse_early(&query));
         }
@@ -210,6 +213,15 @@
         }
     }
 
+    /// Reserves the id of a request; `None` if it is in use, or if the conductor stops during the wait for it.
+    async fn claim_id(&self, id: &Id) -> Option<IdClaim> {
+        tokio::select! {
+            biased;
+            claim = self.open_ids.claim(id) => claim,
+            () = self.final_answers_due() => None,
+        }
+    }
+
     fn refuse_early(&self, query: &Query) -> Answer<U::Events> {
         self.metrics.open_request(&query.class.name).mark_deferred();
         self.metrics.count_early_refusal();
--- a/core/tests/held.rs
+++ b/core/tests/held.rs
@@ -205,6 +205,7 @@
     let conductor = start(ConductorParts {
         excluded: Vec::new(),
         inherited: None,
+        shared_id_claims: None,
         metrics: Metrics::new().unwrap(),
         settings,
         seed: 7,
--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -221,6 +221,7 @@
     start(ConductorParts {
         excluded: Vec::new(),
         inherited: None,
+        shared_id_claims: None,
         metrics: Metrics::new().unwrap(),
         settings: settings(),
         seed: 7,
--- a/core/tests/permit.rs
+++ b/core/tests/permit.rs
@@ -85,6 +85,7 @@
     let conductor = start(ConductorParts {
         excluded: Vec::new(),
         inherited: None,
+        shared_id_claims: None,
         metrics: Metrics::new().unwrap(),
         settings,
         seed: 7,
--- a/core/tests/slow_decisions.rs
+++ b/core/tests/slow_decisions.rs
@@ -123,6 +123,7 @@
     let conductor = start(ConductorParts {
         excluded: Vec::new(),
         inherited: None,
+        shared_id_claims: None,
         metrics: Metrics::new().unwrap(),
         settings,
         seed: 7,
--- a/core/tests/unit/answer_stream.rs
+++ b/core/tests/unit/answer_stream.rs
@@ -11,8 +11,8 @@
 use crate::clock::Clock;
 use crate::command::Command;
 use crate::command_queue::{command_queue, CommandReceiver};
+use crate::id_claim::OpenIds;
 use crate::permit::SendPermit;
-use crate::registration::IdClaim;
 use crate::release::{ReleaseState, Releaser};
 
 /// For streams, which have no KV cache to release.
@@ -45,7 +45,7 @@
     reports: CommandReceiver,
 }
 
-fn stream() -> (AnswerStream<ChannelEvents>, StreamHandles) {
+async fn stream() -> (AnswerStream<ChannelEvents>, StreamHandles) {
     let (instructions, received_instructions) = mpsc::unbounded_channel();
     let (events, received_events) = mpsc::unbounded_channel();
     let (commands, reports) = command_queue(Clock::new());
@@ -61,7 +61,7 @@
         cache_clock: CacheClock::default(),
         has_attempt_in_flight: false,
         is_streaming: true,
-        _claim: IdClaim::acquire(&Arc::default(), &"id".into()).unwrap(),
+        _claim: OpenIds::default().claim(&"id".into()).await.unwrap(),
     };
     (
         AnswerStream::new(registration, ChannelEvents(received_events)),
@@ -99,7 +99,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_moved_stream_ends_even_if_events_are_ready() {
     for before in [0, 1, 3] {
-        let (mut stream, mut handles) = stream();
+        let (mut stream, mut handles) = stream().await;
         for _ in 0..before {
             handles.events.send(event()).unwrap();
             assert!(matches!(poll_fn(|cx| stream.poll_next(cx)).await, Some(Ok(_))));
@@ -116,7 +116,7 @@
 /// A final answer that crossed the first event changes nothing, and a move after it still wakes the stream.
 #[tokio::test(start_paused = true)]
 async fn a_late_answer_does_not_hide_a_move() {
-    let (mut stream, handles) = stream();
+    let (mut stream, handles) = stream().await;
     for late in [Decision::Refuse { retry_after: 0 }, Decision::Fail, Decision::Cancel] {
         handles.instructions.send(instruction(late)).unwrap();
         handles.events.send(event()).unwrap();
@@ -135,7 +135,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_client_that_paused_finds_its_stream_alive() {
     for pause in [1, 4, 5, 60] {
-        let (mut stream, mut handles) = stream();
+        let (mut stream, mut handles) = stream().await;
         handles.events.send(event()).unwrap();
         assert!(matches!(poll_fn(|cx| stream.poll_next(cx)).await, Some(Ok(_))));
         tokio::time::sleep(Duration::from_secs(pause)).await;
@@ -152,7 +152,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_silent_server_is_given_up_before_the_client_counts_as_abandoned() {
     for pause in [0, 1_000, 4_400, 4_600] {
-        let (mut stream, mut handles) = stream();
+        let (mut stream, mut handles) = stream().await;
         handles.events.send(event()).unwrap();
         assert!(matches!(poll_fn(|cx| stream.poll_next(cx)).await, Some(Ok(_))));
         let begin = Instant::now();
--- a/daemon/src/command/operations.rs
+++ b/daemon/src/command/operations.rs
@@ -9,12 +9,13 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use frosttrail::OpenWork;
-use frosttrail_core::{Conductor, InheritedState, Metrics};
+use frosttrail_core::{Conductor, InheritedState, Metrics, SharedIdClaims};
 use frosttrail_daemon::config::Config;
 use frosttrail_daemon::front::ClientListeners;
 use frosttrail_daemon::listener_handover::{InheritedListeners, ListenerHandover};
 use frosttrail_daemon::open_work_files::OpenWorkFiles;
 use frosttrail_daemon::ops::{CallTracker, ConductorOperations, ExclusionStore, OpsServer};
+use frosttrail_daemon::request_id_locks::RequestIdLocks;
 use frosttrail_daemon::snapshot_file::SnapshotFile;
 use frosttrail_daemon::state_dir;
 use frosttrail_daemon::transient::{is_resource_shortage, retry_at_start};
@@ -39,6 +40,15 @@
 /// The state that the previous process learned, and its age.
 pub type PreviousState = Option<(InheritedState, Duration)>;
 
+/// What the conductor shares with the previous process and with those that run beside it.
+#[derive(Default)]
+pub struct UpgradeState {
+    /// What the previous process learned.
+    pub inherited: PreviousState,
+    /// The claims of the ids of open requests.
+    pub id_claims: Option<Arc<dyn SharedIdClaims>>,
+}
+
 /// The bound operators' server, and what was taken over from the previous process.
 pub struct OpsSetup {
     server: Option<OpsServer>,
@@ -67,9 +77,10 @@
         Ok(OpsSetup { server, folder, store, snapshot, previous_state, inherited, calls })
     }
 
-    /// Takes the state for the conductor; later calls return `None`.
-    pub fn take_previous_state(&mut self) -> PreviousState {
-        self.previous_state.take()
+    /// Takes the state for the conductor; later calls return no inherited state.
+    pub fn take_upgrade_state(&mut self, log: &Logger) -> UpgradeState {
+        let id_claims = RequestIdLocks::in_folder(&self.folder, log.clone());
+        UpgradeState { inherited: self.previous_state.take(), id_claims: Some(Arc::new(id_claims)) }
     }
 
     /// Takes the listeners of the previous process; later calls return `None`.
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -26,7 +26,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::graceful_shutdown::GracefulShutdown;
-use super::operations::{Listeners, OpsService, OpsSetup, PreviousState};
+use super::operations::{Listeners, OpsService, OpsSetup, UpgradeState};
 use super::{logger, random_incarnation, runtime, CommandError};
 
 /// Timeouts of client connections. Requests are small and come from nearby. Idle connections cost memory and
@@ -108,9 +108,9 @@
     let listen = config.listen;
     let (discovery, members) = watch::channel(config.discovery_config());
     let metrics = Metrics::new().map_err(std::io::Error::other)?;
-    let previous_state = ops.as_mut().and_then(OpsSetup::take_previous_state);
+    let upgrade_state = ops.as_mut().map(|ops| ops.take_upgrade_state(&log)).unwrap_or_default();
     let (conductor, upstream) =
-        start_conductor(config.clone(), members, xds, max_connections, previous_state, &metrics, &log);
+        start_conductor(config.clone(), members, xds, max_connections, upgrade_state, &metrics, &log);
     let reloader = ConfigReloader {
         config,
         conductor: conductor.clone(),
@@ -235,7 +235,7 @@
     discovery: watch::Receiver<DiscoveryConfig>,
     xds: Option<XdsConfig>,
     connections: usize,
-    previous_state: PreviousState,
+    upgrade_state: UpgradeState,
     metrics: &Metrics,
     log: &Logger,
 ) -> (Conductor<HttpUpstream>, Arc<HttpUpstream>) {
@@ -276,7 +276,8 @@
         // Restored later, before any request is served.
         excluded: Vec::new(),
         metrics,
-        inherited: previous_state,
+        inherited: upgrade_state.inherited,
+        shared_id_claims: upgrade_state.id_claims,
         log,
     });
     (conductor, shared_upstream)
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod open_work_files;
 pub mod ops;
 pub mod reload;
+pub mod request_id_locks;
 pub mod shutdown;
 pub mod snapshot_file;
 pub mod state_dir;
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -574,6 +574,7 @@
     let conductor = start(ConductorParts {
         excluded: Vec::new(),
         inherited: None,
+        shared_id_claims: None,
         metrics: Metrics::new().unwrap(),
         settings: settings.clone(),
         seed: 7,
--- a/daemon/tests/upgrade.rs
+++ b/daemon/tests/upgrade.rs
@@ -236,3 +236,26 @@
     new.signal("-TERM");
     new.expect_clean_exit().await;
 }
+
+/// Guards against a request that runs twice at once: the new process does not run an id that is open at the
+/// old one.
+#[tokio::test]
+async fn an_id_that_is_open_at_the_old_process_is_not_run_by_the_new_one() {
+    let (deployment, _reserved) = deployment_with_shared_address("upgrade-ids").await;
+    let (mut old, _) = deployment.start("upgrade-ids").await;
+    let [_, decode] = &deployment.servers;
+    decode.next(Behavior::SendsFromChannel);
+    decode.output.send(format!("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{EVENT}")).unwrap();
+    let open = send(old.listen, &request("same")).await;
+    open.readable().await.unwrap();
+    let (new, _) = deployment.start("upgrade-ids-new").await;
+    old.signal("-TERM");
+    old.wait_for_log("SIGTERM: closing");
+    // The new process accepts these.
+    assert_eq!(exchange(new.listen, &request("other")).await.status, 200);
+    assert_eq!(exchange(new.listen, &request("same")).await.status, 409);
+    assert_eq!(decode.posts().len(), 2, "the request of the old process was run by the new one");
+    // A killed process has no request open.
+    drop((open, old));
+    assert_eq!(exchange(new.listen, &request("same")).await.status, 200);
+}
