Keep a granted quota share through a reload, and join the membership before serving

Cause: the decisions kept one number for the share of the settings and the granted share, and the later event won.

Change: the granted share is kept apart, and the settings count only where there is none. The same cause at the start: clients were accepted before the membership was joined, and served by the share of the settings; the process joins first now.

Ruled out: sending the share again after each reload, which leaves the wrong one in force meanwhile.

--- a/core/src/conductor.rs
+++ b/core/src/conductor.rs
@@ -133,7 +133,8 @@
     }
 
     /// Sets this conductor's share, out of 1, of the quota of all conductors that send to the same servers.
-    /// Until it is set, the share is one divided by the number of conductors in the settings.
+    /// Until it is set, the share is one divided by the number of conductors in the settings; after that, new
+    /// settings do not change it.
     pub fn set_quota_share(&self, share: f64) {
         self.commands.send(Command::SetQuotaShare(share));
     }
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -213,7 +213,7 @@
         }
     }
 
-    /// Reserves the id of a request; `None` if it is in use, or if the conductor stops during the wait for it.
+    /// Reserves the id of a request; `None` if it is in use, or if the conductor stops meanwhile.
     async fn claim_id(&self, id: &Id) -> Option<IdClaim> {
         tokio::select! {
             biased;
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -129,16 +129,17 @@
             _ = signals.terminate.recv() => return Ok(()),
         }
     }
+    // Before the first request, which would otherwise be served by the share of the settings.
+    let membership = match membership {
+        Some(config) => Some(join_membership(config, &conductor, &log).await?),
+        None => None,
+    };
     let mut listeners =
         Listeners::new(&client_listeners, ops.as_mut().and_then(OpsSetup::take_inherited_listeners));
     client_listeners.serve_on(listeners.bind(listen)?, PlatformFront::new(conductor.clone()))?;
     if let Some(chat) = chat {
         client_listeners.serve_on(listeners.bind(chat.listen)?, ChatFront::new(conductor.clone(), chat))?;
     }
-    let membership = match membership {
-        Some(config) => Some(join_membership(config, &conductor, &log).await?),
-        None => None,
-    };
     let mut service = match ops {
         Some(ops) => Some(ops.start(&conductor, listeners, &log)),
         None => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -318,7 +318,8 @@
         /// Load report of the server, if it sent one.
         load: Option<LoadReport>,
     },
-    /// This conductor's share of the capacity and quotas of all conductors has changed.
+    /// This conductor's share of the capacity and quotas of all conductors has changed. From now on it counts
+    /// in place of [`Settings::conductors`], also of new settings.
     QuotaShare {
         /// The share, above 0 and up to 1.
         share: f64,
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -23,6 +23,8 @@
 /// Prefills that all conductors together have at one prefill server, and requests that wait at a mixed
 /// server. This is some tenths of a second of prefill work: the rest waits in the conductors, in their order.
 const PREFILL_SLOTS: f64 = 12.0;
+/// Smallest share of all conductors' capacity and quotas.
+const MIN_QUOTA_SHARE: f64 = 1e-6;
 /// Backoff after the first rejection by a full server; it doubles with each rejection in a row.
 const INITIAL_SERVER_BACKOFF: Micros = 200_000;
 /// Longest backoff of a server, and longest delay of sends to a role after a wait.
@@ -205,8 +207,8 @@
     timer_token: u64,
     is_closing: bool,
     next_list_poll_at: Option<Micros>,
-    /// Inverse of this conductor's share: how many conductors with an equal share there would be.
-    equivalent_conductors: f64,
+    /// The share of all conductors' capacity and quotas that has been granted to this one.
+    granted_quota_share: Option<f64>,
     foreign_work: handover::OpenWork,
 }
 
@@ -215,17 +217,8 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let quota_levels = settings.tenants.iter().map(|tenant| (tenant.quota_per_s, 0)).collect();
         let next_list_poll_at = settings.list_poll_interval.map(|_| 0);
-        let equivalent_conductors = f64::from(settings.conductors);
         let us_per_token = [100.0, 50.0, 150.0];
-        Router {
-            settings,
-            seed,
-            us_per_token,
-            quota_levels,
-            next_list_poll_at,
-            equivalent_conductors,
-            ..Router::default()
-        }
+        Router { settings, seed, us_per_token, quota_levels, next_list_poll_at, ..Router::default() }
     }
 
     /// Handles one event and appends the actions to carry out.
@@ -245,7 +238,9 @@
             Event::ClientGone { id } => self.end_request(&id, false, actions),
             Event::Closing => self.close(actions),
             Event::Settings(settings) => self.reconfigure(settings),
-            Event::QuotaShare { share } => self.equivalent_conductors = 1.0 / share.clamp(1e-6, 1.0),
+            Event::QuotaShare { share } => {
+                self.granted_quota_share = Some(share.clamp(MIN_QUOTA_SHARE, 1.0));
+            }
             Event::TimerFired { token } if token == self.timer_token => {
                 self.sweep(actions);
                 self.set_sweep_timer(actions);
@@ -261,6 +256,11 @@
         self.dispatch_queued(actions);
     }
 
+    /// Inverse of this conductor's share: how many conductors with an equal share there would be.
+    fn equivalent_conductors(&self) -> f64 {
+        self.granted_quota_share.map_or(f64::from(self.settings.conductors), |share| 1.0 / share)
+    }
+
     /// Records how many requests of all conductors a probed server has.
     fn probe_ended(
         &mut self,
@@ -417,7 +417,7 @@
     /// Charges one request to the tenant's quota; true if the quota is used up.
     fn charge_quota(&mut self, tenant: usize) -> bool {
         let Some(quota) = self.settings.tenants.get(tenant) else { return false };
-        let per_s = quota.quota_per_s / self.equivalent_conductors;
+        let per_s = quota.quota_per_s / self.equivalent_conductors();
         let (level, at) = &mut self.quota_levels[tenant];
         *level = (*level + per_s * (self.now - *at) as f64 / 1e6).min(per_s.max(1.0));
         *at = self.now;
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -215,7 +215,7 @@
 
     /// This conductor's share of a total that belongs to all conductors.
     pub(super) fn own_share(&self, total: f64) -> f64 {
-        total / self.equivalent_conductors
+        total / self.equivalent_conductors()
     }
 
     /// Whether there are so many conductors that each one's share of a server is less than one request.
--- a/src/scheduler/reconfigure.rs
+++ b/src/scheduler/reconfigure.rs
@@ -10,9 +10,6 @@
             |tenant: &Tenant| self.settings.tenant(&tenant.name).map(|index| self.quota_levels[index]);
         let quota = |tenant: &Tenant| remaining(tenant).unwrap_or((tenant.quota_per_s, self.now));
         self.quota_levels = settings.tenants.iter().map(quota).collect();
-        if settings.conductors != self.settings.conductors {
-            self.equivalent_conductors = f64::from(settings.conductors);
-        }
         self.settings = settings;
     }
 }
--- a/src/scheduler/slow_start.rs
+++ b/src/scheduler/slow_start.rs
@@ -20,7 +20,7 @@
         if !self.is_in_slow_start(server_index) {
             return None;
         }
-        let min_per_s = MIN_SENDS_PER_S / self.equivalent_conductors;
+        let min_per_s = MIN_SENDS_PER_S / self.equivalent_conductors();
         if self.has_fractional_shares() {
             return Some((1e6 / min_per_s) as Micros);
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -129,31 +129,45 @@
     assert!(sent(4) <= sent(1));
 }
 
+/// The actions of a router of `conductors`, after these events, for requests while a server is in slow start.
+fn actions_after(conductors: u32, events: &[Event]) -> Vec<Vec<Action>> {
+    let mut harness = RouterHarness::new(Settings { conductors, ..Settings::example() }, &FLEET);
+    for event in events {
+        harness.handle(event.clone());
+    }
+    harness
+        .update_servers(ListUpdateKind::Changes, vec![ServerEntry { started: harness.now, ..entry("r", 0) }]);
+    let mut all = Vec::new();
+    for i in 0..60 {
+        harness.now += 10 * MS;
+        all.push(harness.submit(query(&format!("q{i}"), 3_000)));
+    }
+    all
+}
+
 #[test]
 fn a_quota_share_acts_like_the_same_number_of_routers() {
-    let run = |conductors, share: Option<f64>| {
-        let mut harness = RouterHarness::new(Settings { conductors, ..Settings::example() }, &FLEET);
-        if let Some(share) = share {
-            harness.handle(Event::QuotaShare { share });
-        }
-        harness.update_servers(
-            ListUpdateKind::Changes,
-            vec![ServerEntry { started: harness.now, ..entry("r", 0) }],
-        );
-        let mut all = Vec::new();
-        for i in 0..60 {
-            harness.now += 10 * MS;
-            all.push(harness.submit(query(&format!("q{i}"), 3_000)));
-        }
-        all
-    };
+    let with_share = |conductors, share| actions_after(conductors, &[Event::QuotaShare { share }]);
     for routers in [1, 3, 100] {
-        assert_eq!(run(7, Some(1.0 / f64::from(routers))), run(routers, None));
+        assert_eq!(with_share(7, 1.0 / f64::from(routers)), actions_after(routers, &[]));
     }
-    assert_ne!(run(1, Some(0.01)), run(1, None), "a smaller share has an effect");
+    assert_ne!(with_share(1, 0.01), actions_after(1, &[]), "a smaller share has an effect");
     // Shares out of range are harmless.
     for share in [0.0, -1.0, 7.0, f64::INFINITY] {
-        run(2, Some(share));
+        with_share(2, share);
+    }
+}
+
+/// Guards against shares that add up to more than the whole after a reload: a share that the membership has
+/// granted stays in force, whatever number of conductors the settings name.
+#[test]
+fn new_settings_change_the_share_only_while_none_is_granted() {
+    let granted = Event::QuotaShare { share: 1.0 / 100.0 };
+    let reloaded = |conductors| Event::Settings(Settings { conductors, ..Settings::example() });
+    for conductors in [1, 2, 300] {
+        let after = actions_after(1, &[granted.clone(), reloaded(conductors)]);
+        assert_eq!(after, actions_after(100, &[]), "{conductors}");
+        assert_eq!(actions_after(7, &[reloaded(conductors)]), actions_after(conductors, &[]));
     }
 }
 
