Let no incomplete head behind an open request end its connection

Cause: the time for a head ran from its first byte. hyper reads up to 16 KiB at a time, which mostly ends within a later head, and reads on only once the requests before are answered.

Change: the time for a head runs while no request is open, and begins anew when the last has been answered. A head that begins in the read that ends another one has its own beginning.

Seven test files of the daemon that touch fronts pass.

Ruled out: hyper's own timeout of heads, which does not run while a request is open; reading on in the background, which would keep what the front has no room for.

--- a/daemon/src/front/framing.rs
+++ b/daemon/src/front/framing.rs
@@ -128,7 +128,11 @@
         let mut request = httparse::Request::new(&mut headers);
         let (framing, consumed) = match request.parse(&head) {
             Ok(Status::Partial) => return (ParseState::Head(head), new_bytes),
-            Ok(Status::Complete(end)) => (body_framing(request.headers), new_bytes - (head.len() - end)),
+            Ok(Status::Complete(end)) => {
+                // The next head begins to arrive now at the earliest.
+                self.framing.set_partial_head(false);
+                (body_framing(request.headers), new_bytes - (head.len() - end))
+            }
             Err(_) => (Framing::Ambiguous, new_bytes),
         };
         let state = match framing {
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -346,7 +346,8 @@
                         std::future::pending().await
                     }
                 });
-                let mut partial_head_timeout = pin!(partial_head_timeout(&head_state, request_arrival));
+                let mut partial_head_timeout =
+                    pin!(partial_head_timeout(&head_state, &slot, request_arrival));
                 // Until a request has been read and between requests, hyper detects the disconnect itself.
                 let mut client_closed = pin!(poll_fn(|cx| match slot.is_awaiting_response() {
                     true => socket.poll_client_end(cx),
@@ -385,17 +386,23 @@
     }
 }
 
-/// Resolves once a request head has been incomplete for `within`. hyper's own timeout runs from the previous
-/// response and allows for the idle time, which is longer than an incomplete head may take.
-async fn partial_head_timeout(head_state: &FramingState, within: Duration) {
+/// Resolves once a request head has been incomplete for `within` while no request is open. Until the requests
+/// ahead of a head are answered, hyper reads no further, so that its client can't complete it. hyper's own
+/// timeout runs from the previous response and allows for the idle time, which is longer than an incomplete
+/// head may take.
+async fn partial_head_timeout(head_state: &FramingState, slot: &ConnectionSlot, within: Duration) {
     let mut timer = pin!(sleep(within));
     let mut timed_since = None;
     poll_fn(|cx| {
-        let Some(since) = head_state.partial_head_since() else { return Poll::Pending };
-        if timed_since.replace(since) != Some(since) {
-            timer.as_mut().reset(since + within);
+        let since = head_state.partial_head_since().filter(|_| !slot.has_open_request());
+        if since.is_some() && since != timed_since {
+            timer.as_mut().reset(Instant::now() + within);
+        }
+        timed_since = since;
+        match since {
+            Some(_) => timer.as_mut().poll(cx),
+            None => Poll::Pending,
         }
-        timer.as_mut().poll(cx)
     })
     .await
 }
