--- a/daemon/tests/servers.rs
+++ b/daemon/tests/servers.rs
@@ -104,6 +104,22 @@
     assert_eq!((site.prefill.posts().len(), site.decode.posts().len()), (8, 8), "each request was sent once");
 }
 
+/// Guards against a connection that stays one answer behind: a client would get the answer to another one's
+/// request.
+#[tokio::test]
+async fn a_second_answer_some_milliseconds_late_is_no_answer_to_the_next_request() {
+    let (prefill, decode) =
+        (StandIn::start(PREFILL_RESPONSE).await, StandIn::start(Behavior::AnswersTwice(40)).await);
+    let servers = [("p", "prefill", prefill.address), ("d", "decode", decode.address)];
+    let config = config_json("late-answer", "127.0.0.1:9", 512, &servers, &setup());
+    let process = DaemonProcess::start(program("late-answer", &config));
+    for n in 0..50 {
+        let answer = exchange(process.listen, &request(&format!("t-{n}"), "ask")).await;
+        assert_eq!(answer.status, 200);
+        assert!(answer.body.starts_with("data: first"), "request {n} got another answer: {}", answer.body);
+    }
+}
+
 /// One server of each role accepts no connection. Requests go to the other, one attempt at a time, and
 /// nothing is sent on a connection that opens after its attempt has ended.
 #[tokio::test]
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -60,6 +60,9 @@
     SendsNewlines(&'static str),
     /// Sends these bytes, which hold a complete response, and goes on to the next request.
     SendsRawResponse(&'static str),
+    /// Streams one event that says `first`, and this many milliseconds later sends a second whole answer, whose
+    /// event says `second`.
+    AnswersTwice(u64),
     /// Streams this many events at this interval in milliseconds. Each holds the microseconds since the Unix
     /// epoch.
     StreamsTimestamps(usize, u64),
@@ -289,6 +292,13 @@
                     return Ok(());
                 }
                 Behavior::SendsRawResponse(bytes) => stream.write_all(bytes.as_bytes()).await?,
+                Behavior::AnswersTwice(delay_ms) => {
+                    for event in ["data: first\n\n", "data: second\n\n"] {
+                        send_chunked(&mut stream, &[event, DONE]).await?;
+                        stream.write_all(b"0\r\n\r\n").await?;
+                        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+                    }
+                }
                 Behavior::StreamsTimestamps(events, interval_ms) => {
                     send_chunked(&mut stream, &[]).await?;
                     for _ in 0..events {
