--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -36,8 +36,8 @@
     idle: Duration::from_secs(5),
     write: Duration::from_secs(20),
 };
-/// How long a connection to a server rests after an answer before it is used again. A second answer, which may
-/// follow some milliseconds late, has arrived by then and shows that the connection can't be used.
+/// How long a connection to a server rests after an answer before it is used again. A second answer, which
+/// may follow some milliseconds late, has arrived by then and shows that the connection can't be used.
 const SETTLE_TIME: Duration = Duration::from_millis(100);
 /// A reset of a stale connection arrives from the server, or from a proxy before it, within this time.
 const STALE_RESET_WINDOW: Duration = Duration::from_millis(20);
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -60,8 +60,8 @@
     SendsNewlines(&'static str),
     /// Sends these bytes, which hold a complete response, and goes on to the next request.
     SendsRawResponse(&'static str),
-    /// Streams one event that says `first`, and this many milliseconds later sends a second whole answer, whose
-    /// event says `second`.
+    /// Streams one event that says `first`, and this many milliseconds later sends a second whole answer,
+    /// whose event says `second`.
     AnswersTwice(u64),
     /// Streams this many events at this interval in milliseconds. Each holds the microseconds since the Unix
     /// epoch.
