Count a client's time from when its request began to arrive

Cause: the client's time was counted from when the request was passed to the decisions; the protocol counts from when it was sent.

Change: the socket knows when the bytes of each head were read, also those read ahead, and the time since then comes out of the budget.

Two tests of daemon/tests/pipelining.rs failed with the deduction taken out and pass with it.

Ruled out: receive time stamps, which follow the wall clock; TCP_INFO, which needs unsafe.

--- a/daemon/src/buffer_budget.rs
+++ b/daemon/src/buffer_budget.rs
@@ -204,14 +204,16 @@
         self.reservation.clear();
     }
 
-    /// Takes bytes from its start into `target`, and frees the memory once all are taken.
-    pub fn read_into(&mut self, target: &mut tokio::io::ReadBuf<'_>) {
-        let length = self.bytes.len().min(target.remaining());
+    /// Takes up to `max_bytes` bytes from its start into `target`, and frees the memory once all are taken.
+    /// Returns how many bytes were taken.
+    pub fn read_into(&mut self, target: &mut tokio::io::ReadBuf<'_>, max_bytes: usize) -> usize {
+        let length = self.bytes.len().min(target.remaining()).min(max_bytes);
         target.put_slice(&self.bytes[..length]);
         self.bytes.advance(length);
         if self.bytes.is_empty() {
             self.clear();
         }
+        length
     }
 
     /// The content, whose reservation is returned with the last reference to it.
--- a/daemon/src/front/chat/mod.rs
+++ b/daemon/src/front/chat/mod.rs
@@ -22,7 +22,7 @@
 use self::error::ApiError;
 use self::request::{ParsedRequest, RequestParser};
 use super::body::{event_stream_response, full_response, set_retry_after, ResponseBody, ServiceResult};
-use super::input::{buffer_budget, read_body, InputError};
+use super::input::{buffer_budget, read_body, remaining_budget, InputError};
 use super::listener::Service;
 use crate::buffer_budget::{BudgetExhausted, BufferBudget};
 use crate::config::ChatConfig;
@@ -71,12 +71,13 @@
     ) -> Result<Response<ResponseBody<B::Events>>, ApiError> {
         let (head, incoming) = request.into_parts();
         let buffers = buffer_budget(&head);
-        let ParsedRequest { query, call, stream, include_usage, model } = self.parser.parse(
+        let ParsedRequest { mut query, call, stream, include_usage, model } = self.parser.parse(
             &self.conductor.settings(),
             &head.headers,
             read_body(&head, incoming).await?,
             &buffers,
         )?;
+        query.budget = remaining_budget(&head, query.budget);
         let id = query.id.clone();
         let answer = self.conductor.call(frosttrail_core::Request { query, call }).await;
         let mut response = match answer {
--- a/daemon/src/front/framing.rs
+++ b/daemon/src/front/framing.rs
@@ -4,10 +4,11 @@
 //! reads such a head differently would see another request in its body (request smuggling), so a head that
 //! can be read in two ways is rejected.
 
+use std::collections::VecDeque;
 use std::io::{IoSlice, Result};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
 
 use httparse::{Header, Status, EMPTY_HEADER};
@@ -24,8 +25,16 @@
 pub(super) struct FramingState {
     is_ambiguous: AtomicBool,
     is_last_request: AtomicBool,
-    /// When the head that is still incomplete began to arrive.
-    partial_head_since: Mutex<Option<Instant>>,
+    heads: Mutex<HeadArrivals>,
+}
+
+/// When heads began to arrive.
+#[derive(Default)]
+struct HeadArrivals {
+    /// The head that is still incomplete.
+    partial_since: Option<Instant>,
+    /// Complete heads that have not been handled yet. No more than hyper's buffer has room for.
+    complete: VecDeque<Instant>,
 }
 
 impl FramingState {
@@ -36,12 +45,28 @@
 
     /// When the head that is still incomplete began to arrive.
     pub(super) fn partial_head_since(&self) -> Option<Instant> {
-        *self.partial_head_since.lock().unwrap_or_else(PoisonError::into_inner)
+        self.heads().partial_since
+    }
+
+    /// When the head of the next request began to arrive; later calls are for the requests after it.
+    pub(super) fn next_head_arrival(&self) -> Option<Instant> {
+        self.heads().complete.pop_front()
     }
 
-    fn set_partial_head(&self, is_partial: bool) {
-        let mut since = self.partial_head_since.lock().unwrap_or_else(PoisonError::into_inner);
-        *since = is_partial.then(|| since.unwrap_or_else(Instant::now));
+    fn set_partial_head(&self, since: Option<Instant>) {
+        let mut heads = self.heads();
+        heads.partial_since = since.map(|since| heads.partial_since.unwrap_or(since));
+    }
+
+    /// Records that a head is complete whose last bytes have arrived now.
+    fn record_head(&self, received_at: Instant) {
+        let mut heads = self.heads();
+        let began_at = heads.partial_since.take().unwrap_or(received_at);
+        heads.complete.push_back(began_at);
+    }
+
+    fn heads(&self) -> MutexGuard<'_, HeadArrivals> {
+        self.heads.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Whether the request must be the connection's last, because its end is not tracked here.
@@ -86,6 +111,12 @@
     }
 }
 
+/// A source of input that knows when its bytes arrived.
+pub(super) trait TimedRead: AsyncRead {
+    /// The earliest time at which the bytes that were read last can have arrived.
+    fn received_at(&self) -> Instant;
+}
+
 /// A client's connection that parses the framing of the bytes that hyper reads from it.
 pub(super) struct FramingStream<S> {
     io: Pin<Box<S>>,
@@ -100,10 +131,10 @@
     }
 
     /// Advances the parse state over bytes that hyper is about to get.
-    fn track(&mut self, mut bytes: &[u8]) {
+    fn track(&mut self, mut bytes: &[u8], received_at: Instant) {
         while !bytes.is_empty() {
             let (state, consumed) = match std::mem::replace(&mut self.state, ParseState::Ignored) {
-                ParseState::Ignored => return self.framing.set_partial_head(false),
+                ParseState::Ignored => return self.framing.set_partial_head(None),
                 ParseState::Body(length) => {
                     let consumed = length.min(bytes.len() as u64);
                     (self.expect_body(length - consumed), consumed as usize)
@@ -112,25 +143,25 @@
                     // hyper's limit on the size of a head bounds this buffer too: nothing more is read past
                     // it.
                     head.extend_from_slice(bytes);
-                    self.parse_head(head, bytes.len())
+                    self.parse_head(head, bytes.len(), received_at)
                 }
             };
             self.state = state;
             bytes = &bytes[consumed..];
         }
-        self.framing.set_partial_head(matches!(&self.state, ParseState::Head(head) if !head.is_empty()));
+        let is_partial = matches!(&self.state, ParseState::Head(head) if !head.is_empty());
+        self.framing.set_partial_head(is_partial.then_some(received_at));
     }
 
     /// Parses the head received so far. Returns the next state and how many of the head's last `new_bytes`
     /// bytes belong to it.
-    fn parse_head(&self, head: Vec<u8>, new_bytes: usize) -> (ParseState, usize) {
+    fn parse_head(&self, head: Vec<u8>, new_bytes: usize, received_at: Instant) -> (ParseState, usize) {
         let mut headers = [EMPTY_HEADER; MAX_HEADERS];
         let mut request = httparse::Request::new(&mut headers);
         let (framing, consumed) = match request.parse(&head) {
             Ok(Status::Partial) => return (ParseState::Head(head), new_bytes),
             Ok(Status::Complete(end)) => {
-                // The next head begins to arrive now at the earliest.
-                self.framing.set_partial_head(false);
+                self.framing.record_head(received_at);
                 (body_framing(request.headers), new_bytes - (head.len() - end))
             }
             Err(_) => (Framing::Ambiguous, new_bytes),
@@ -163,11 +194,12 @@
     }
 }
 
-impl<S: AsyncRead> AsyncRead for FramingStream<S> {
+impl<S: TimedRead> AsyncRead for FramingStream<S> {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<Result<()>> {
         let before = buf.filled().len();
         ready!(self.io.as_mut().poll_read(cx, buf))?;
-        self.track(&buf.filled()[before..]);
+        let received_at = self.io.received_at();
+        self.track(&buf.filled()[before..], received_at);
         Poll::Ready(Ok(()))
     }
 }
--- a/daemon/src/front/input.rs
+++ b/daemon/src/front/input.rs
@@ -118,6 +118,16 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ArrivalDeadline(pub(super) Instant);
 
+/// The earliest time at which a request can have begun to arrive.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ArrivedAt(pub(super) Instant);
+
+/// What is left of the time that a client waits, which runs from the moment at which it sent the request.
+pub(super) fn remaining_budget(head: &Parts, stated: Micros) -> Micros {
+    let elapsed = head.extensions.get::<ArrivedAt>().map(|arrived_at| arrived_at.0.elapsed());
+    stated.saturating_sub(elapsed.unwrap_or_default().as_micros() as Micros)
+}
+
 /// Decides whether a request may start once it has arrived in full.
 #[derive(Clone, Debug)]
 pub(super) struct Admission {
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -22,10 +22,11 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::arrival::ArrivalClock;
 use super::body::{ResponseBody, ServiceResult, TrackedBody};
 use super::clients::{BodyReadNotice, ConnectionLimiter, ConnectionSlot, OpenRequestGuard};
 use super::framing::{FramingState, FramingStream, MAX_HEADERS};
-use super::input::{Admission, ArrivalDeadline, InputError};
+use super::input::{Admission, ArrivalDeadline, ArrivedAt, InputError};
 use super::socket::ClientSocket;
 use crate::buffer_budget::BufferBudget;
 use crate::transient::{is_resource_shortage, retry_at_start};
@@ -105,6 +106,7 @@
     share_address: bool,
     /// The memory for what clients send.
     buffers: BufferBudget,
+    arrivals: ArrivalClock,
     /// Cancelled once shutdown is planned: each response then carries `Connection: close`.
     keep_alive_ended: CancellationToken,
     /// Cancelled once another process accepts the queued connections.
@@ -131,6 +133,7 @@
             timeouts,
             share_address: false,
             buffers: BufferBudget::unlimited(),
+            arrivals: ArrivalClock::default(),
             keep_alive_ended: CancellationToken::new(),
             handed_over: CancellationToken::new(),
             closing: CancellationToken::new(),
@@ -182,6 +185,7 @@
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let listener = TcpListener::from_std(listener)?;
+        self.arrivals.start();
         info!(self.log, "listening"; "at" => %address);
         self.accepting.spawn(self.clone().accept(listener, Arc::new(service)));
         Ok(address)
@@ -281,7 +285,7 @@
         let (closing, keep_alive_ended, log) =
             (self.closing.clone(), self.keep_alive_ended.clone(), self.log.clone());
         let (unanswered, streams) = (self.unanswered.clone(), self.streams.clone());
-        let buffers = self.buffers.clone();
+        let (buffers, arrivals) = (self.buffers.clone(), self.arrivals.clone());
         let admission = Admission {
             closes_at: self.closes_at.clone(),
             has_slot: !slot.is_refusing(),
@@ -294,13 +298,16 @@
             // only on a connection that is already closed.
             let _ = stream.set_nodelay(true);
             let peer = stream.peer_addr().ok();
-            let socket = ClientSocket::new(stream, write, &buffers);
+            let socket = ClientSocket::new(stream, write, &buffers, arrivals);
             let stream = FramingStream::new(socket.clone(), framing.clone(), slot.clone());
             let (request_slot, request_socket, head_state) = (slot.clone(), socket.clone(), framing.clone());
+            let request_heads = framing.clone();
             let handler = service_fn(move |mut request: Request<Incoming>| {
                 let open_request = OpenRequestGuard(request_slot.clone());
                 let started_at =
                     if request_slot.has_answered_request() { Instant::now() } else { accepted_at };
+                let arrived_at = request_heads.next_head_arrival().unwrap_or_else(Instant::now);
+                request.extensions_mut().insert(ArrivedAt(arrived_at));
                 request.extensions_mut().insert(ArrivalDeadline(started_at + request_arrival));
                 request.extensions_mut().insert(BodyReadNotice(request_slot.clone()));
                 request.extensions_mut().insert(admission.clone());
--- a/daemon/src/front/mod.rs
+++ b/daemon/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! Fronts, which translate the protocols of clients into requests to the core, and its answers into
 //! responses.
 
+mod arrival;
 mod body;
 pub mod chat;
 mod clients;
--- a/daemon/src/front/platform.rs
+++ b/daemon/src/front/platform.rs
@@ -8,8 +8,8 @@
 
 use super::body::{event_stream_response, full_response, set_retry_after, ResponseBody, ServiceResult};
 use super::input::{
-    header_text, is_valid_id, parse_duration, parse_labels, read_body, remove_hop_by_hop_headers,
-    retry_flags, tenant_index, InputError, CHARS_PER_TOKEN,
+    header_text, is_valid_id, parse_duration, parse_labels, read_body, remaining_budget,
+    remove_hop_by_hop_headers, retry_flags, tenant_index, InputError, CHARS_PER_TOKEN,
 };
 use super::listener::Service;
 use crate::upstream::Call;
@@ -61,6 +61,7 @@
         if query.prompt_tokens == 0 {
             query.prompt_tokens = body.len() as u64 / CHARS_PER_TOKEN;
         }
+        query.budget = remaining_budget(&head, query.budget);
         remove_hop_by_hop_headers(&mut head.headers);
         let call = Call { method: head.method, target: head.uri, headers: head.headers, body };
         let answer = self.conductor.call(frosttrail_core::Request { query, call }).await;
--- a/daemon/src/front/socket.rs
+++ b/daemon/src/front/socket.rs
@@ -3,6 +3,7 @@
 //! While a request is open, the socket reads ahead: a disconnect is noticed whatever the client sent before
 //! it. On close, it ends the write side first and drains the input, so that no response in flight is lost.
 
+use std::collections::VecDeque;
 use std::future::{poll_fn, Future};
 use std::io::{ErrorKind, IoSlice, Result};
 use std::pin::Pin;
@@ -12,9 +13,11 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout, Sleep};
+use tokio::time::{sleep, timeout, Instant, Sleep};
 use tokio_io_timeout::TimeoutStream;
 
+use super::arrival::ArrivalClock;
+use super::framing::TimedRead;
 use crate::buffer_budget::{BufferBudget, ReservedBuffer};
 use crate::tcp::TcpConnection;
 
@@ -28,6 +31,8 @@
 /// How long input is drained after the write side has been closed. A close with unread input would reset the
 /// connection, and the end of the response would be lost.
 const CLOSE_DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
+/// Input that is read ahead within this time counts as having arrived at once.
+const ARRIVAL_RESOLUTION: Duration = Duration::from_millis(50);
 /// Input that hyper has not asked for and that is read at full speed. Beyond it, reading goes on, since a
 /// disconnect may follow, with a pause of `READ_PAUSE` after each poll.
 const MAX_UNREQUESTED_BYTES: usize = 1 << 20;
@@ -44,6 +49,11 @@
     stream: Pin<Box<TimeoutStream<TcpConnection>>>,
     /// Input that was read ahead and has not been handed to hyper.
     read_ahead: ReservedBuffer,
+    /// When the bytes of `read_ahead` arrived, in their order.
+    read_ahead_arrivals: VecDeque<ReadAheadPart>,
+    arrivals: ArrivalClock,
+    /// The earliest time at which the bytes that hyper read last can have arrived.
+    received_at: Instant,
     /// How the input ended: `UnexpectedEof` at a regular end, otherwise the error.
     read_end: Option<ErrorKind>,
     /// Bytes read ahead since hyper last read from the socket itself.
@@ -54,16 +64,56 @@
     has_dropped_bytes: bool,
 }
 
+/// Bytes that were read ahead at about the same time.
+struct ReadAheadPart {
+    bytes: usize,
+    /// The earliest time at which they can have arrived.
+    received_at: Instant,
+}
+
+impl Inner {
+    /// Records bytes that were added to `read_ahead`.
+    fn record_read_ahead(&mut self, bytes: usize) {
+        let received_at = self.arrivals.earliest_arrival();
+        match self.read_ahead_arrivals.back_mut() {
+            Some(last) if received_at.saturating_duration_since(last.received_at) < ARRIVAL_RESOLUTION => {
+                last.bytes += bytes;
+            }
+            _ => self.read_ahead_arrivals.push_back(ReadAheadPart { bytes, received_at }),
+        }
+    }
+
+    /// Hands bytes that were read ahead to hyper, all of which arrived at about the same time.
+    fn take_read_ahead(&mut self, buf: &mut ReadBuf<'_>) {
+        let max_bytes = self.read_ahead_arrivals.front().map_or(usize::MAX, |part| part.bytes);
+        let taken = self.read_ahead.read_into(buf, max_bytes);
+        let Some(part) = self.read_ahead_arrivals.front_mut() else { return };
+        self.received_at = part.received_at;
+        part.bytes -= taken;
+        if part.bytes == 0 {
+            self.read_ahead_arrivals.pop_front();
+        }
+    }
+}
+
 impl ClientSocket {
     /// Wraps a connection; writes fail once the client has taken nothing for `write_timeout`. Input that is
     /// read ahead takes memory from `buffers`.
-    pub(super) fn new(stream: TcpStream, write_timeout: Duration, buffers: &BufferBudget) -> Self {
+    pub(super) fn new(
+        stream: TcpStream,
+        write_timeout: Duration,
+        buffers: &BufferBudget,
+        arrivals: ArrivalClock,
+    ) -> Self {
         let mut stream = TimeoutStream::new(TcpConnection::new(stream));
         stream.set_write_timeout(Some(write_timeout));
         let (stream, read_ahead) = (Box::pin(stream), ReservedBuffer::new(buffers, MAX_READ_AHEAD_BYTES));
         let inner = Inner {
             stream,
             read_ahead,
+            read_ahead_arrivals: VecDeque::new(),
+            received_at: arrivals.earliest_arrival(),
+            arrivals,
             read_end: None,
             unrequested_bytes: 0,
             read_pause: None,
@@ -114,6 +164,9 @@
                         .len()
                         .min(MAX_READ_AHEAD_BYTES - inner.read_ahead.len().min(MAX_READ_AHEAD_BYTES));
                     let is_kept = inner.read_ahead.try_extend(&read.filled()[..kept]).is_ok();
+                    if is_kept && kept > 0 {
+                        inner.record_read_ahead(kept);
+                    }
                     inner.has_dropped_bytes |= !is_kept || kept < read.filled().len();
                 }
                 Poll::Ready(Err(e)) => inner.read_end = Some(e.kind()),
@@ -151,7 +204,7 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<Result<()>> {
         let inner = &mut *self.lock();
         if !inner.read_ahead.is_empty() {
-            inner.read_ahead.read_into(buf);
+            inner.take_read_ahead(buf);
             return Poll::Ready(Ok(()));
         }
         match inner.read_end {
@@ -161,12 +214,20 @@
             None if inner.has_dropped_bytes => Poll::Ready(Ok(())),
             None => {
                 inner.unrequested_bytes = 0;
-                inner.stream.as_mut().poll_read(cx, buf)
+                ready!(inner.stream.as_mut().poll_read(cx, buf))?;
+                inner.received_at = inner.arrivals.earliest_arrival();
+                Poll::Ready(Ok(()))
             }
         }
     }
 }
 
+impl TimedRead for ClientSocket {
+    fn received_at(&self) -> Instant {
+        self.lock().received_at
+    }
+}
+
 impl AsyncWrite for ClientSocket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
         self.lock().stream.as_mut().poll_write(cx, buf)
--- a/daemon/tests/pipelining.rs
+++ b/daemon/tests/pipelining.rs
@@ -19,6 +19,18 @@
 };
 /// How long the request ahead is open. An attempt may take longer.
 const OPEN_TIME: Duration = Duration::from_millis(400);
+/// How long the clients wait.
+const BUDGET: Duration = Duration::from_millis(1_300);
+/// How much of that passes before a request can be sent on.
+const WAIT: Duration = Duration::from_millis(900);
+/// A server may be told of this much more time than its client has left.
+const REMAINING_SLACK: Duration = Duration::from_millis(150);
+
+/// The time that a server was told that the client has left.
+fn told_remaining(request: &ReceivedRequest) -> Duration {
+    let text = request.head.lines().find_map(|line| line.strip_prefix("x-remaining: ")?.strip_suffix('u'));
+    Duration::from_micros(text.unwrap().parse().unwrap())
+}
 
 /// Sends a request and the first part of the head of the next one, all of which the front reads at once.
 /// Returns the rest of the second request as well.
@@ -69,3 +81,42 @@
     assert!(begin.elapsed() >= OPEN_TIME + TIMEOUTS.request_arrival, "{:?}", begin.elapsed());
     assert!(received.ends_with("0\r\n\r\n") && received.matches("HTTP/1.1 ").count() == 1, "{received}");
 }
+
+/// Asserts that both servers were told of no more time than the client had left after `WAIT`.
+fn assert_told_in_time(site: &Site, request: usize) {
+    for server in [&site.prefill, &site.decode] {
+        let told = told_remaining(&server.posts()[request]);
+        assert!(told <= BUDGET - WAIT + REMAINING_SLACK, "a server was told {told:?}");
+    }
+}
+
+/// Guards against a deadline that grows by the time for which the body was on its way.
+#[tokio::test]
+async fn a_slow_body_takes_time_that_its_client_no_longer_has() {
+    let site = Site::with_timeouts(ClientTimeouts { request_arrival: 2 * WAIT, ..TIMEOUTS }).await;
+    let request = chat("slow", "book", BUDGET.as_millis() as u64);
+    let (head, body) = request.split_at(request.len() - 1);
+    let mut client = send(site.platform, head).await;
+    sleep(WAIT).await;
+    client.write_all(body.as_bytes()).await.unwrap();
+    assert!(read_to_end(client).await.contains("[DONE]"));
+    assert_told_in_time(&site, 0);
+}
+
+/// Guards against a deadline that grows by the time for which a request waited behind another one.
+#[tokio::test]
+async fn a_request_behind_another_waits_on_its_clients_time() {
+    // The second request is read together with the first, or while the first is open.
+    for is_sent_at_once in [true, false] {
+        let site = Site::with_timeouts(TIMEOUTS).await;
+        site.decode.next(Behavior::StreamsTimestamps(WAIT.as_millis() as usize / 10 + 5, 10));
+        let second = chat("second", "book", BUDGET.as_millis() as u64);
+        let mut client = send(site.platform, &keep_alive(&chat("first", "book", 4_000))).await;
+        if !is_sent_at_once {
+            client.readable().await.unwrap();
+        }
+        client.write_all(second.as_bytes()).await.unwrap();
+        assert_eq!(read_to_end(client).await.matches("[DONE]").count(), 2);
+        assert_told_in_time(&site, 1);
+    }
+}
--- a/daemon/tests/unit/buffer_budget.rs
+++ b/daemon/tests/unit/buffer_budget.rs
@@ -60,7 +60,7 @@
     let mut taken = 0;
     while !buffer.is_empty() {
         let mut read = tokio::io::ReadBuf::new(&mut target);
-        buffer.read_into(&mut read);
+        buffer.read_into(&mut read, usize::MAX);
         taken += read.filled().len();
     }
     assert_eq!((taken, budget.used_bytes()), (3 * KIB, 0));
