Let the requests of `closes` meet their eviction on slow machines too

Cause: each request was sent 30 ms after its own connection began to open, the evictions began after all were open. Where opening takes long, all requests came before the evictions, and the test failed its own check that one had met its close (listed: 42 answered, 0 ended; no rule broken).

Change: the requests of a round are timed from when all connections are open, come later in each round, and the rounds (6 at least, as before) go on up to 30 until one request was in time and one was not. The checks are the same: answered equals forwarded, and both happened.

--- a/daemon/tests/closes.rs
+++ b/daemon/tests/closes.rs
@@ -11,10 +11,15 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 const HEALTH_REQUEST: &str = "GET /_health HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+/// Connections that meet their close, in each round.
+const CLIENTS: usize = 7;
+/// Rounds that are always played, and the most until one request at least was in time and one was not.
+const MIN_ROUNDS: usize = 6;
+const MAX_ROUNDS: usize = 30;
 
 fn request(id: &str) -> String {
     keep_alive(&chat(id, "ask", 7_000))
@@ -135,41 +140,71 @@
     assert!(late.len() == 40 && late[20] < 15_000, "{late:?}");
 }
 
+/// Sends a request at a set time. Returns whether it was answered, like `is_answered_after`.
+async fn is_answered_at(client: TcpStream, id: String, at: Instant) -> bool {
+    is_answered_after(client, id, at.saturating_duration_since(Instant::now())).await
+}
+
+/// Opens connections whose time for a first request expires, and sends a request on each at about that time.
+fn meet_time_outs(site: &Site, round: usize, requests: &mut JoinSet<bool>) {
+    let platform = site.platform;
+    for n in 0..CLIENTS as u64 {
+        requests.spawn(async move {
+            let client = send(platform, "").await;
+            is_answered_after(
+                client,
+                format!("time-out-{round}-{n}"),
+                Duration::from_micros(598_000 + 500 * n),
+            )
+            .await
+        });
+    }
+}
+
+/// Fills all slots but one with connections that are idle after a response, and sends a request on each while
+/// new clients evict them, later in each round. Those that are evicted first send last. Returns the new
+/// clients.
+async fn meet_evictions(site: &Site, round: usize, requests: &mut JoinSet<bool>) -> Vec<TcpStream> {
+    let mut clients = Vec::new();
+    for _ in 0..CLIENTS {
+        clients.push(idle_connection(site.platform).await);
+    }
+    // Counted from here for all, however long the connections took to open on a busy machine.
+    let begin = Instant::now() + Duration::from_millis(5);
+    for (n, client) in clients.into_iter().enumerate() {
+        let at = begin + Duration::from_micros((300 * (CLIENTS - n) + 500 * round) as u64);
+        requests.spawn(is_answered_at(client, format!("eviction-{round}-{n}"), at));
+    }
+    sleep_until(begin).await;
+    let new_clients: JoinSet<_> = (0..4).map(|_| idle_connection(site.platform)).collect();
+    timeout(TEST_TIMEOUT, new_clients.join_all()).await.expect("no slot was freed in time")
+}
+
 /// A request arrives at the moment at which its connection is closed, because the time for a first request
-/// has expired or because the connection is evicted: it is answered, or was never forwarded.
+/// has expired or because the connection is evicted: it is answered, or was never forwarded. Goes on until
+/// some requests were in time and some were not.
 #[tokio::test]
 async fn a_request_that_meets_a_time_out_or_an_eviction_is_answered_or_never_sent_on() {
     for is_eviction in [false, true] {
         let (mut answered, mut forwarded, mut ended) = (0, 0, 0);
-        for round in 0..6u64 {
+        for round in 0..MAX_ROUNDS {
             let site =
                 Site::with_timeouts(ClientTimeouts { idle: Duration::from_secs(1), ..CLIENT_TIMEOUTS }).await;
             let mut requests = JoinSet::new();
-            for n in 0..7u64 {
-                let id = format!("{is_eviction}-{round}-{n}");
-                // All slots but one are taken by connections that are idle after a response, or that have not
-                // sent a request.
-                let client = if is_eviction {
-                    idle_connection(site.platform).await
-                } else {
-                    send(site.platform, "").await
-                };
-                let at = if is_eviction { 30_000 + 300 * n } else { 598_000 + 500 * n };
-                requests.spawn(is_answered_after(client, id, Duration::from_micros(at)));
-            }
-            if is_eviction {
-                sleep(Duration::from_micros(29_500 + 100 * round)).await;
-                let new_clients = (0..4).map(|_| idle_connection(site.platform));
-                let mut open_clients = Vec::new();
-                for new_client in new_clients {
-                    open_clients
-                        .push(timeout(TEST_TIMEOUT, new_client).await.expect("no slot was freed in time"));
+            let _new_clients = match is_eviction {
+                true => meet_evictions(&site, round, &mut requests).await,
+                false => {
+                    meet_time_outs(&site, round, &mut requests);
+                    Vec::new()
                 }
-            }
+            };
             let all = requests.join_all().await;
             ended += all.iter().filter(|answered| !**answered).count();
             answered += all.iter().filter(|answered| **answered).count();
             forwarded += site.decode.posts().len();
+            if round + 1 >= MIN_ROUNDS && answered > 0 && ended > 0 {
+                break;
+            }
         }
         assert_eq!(
             answered, forwarded,
