Move the serving of one client connection out of the listeners' module

Change: front/connection.rs has the second; code and constants are moved as they are, the test of shutdown with them.

--- a/daemon/src/front/mod.rs
+++ b/daemon/src/front/mod.rs
@@ -5,6 +5,7 @@
 mod body;
 pub mod chat;
 mod clients;
+mod connection;
 mod framing;
 mod input;
 mod listener;
--- a/daemon/tests/unit/listener.rs
+++ b/daemon/tests/unit/client_connection.rs
@@ -1,7 +1,10 @@
 use std::io::{Read, Write};
 
+use hyper::Response;
+use slog::Logger;
+
 use super::*;
-use crate::front::body::full_response;
+use crate::front::body::{full_response, ResponseBody, ServiceResult};
 use crate::upstream::ServerEvents;
 
 /// Responds to every request at once.
