Log and count why attempts end, streams are cut and requests fail

Change: by default the log has a line for each attempt that its server or the network ended (id, number, server, end, time), each response that can't be used (id, server, address, why), each cut stream (events so far, time since the last one), each failed request and each one rejected for its id. Counters by reason: svc_failures, svc_streams_cut, svc_invalid_responses, svc_id_conflicts, svc_client_closes. What goes well, refusals (svc_refusals has counted them) and closes of clients' connections stay at debug, as a crowd makes thousands of them.

Measured: the new test of daemon/tests/figures.rs drives a real process through an unreadable chunk size and a 500, and finds both requests by id in the log and each reason in the figures; without the change it finds none of the lines. No decision and no byte on a wire changes.

Ruled out: a line for each refusal and each close at the default level, which a flood of bad clients would turn into thousands of lines a second.

--- a/core/src/answer_stream.rs
+++ b/core/src/answer_stream.rs
@@ -6,11 +6,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use frosttrail::{Decision, Outcome};
+use frosttrail::{Decision, Id, Outcome};
+use prometheus::IntCounterVec;
+use slog::{info, Logger};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::command::Instruction;
+use crate::metrics::outcome_label;
 use crate::registration::Registration;
 use crate::traits::{EventStream, StreamStep};
 
@@ -32,11 +35,43 @@
 pub struct AnswerStream<E: EventStream> {
     registration: Option<Box<Registration>>,
     events: E,
+    observer: StreamObserver,
     silence_timer: Pin<Box<tokio::time::Sleep>>,
     /// The client waits for the next event. While false, the client may not have read for some time.
     is_awaited: bool,
 }
 
+/// Logs and counts streams that end before their answer is complete.
+#[derive(Debug)]
+pub(crate) struct StreamObserver {
+    server: Id,
+    began_at: Instant,
+    last_event_at: Instant,
+    event_count: u64,
+    cuts: IntCounterVec,
+    log: Logger,
+}
+
+impl StreamObserver {
+    /// Observes a stream of this server that begins now. `cuts` counts by the outcome of the attempt.
+    pub(crate) fn new(server: Id, cuts: IntCounterVec, log: Logger) -> Self {
+        let now = Instant::now();
+        StreamObserver { server, began_at: now, last_event_at: now, event_count: 0, cuts, log }
+    }
+
+    fn record_event(&mut self) {
+        self.event_count += 1;
+        self.last_event_at = Instant::now();
+    }
+
+    fn record_cut(&self, request: &Id, outcome: Outcome) {
+        self.cuts.with_label_values(&[outcome_label(outcome)]).inc();
+        info!(self.log, "stream cut"; "id" => %request, "server" => %self.server,
+            "why" => outcome_label(outcome), "events" => self.event_count,
+            "after" => ?self.began_at.elapsed(), "since last event" => ?self.last_event_at.elapsed());
+    }
+}
+
 /// Whether the dispatcher has moved the request off this stream. A final answer that crossed the first
 /// event comes too late, as that event has made the stream the final answer. Reads every pending
 /// instruction, so that the next one wakes the stream.
@@ -50,9 +85,10 @@
 }
 
 impl<E: EventStream> AnswerStream<E> {
-    pub(crate) fn new(registration: Registration, events: E) -> Self {
+    pub(crate) fn new(registration: Registration, events: E, observer: StreamObserver) -> Self {
         let silence_timer = Box::pin(tokio::time::sleep(SILENCE_TIMEOUT));
-        AnswerStream { registration: Some(Box::new(registration)), events, silence_timer, is_awaited: false }
+        let registration = Some(Box::new(registration));
+        AnswerStream { registration, events, observer, silence_timer, is_awaited: false }
     }
 
     /// The next event; `None` after the end.
@@ -81,6 +117,7 @@
         self.is_awaited = false;
         Poll::Ready(match step {
             StreamStep::Event(bytes) => {
+                self.observer.record_event();
                 self.silence_timer.as_mut().reset(Instant::now() + SILENCE_TIMEOUT);
                 Some(Ok(bytes))
             }
@@ -91,6 +128,7 @@
                 None
             }
             StreamStep::Broken(outcome) => {
+                self.observer.record_cut(&registration.id, outcome);
                 registration.report_ended(outcome, 0, None);
                 self.registration = None;
                 Some(Err(StreamBroken))
--- a/core/src/conductor.rs
+++ b/core/src/conductor.rs
@@ -73,6 +73,7 @@
     /// Cancelled once every request whose client has received nothing must get its final answer.
     pub(crate) final_answers_due: CancellationToken,
     pub(crate) metrics: Metrics,
+    pub(crate) log: Logger,
 }
 
 impl<U> Clone for Conductor<U> {
@@ -90,6 +91,7 @@
             admitting_servers: self.admitting_servers.clone(),
             final_answers_due: self.final_answers_due.clone(),
             metrics: self.metrics.clone(),
+            log: self.log.clone(),
         }
     }
 }
--- a/core/src/dispatcher.rs
+++ b/core/src/dispatcher.rs
@@ -95,7 +95,7 @@
         exclusions: exclusions.clone(),
         admitting_servers: admitting_servers.clone(),
         commands: sender.downgrade(),
-        log,
+        log: log.clone(),
     };
     tokio::spawn(membership_follower.run(members));
     Conductor {
@@ -111,6 +111,7 @@
         admitting_servers,
         final_answers_due: CancellationToken::new(),
         metrics,
+        log,
     }
 }
 
--- a/core/src/metrics.rs
+++ b/core/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::permit::WithheldReason;
+use crate::request::CallError;
 use frosttrail::{Outcome, Settings, Violation};
 use prometheus::{
     Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
@@ -44,6 +45,12 @@
     retries: IntCounterVec,
     /// Refusals, by how the last attempt ended.
     refusals: IntCounterVec,
+    /// Requests answered as failed, by how the last attempt ended.
+    failures: IntCounterVec,
+    /// Streams that ended before their answer was complete, by reason.
+    pub(crate) streams_cut: IntCounterVec,
+    /// Requests rejected for their id, by reason.
+    id_conflicts: IntCounterVec,
     /// Final answers that requests gave themselves because no decision came in time, by kind.
     overdue: IntCounterVec,
     /// How long the decisions took for one command.
@@ -55,6 +62,10 @@
     backlog: IntGauge,
     /// Attempts that were written completely to instances.
     pub sends: IntCounter,
+    /// Responses of instances that could not be used, by reason.
+    pub invalid_responses: IntCounterVec,
+    /// Connections of clients that were closed, by reason.
+    pub client_closes: IntCounterVec,
     /// Instances in the list.
     pub cluster_size: IntGauge,
     /// Listed instances that are avoided, by exclusion or by the decisions.
@@ -107,6 +118,11 @@
             violations: by_label("violations", "Actions withheld as they would break a rule.", RULE_LABEL)?,
             retries: by_label("retries", "Further attempts, by the end of the one before.", REASON_LABEL)?,
             refusals: by_label("refusals", "Refusals, by the end of the last attempt.", REASON_LABEL)?,
+            failures: by_label("failures", "Failed requests, by the end of the last attempt.", REASON_LABEL)?,
+            streams_cut: by_label("streams_cut", "Streams ended before their last chunk.", REASON_LABEL)?,
+            id_conflicts: by_label("id_conflicts", "Requests rejected for their id.", REASON_LABEL)?,
+            invalid_responses: by_label("invalid_responses", "Responses that can't be used.", REASON_LABEL)?,
+            client_closes: by_label("client_closes", "Connections of clients closed.", REASON_LABEL)?,
             current: gauge("current", "Requests taken and not ended.")?,
             sends: counter("sends", "Attempts written whole to instances.")?,
             cluster_size: gauge("cluster_size", "Instances in the list.")?,
@@ -149,6 +165,16 @@
         self.refusals.with_label_values(&[last_outcome.map_or(NO_ATTEMPT, outcome_label)]).inc();
     }
 
+    /// Counts a request that is answered as failed, by the outcome of its last attempt if it had one.
+    pub(crate) fn count_failure(&self, last_outcome: Option<Outcome>) {
+        self.failures.with_label_values(&[last_outcome.map_or(NO_ATTEMPT, outcome_label)]).inc();
+    }
+
+    /// Counts a request that is rejected for its id.
+    pub(crate) fn count_id_conflict(&self, error: CallError) {
+        self.id_conflicts.with_label_values(&[error.label()]).inc();
+    }
+
     /// Counts a request that is refused before any decision.
     pub(crate) fn count_early_refusal(&self) {
         self.refusals.with_label_values(&[EARLY_REFUSAL]).inc();
@@ -199,7 +225,7 @@
 }
 
 /// The label value for an outcome.
-fn outcome_label(outcome: Outcome) -> &'static str {
+pub(crate) fn outcome_label(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::Served => "served",
         Outcome::PrefillDone => "read_done",
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -9,16 +9,17 @@
 
 use frosttrail::admission::{self, ExecutionRecord};
 use frosttrail::{Decision, Id, Micros, Outcome, Query, Report};
+use slog::{debug, info};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, timeout, Instant};
 use tokio_util::sync::CancellationToken;
 
-use crate::answer_stream::AnswerStream;
+use crate::answer_stream::{AnswerStream, StreamObserver};
 use crate::cache_clock::CacheClock;
 use crate::command::{Command, Instruction, NewRequest};
 use crate::conductor::Conductor;
 use crate::id_claim::IdClaim;
-use crate::metrics::Metrics;
+use crate::metrics::{outcome_label, Metrics};
 use crate::permit::SendPermit;
 use crate::registration::Registration;
 use crate::release::{lock, Releaser};
@@ -60,6 +61,15 @@
     IdInUse,
 }
 
+impl CallError {
+    /// The label of the metric that counts it.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            CallError::IdInUse => "in_use",
+        }
+    }
+}
+
 /// When a request answers itself, unless a decision has come.
 struct AnswerDeadline {
     /// The time at which its client gives up.
@@ -87,6 +97,8 @@
     /// The delay that a refusal without a decision advises.
     retry_after: Duration,
     last_outcome: Option<Outcome>,
+    /// How many attempts it has had.
+    attempt_count: u32,
 }
 
 /// An attempt that has been decided.
@@ -101,7 +113,8 @@
 
 /// What follows an attempt.
 enum NextStep<E> {
-    Stream(E),
+    /// The stream of this server has begun.
+    Stream(Id, E),
     /// The outcome has been reported, and the dispatcher sends further instructions.
     AwaitInstruction,
     /// An instruction ended the attempt while it was in flight.
@@ -167,6 +180,34 @@
 impl<U: Upstream> Conductor<U> {
     /// Runs a request to its final answer. Dropping the future cancels the request.
     pub async fn call(&self, request: Request<U::Call>) -> Result<Answer<U::Events>, CallError> {
+        let (id, began_at) = (request.query.id.clone(), Instant::now());
+        let answer = self.run(request).await;
+        self.record_answer(&id, began_at, &answer);
+        answer
+    }
+
+    /// Logs and counts a final answer other than a stream.
+    fn record_answer(&self, id: &Id, began_at: Instant, answer: &Result<Answer<U::Events>, CallError>) {
+        let label = |last: &Option<Outcome>| last.map_or("unsent", outcome_label);
+        match answer {
+            Ok(Answer::Served(_)) => {}
+            Ok(Answer::Refused { last_outcome, .. }) => {
+                debug!(self.log, "request refused"; "id" => %id, "last attempt" => label(last_outcome),
+                    "after" => ?began_at.elapsed());
+            }
+            Ok(Answer::Failed { last_outcome }) => {
+                self.metrics.count_failure(*last_outcome);
+                info!(self.log, "request failed"; "id" => %id, "last attempt" => label(last_outcome),
+                    "after" => ?began_at.elapsed());
+            }
+            Err(why) => {
+                self.metrics.count_id_conflict(*why);
+                info!(self.log, "request rejected"; "id" => %id, "why" => %why);
+            }
+        }
+    }
+
+    async fn run(&self, request: Request<U::Call>) -> Result<Answer<U::Events>, CallError> {
         let Request { mut query, call } = request;
         let arrived_at = self.clock.now();
         // Checked first: a refusal of a request that is open would promise that nothing of it has run.
@@ -193,8 +234,14 @@
                     let prepared =
                         PreparedAttempt { server, previous_release, permit, stop_at, may_take_effect };
                     match self.attempt(&mut open_call, prepared, &call).await {
-                        NextStep::Stream(events) => {
-                            return Ok(Answer::Served(AnswerStream::new(open_call.registration, events)));
+                        NextStep::Stream(server, events) => {
+                            let observer = StreamObserver::new(
+                                server,
+                                self.metrics.streams_cut.clone(),
+                                self.log.clone(),
+                            );
+                            let stream = AnswerStream::new(open_call.registration, events, observer);
+                            return Ok(Answer::Served(stream));
                         }
                         NextStep::Instruction(instruction) => Ok(Some(instruction)),
                         NextStep::AwaitInstruction => open_call.next_instruction().await,
@@ -264,6 +311,7 @@
             execution: ExecutionRecord::new(&query),
             retry_after: self.undecided_retry_after(&query),
             last_outcome: None,
+            attempt_count: 0,
         };
         let deadline = arrived_at.saturating_add(query.budget);
         let new = NewRequest {
@@ -291,6 +339,8 @@
         let id = open_call.registration.id.clone();
         open_call.execution.record_send(may_take_effect);
         open_call.registration.has_attempt_in_flight = true;
+        open_call.attempt_count += 1;
+        let begun_at = Instant::now();
         let result = {
             let attempt = async {
                 if let Some(released) = previous_release {
@@ -305,6 +355,7 @@
             };
             open_call.wait_for_reply(attempt).await
         };
+        self.record_attempt(open_call, &server, begun_at, &result);
         let was_ended_here = match &result {
             WaitResult::Reply(AttemptReply::Ended(outcome, _)) => {
                 matches!(outcome, Outcome::NoAnswer | Outcome::Failed | Outcome::Cancelled)
@@ -333,6 +384,32 @@
         self.handle_reply(open_call, &server, may_take_effect, reply)
     }
 
+    /// Logs how an attempt went; by default only what the server or the network is to blame for.
+    fn record_attempt<E>(
+        &self,
+        open_call: &OpenCall,
+        server: &Id,
+        begun_at: Instant,
+        result: &WaitResult<E>,
+    ) {
+        let (is_expected, end) = match result {
+            WaitResult::Reply(AttemptReply::Stream(_)) => (true, "stream began"),
+            WaitResult::Reply(AttemptReply::PrefillDone { .. }) => (true, "prefill done"),
+            WaitResult::Reply(AttemptReply::Ended(outcome, _)) => {
+                (matches!(outcome, Outcome::Rejected | Outcome::NotSent), outcome_label(*outcome))
+            }
+            WaitResult::Instruction(_) => (true, "ended by a decision"),
+            WaitResult::Overdue => (false, "overdue"),
+        };
+        let (id, number, after) = (&open_call.registration.id, open_call.attempt_count, begun_at.elapsed());
+        match is_expected {
+            true => debug!(self.log, "attempt"; "id" => %id, "number" => number, "server" => %server,
+                "end" => end, "after" => ?after),
+            false => info!(self.log, "attempt"; "id" => %id, "number" => number, "server" => %server,
+                "end" => end, "after" => ?after),
+        }
+    }
+
     /// Records the result of an attempt and reports it.
     fn handle_reply(
         &self,
@@ -356,7 +433,7 @@
                 registration.cache_clock.record_fetch();
                 registration.is_streaming = true;
                 registration.report(Report::Started);
-                NextStep::Stream(events)
+                NextStep::Stream(server.clone(), events)
             }
             AttemptReply::PrefillDone { cached_tokens, load } => {
                 lock(&registration.release_state).abort_release();
--- a/core/tests/unit/answer_stream.rs
+++ b/core/tests/unit/answer_stream.rs
@@ -63,8 +63,11 @@
         is_streaming: true,
         _claim: OpenIds::default().claim(&"id".into()).await.unwrap(),
     };
+    let log = Logger::root(slog::Discard, slog::o!());
+    let cuts = crate::Metrics::new().unwrap().streams_cut;
+    let observer = StreamObserver::new("server".into(), cuts, log);
     (
-        AnswerStream::new(registration, ChannelEvents(received_events)),
+        AnswerStream::new(registration, ChannelEvents(received_events), observer),
         StreamHandles { instructions, events, reports },
     )
 }
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -17,7 +17,7 @@
 use frosttrail_daemon::reload::ConfigReloader;
 use frosttrail_daemon::shutdown::ShutdownSchedule;
 use frosttrail_daemon::transient::{await_socket_pairs, await_threads, is_resource_shortage, retry_at_start};
-use frosttrail_daemon::upstream::{AddressTable, ConnectionLimits, HttpUpstream};
+use frosttrail_daemon::upstream::{AddressTable, ConnectionLimits, HttpUpstream, UpstreamObserver};
 use frosttrail_membership::service::{self, Membership};
 use slog::{info, Logger};
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -100,14 +100,15 @@
     log: Logger,
 ) -> Result<(), CommandError> {
     let max_connections = (config.max_sockets - RESERVED_SOCKETS) / 2;
+    let metrics = Metrics::new().map_err(std::io::Error::other)?;
     let mut ops = config.ops.map(|address| OpsSetup::open(address, &config, &log)).transpose()?;
     let buffers = buffer_budget(&config, 2 * max_connections);
     let client_listeners =
-        ClientListeners::new(max_connections, CLIENT_TIMEOUTS, log.clone()).with_buffer_budget(buffers);
+        ClientListeners::new(max_connections, CLIENT_TIMEOUTS, metrics.client_closes.clone(), log.clone())
+            .with_buffer_budget(buffers);
     let client_listeners = if ops.is_some() { client_listeners.sharing_address() } else { client_listeners };
     let listen = config.listen;
     let (discovery, members) = watch::channel(config.discovery_config());
-    let metrics = Metrics::new().map_err(std::io::Error::other)?;
     let upgrade_state = ops.as_mut().map(|ops| ops.take_upgrade_state(&log)).unwrap_or_default();
     let (conductor, upstream) =
         start_conductor(config.clone(), members, xds, max_connections, upgrade_state, &metrics, &log);
@@ -249,7 +250,8 @@
         settle_time: SETTLE_TIME,
         stale_reset_window: STALE_RESET_WINDOW,
     };
-    let upstream = Arc::new(HttpUpstream::new(addresses.clone(), limits, metrics.sends.clone()));
+    let upstream =
+        Arc::new(HttpUpstream::new(addresses.clone(), limits, UpstreamObserver::new(metrics, log.clone())));
     let Config { name, known_members, names, settings, seed, .. } = config;
     let (log, shared_upstream, metrics) = (log.clone(), upstream.clone(), metrics.clone());
     let members = match xds {
--- a/daemon/src/front/connection.rs
+++ b/daemon/src/front/connection.rs
@@ -55,6 +55,22 @@
     Evicted,
 }
 
+impl CloseReason {
+    /// The label of the metric that counts it.
+    fn label(&self) -> &'static str {
+        match self {
+            CloseReason::Ended => "ended",
+            CloseReason::Failed(e) if e.is_parse() => "invalid_input",
+            CloseReason::Failed(e) if e.is_user() => "stream_cut",
+            CloseReason::Failed(_) => "connection_failed",
+            CloseReason::ClientGone => "client_gone",
+            CloseReason::NoRequest => "no_request",
+            CloseReason::HeadTimeout => "head_timeout",
+            CloseReason::Evicted => "evicted",
+        }
+    }
+}
+
 impl ClientListeners {
     /// Serves one connection, in a task of its own, until it is closed.
     pub(super) fn serve_connection<S: Service>(
@@ -65,8 +81,8 @@
         service: Arc<S>,
     ) {
         let ClientTimeouts { request_arrival, idle, write } = self.timeouts;
-        let (closing, keep_alive_ended, log) =
-            (self.closing.clone(), self.keep_alive_ended.clone(), self.log.clone());
+        let (closing, keep_alive_ended) = (self.closing.clone(), self.keep_alive_ended.clone());
+        let (closes, log) = (self.closes.clone(), self.log.clone());
         let (unanswered, streams) = (self.unanswered.clone(), self.streams.clone());
         let (buffers, arrivals) = (self.buffers.clone(), self.arrivals.clone());
         let admission = Admission {
@@ -166,6 +182,7 @@
                     }
                 }
             };
+            closes.with_label_values(&[reason.label()]).inc();
             debug!(log, "connection closed"; "peer" => ?peer, "why" => %reason);
             tokio::select! {
                 () = socket.close() => {}
--- a/daemon/src/front/listener.rs
+++ b/daemon/src/front/listener.rs
@@ -8,6 +8,7 @@
 use frosttrail_core::EventStream;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use prometheus::IntCounterVec;
 use slog::{info, warn, Logger};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::task::yield_now;
@@ -84,12 +85,15 @@
     pub(super) unanswered: TaskTracker,
     /// Holds a token for each response that has begun and not ended.
     pub(super) streams: TaskTracker,
+    /// Counts closed connections by reason.
+    pub(super) closes: IntCounterVec,
     pub(super) log: Logger,
 }
 
 impl ClientListeners {
-    /// Creates the state for at most `max_connections` connections on all listeners together.
-    pub fn new(max_connections: usize, timeouts: ClientTimeouts, log: Logger) -> Self {
+    /// Creates the state for at most `max_connections` connections on all listeners together. `closes` counts
+    /// closed connections by reason.
+    pub fn new(max_connections: usize, timeouts: ClientTimeouts, closes: IntCounterVec, log: Logger) -> Self {
         ClientListeners {
             limiter: ConnectionLimiter::new(max_connections),
             timeouts,
@@ -104,6 +108,7 @@
             connections: TaskTracker::new(),
             unanswered: TaskTracker::new(),
             streams: TaskTracker::new(),
+            closes,
             log,
         }
     }
--- a/daemon/src/upstream/attempt.rs
+++ b/daemon/src/upstream/attempt.rs
@@ -3,6 +3,7 @@
 
 use std::error::Error;
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
@@ -19,6 +20,7 @@
 use tokio::time::{timeout_at, Instant};
 
 use super::connection::{Connection, WriteProgress};
+use super::observer::InvalidResponse;
 use super::pool::{ConnectFailure, ConnectionPool};
 use super::response_body::read_to_end;
 use super::sse::{load_report_comment, EventSplitter, InvalidEvent};
@@ -47,7 +49,8 @@
     wait: Duration,
     permit: &SendPermit,
 ) -> AttemptReply<ServerEvents> {
-    let (progress, stop_at) = (WriteProgress::with_counter(pool.sends.clone()), Instant::now() + wait);
+    let (progress, stop_at) =
+        (WriteProgress::with_counter(pool.observer.sends.clone()), Instant::now() + wait);
     let context = AttemptContext { call, stop_at, progress: &progress, permit };
     match timeout_at(stop_at, send_with_reconnect(pool, server, &context)).await {
         Ok(reply) => reply,
@@ -71,11 +74,13 @@
                 pool.record_stale(server, idle);
                 return AttemptReply::Ended(Outcome::StaleConnection, None);
             }
-            result => return read_reply(pool, server, result).await,
+            result => return read_reply(pool, server, context.call, result).await,
         }
     }
     match pool.connect(server).await {
-        Ok(connection) => read_reply(pool, server, send_request(connection, context).await).await,
+        Ok(connection) => {
+            read_reply(pool, server, context.call, send_request(connection, context).await).await
+        }
         Err(ConnectFailure::Server) => AttemptReply::Ended(Outcome::NoConnection, None),
         Err(ConnectFailure::Local) => AttemptReply::Ended(Outcome::NotSent, None),
     }
@@ -89,8 +94,8 @@
     NotWritten,
     /// The connection broke after the request's last byte was written.
     ConnectionLost,
-    /// The request was written, but the response is not valid HTTP.
-    InvalidResponse,
+    /// The request was written, but the response of the server at this address is not valid HTTP.
+    InvalidResponse(SocketAddr, InvalidResponse),
 }
 
 async fn send_request(
@@ -111,8 +116,10 @@
     match connection.send(request, progress).await {
         Ok(response) => Ok((connection, response)),
         Err(_) if !progress.is_complete() => Err(SendFailure::NotWritten),
-        Err(e) if e.is_invalid_response() => Err(SendFailure::InvalidResponse),
-        Err(_) => Err(SendFailure::ConnectionLost),
+        Err(e) => Err(match e.invalid_response() {
+            Some(why) => SendFailure::InvalidResponse(connection.address, why),
+            None => SendFailure::ConnectionLost,
+        }),
     }
 }
 
@@ -125,6 +132,7 @@
 async fn read_reply(
     pool: &Arc<ConnectionPool>,
     server: &Id,
+    call: &Call,
     result: Result<(Connection, Response<Incoming>), SendFailure>,
 ) -> AttemptReply<ServerEvents> {
     let (connection, response) = match result {
@@ -133,7 +141,10 @@
         Err(SendFailure::NotWritten) => return AttemptReply::Ended(Outcome::NoConnection, None),
         Err(SendFailure::ConnectionLost) => return AttemptReply::Ended(Outcome::ConnectionLost, None),
         // The server runs and responds, if incorrectly, so other requests may still go to it.
-        Err(SendFailure::InvalidResponse) => return AttemptReply::Ended(Outcome::Failed, None),
+        Err(SendFailure::InvalidResponse(address, why)) => {
+            pool.observer.record_invalid_response(call.id(), server, address, why);
+            return AttemptReply::Ended(Outcome::Failed, None);
+        }
     };
     let (head, body) = response.into_parts();
     let is_rejected = head.headers.get(TURNED_AWAY_HEADER).is_some_and(|v| v == "1");
@@ -145,7 +156,9 @@
         StatusCode::OK => {
             let is_framed =
                 [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| head.headers.contains_key(name));
-            let events = ServerEvents::new(pool.clone(), server.clone(), connection, body, is_framed);
+            let request = call.id().to_string();
+            let events =
+                ServerEvents::new(pool.clone(), server.clone(), request, connection, body, is_framed);
             return events.wait_for_first_event(load).await;
         }
         StatusCode::ACCEPTED => return read_prefill_reply(pool, server, connection, body, load).await,
@@ -194,6 +207,8 @@
 pub struct ServerEvents {
     pool: Arc<ConnectionPool>,
     server: Id,
+    /// The id of the request.
+    request: String,
     connection: Option<Connection>,
     body: Incoming,
     event_splitter: EventSplitter,
@@ -208,6 +223,7 @@
     fn new(
         pool: Arc<ConnectionPool>,
         server: Id,
+        request: String,
         connection: Connection,
         body: Incoming,
         is_framed: bool,
@@ -216,6 +232,7 @@
         ServerEvents {
             pool,
             server,
+            request,
             connection: Some(connection),
             body,
             event_splitter,
@@ -245,13 +262,28 @@
         }
         StreamStep::Event(event)
     }
+
+    /// Ends the attempt because of what the server has sent.
+    fn reject(&self, why: InvalidResponse) -> StreamStep {
+        if let Some(connection) = &self.connection {
+            let (observer, address) = (&self.pool.observer, connection.address);
+            observer.record_invalid_response(&self.request, &self.server, address, why);
+        }
+        StreamStep::Broken(Outcome::Failed)
+    }
+
+    /// Tells invalid framing from a lost connection.
+    fn broken_step(&self, e: &hyper::Error) -> StreamStep {
+        match is_invalid_framing(e) {
+            true => self.reject(InvalidResponse::Framing),
+            false => StreamStep::Broken(Outcome::ConnectionLost),
+        }
+    }
 }
 
-/// Tells an invalid response from a lost connection.
-fn broken_step(e: &hyper::Error) -> StreamStep {
+fn is_invalid_framing(e: &hyper::Error) -> bool {
     let io_error_kind = e.source().and_then(|e| e.downcast_ref::<std::io::Error>()).map(std::io::Error::kind);
-    let is_invalid = matches!(io_error_kind, Some(ErrorKind::InvalidInput | ErrorKind::InvalidData));
-    StreamStep::Broken(if is_invalid || e.is_parse() { Outcome::Failed } else { Outcome::ConnectionLost })
+    e.is_parse() || matches!(io_error_kind, Some(ErrorKind::InvalidInput | ErrorKind::InvalidData))
 }
 
 impl EventStream for ServerEvents {
@@ -263,7 +295,7 @@
             match self.event_splitter.next_event() {
                 Ok(Some(event)) => return Poll::Ready(self.event_step(event)),
                 Ok(None) => {}
-                Err(InvalidEvent) => return Poll::Ready(StreamStep::Broken(Outcome::Failed)),
+                Err(InvalidEvent) => return Poll::Ready(self.reject(InvalidResponse::Event)),
             }
             if self.has_ended {
                 if let Some(connection) = self.connection.take() {
@@ -272,7 +304,7 @@
                 return Poll::Ready(StreamStep::End);
             }
             match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
-                Some(Err(e)) => return Poll::Ready(broken_step(&e)),
+                Some(Err(e)) => return Poll::Ready(self.broken_step(&e)),
                 None if !self.is_framed => return Poll::Ready(StreamStep::Broken(Outcome::ConnectionLost)),
                 None => {
                     self.has_ended = true;
@@ -283,7 +315,7 @@
                 Some(Ok(frame)) => {
                     let data = frame.into_data().unwrap_or_default();
                     if self.event_splitter.push(&data).is_err() {
-                        return Poll::Ready(StreamStep::Broken(Outcome::Failed));
+                        return Poll::Ready(self.reject(InvalidResponse::TooLarge));
                     }
                 }
             }
--- a/daemon/src/upstream/connection.rs
+++ b/daemon/src/upstream/connection.rs
@@ -23,6 +23,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::lock;
+use super::observer::InvalidResponse;
 use crate::tcp::TcpConnection;
 use crate::transient::is_resource_shortage;
 
@@ -343,11 +344,11 @@
 }
 
 impl SendError {
-    /// Whether an invalid response arrived, as opposed to a broken connection.
-    pub(super) fn is_invalid_response(&self) -> bool {
+    /// Why the response is invalid; `None` if the connection broke.
+    pub(super) fn invalid_response(&self) -> Option<InvalidResponse> {
         match self {
-            SendError::Http(e) => e.is_parse(),
-            SendError::HeadTimeout => true,
+            SendError::Http(e) => e.is_parse().then_some(InvalidResponse::Head),
+            SendError::HeadTimeout => Some(InvalidResponse::HeadTimeout),
         }
     }
 }
--- a/daemon/src/upstream/mod.rs
+++ b/daemon/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod connection;
 mod idle_age;
+mod observer;
 mod pool;
 mod response_body;
 mod sse;
@@ -16,17 +17,21 @@
 use bytes::Bytes;
 use frosttrail::{Health, Id, ListUpdateKind, LoadReport, Outcome, Settings};
 use frosttrail_core::{AttemptReply, MembershipUpdate, SendPermit, Upstream};
+use hyper::header::HeaderName;
 use hyper::{HeaderMap, Method, Uri};
-use prometheus::IntCounter;
 use tokio::time::Instant;
 
 pub use attempt::ServerEvents;
+pub use observer::UpstreamObserver;
 pub use pool::{ConnectionLimits, ConnectionPool};
 
 /// How long a server that has gone keeps its address, as calls that release its KV cache may still need it.
 /// Those calls end a few seconds after the server has gone.
 const GONE_ADDRESS_TTL: Duration = Duration::from_secs(30);
 
+/// Carries the id of a request.
+const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-txn");
+
 /// The address of each server, filled by discovery.
 #[derive(Default)]
 pub struct AddressTable(Mutex<HashMap<Id, AddressEntry>>);
@@ -100,15 +105,22 @@
     pub body: Bytes,
 }
 
+impl Call {
+    /// The request's id, as the servers are told it.
+    fn id(&self) -> &str {
+        self.headers.get(REQUEST_ID_HEADER).and_then(|id| id.to_str().ok()).unwrap_or_default()
+    }
+}
+
 /// The core's access to the servers, over HTTP/1.
 pub struct HttpUpstream {
     pool: Arc<ConnectionPool>,
 }
 
 impl HttpUpstream {
-    /// Reaches the servers in `addresses`. `sends` counts the attempts that are written completely.
-    pub fn new(addresses: Arc<AddressTable>, limits: ConnectionLimits, sends: IntCounter) -> Self {
-        HttpUpstream { pool: Arc::new(ConnectionPool::new(addresses, limits, sends)) }
+    /// Reaches the servers in `addresses`.
+    pub fn new(addresses: Arc<AddressTable>, limits: ConnectionLimits, observer: UpstreamObserver) -> Self {
+        HttpUpstream { pool: Arc::new(ConnectionPool::new(addresses, limits, observer)) }
     }
 
     /// Applies the connection timeouts of new settings.
--- a/daemon/src/upstream/pool.rs
+++ b/daemon/src/upstream/pool.rs
@@ -6,12 +6,12 @@
 
 use frosttrail::Id;
 use hyper::body::Incoming;
-use prometheus::IntCounter;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use super::connection::Connection;
 use super::idle_age::IdleAgeLimits;
+use super::observer::UpstreamObserver;
 use super::response_body::read_to_end;
 use super::{lock, AddressTable};
 
@@ -53,15 +53,19 @@
     permits: Arc<Semaphore>,
     idle: Mutex<HashMap<Id, Vec<Connection>>>,
     idle_age_limits: Mutex<IdleAgeLimits>,
-    /// Counts the attempts that were written completely.
-    pub(super) sends: IntCounter,
+    /// Counts and logs what attempts show.
+    pub(super) observer: UpstreamObserver,
 }
 
 impl ConnectionPool {
-    pub(super) fn new(addresses: Arc<AddressTable>, limits: ConnectionLimits, sends: IntCounter) -> Self {
+    pub(super) fn new(
+        addresses: Arc<AddressTable>,
+        limits: ConnectionLimits,
+        observer: UpstreamObserver,
+    ) -> Self {
         let permits = Arc::new(Semaphore::new(limits.max_connections));
         let (limits, idle, idle_age_limits) = (Mutex::new(limits), Mutex::default(), Mutex::default());
-        ConnectionPool { addresses, limits, permits, idle, idle_age_limits, sends }
+        ConnectionPool { addresses, limits, permits, idle, idle_age_limits, observer }
     }
 
     fn limits(&self) -> ConnectionLimits {
--- a/daemon/tests/figures.rs
+++ b/daemon/tests/figures.rs
@@ -103,3 +103,36 @@
     // The metrics of an added class exist from the start.
     assert_eq!(metric(&scrape(ops).await, "answered", Some("change")), 0);
 }
+
+/// Guards against a cut stream whose reason no log line and no metric tells.
+#[tokio::test]
+async fn a_cut_stream_is_logged_and_counted_with_its_reason() {
+    const UNREADABLE_SIZE: &str =
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\nzz\r\n";
+    let deployment = Deployment::new("figures-cut").await;
+    let (mut process, ops) = deployment.start("figures-cut").await;
+    deployment.servers[1].next(Behavior::SendsRaw(UNREADABLE_SIZE));
+    let answer = exchange(process.listen, &request("cut-1")).await;
+    assert_eq!((answer.status, answer.whole), (200, false));
+    let lines = [process.wait_for_log("invalid response"), process.wait_for_log("stream cut")];
+    for line in &lines {
+        assert!(line.contains("id: cut-1") && line.contains("server: d"), "{line}");
+    }
+    assert!(lines[0].contains("why: the framing of the body can't be parsed"), "{}", lines[0]);
+    assert!(lines[1].contains("events: 1"), "{}", lines[1]);
+    deployment.servers[1].next(Behavior::Responds(500, false, ""));
+    let failed = request("failed-1").replace("x-lane: ask", "x-lane: book");
+    assert_eq!(exchange(process.listen, &failed).await.status, 502);
+    let lines = [process.wait_for_log("INFO attempt"), process.wait_for_log("request failed")];
+    assert!(lines.iter().all(|line| line.contains("id: failed-1")), "{lines:?}");
+    assert!(lines[0].contains("server: d") && lines[0].contains("end: failed"), "{}", lines[0]);
+    let text = scrape(ops).await;
+    for expected in [
+        "svc_invalid_responses{reason=\"framing\"} 1\n",
+        "svc_streams_cut{reason=\"failed\"} 1\n",
+        "svc_failures{reason=\"failed\"} 1\n",
+        "svc_client_closes{reason=\"stream_cut\"} 1\n",
+    ] {
+        assert!(text.contains(expected), "no {expected}in {text}");
+    }
+}
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -20,7 +20,7 @@
 use frosttrail_daemon::front::chat::ChatFront;
 use frosttrail_daemon::front::platform::PlatformFront;
 use frosttrail_daemon::front::{ClientListeners, ClientTimeouts};
-use frosttrail_daemon::upstream::{AddressTable, ConnectionLimits, HttpUpstream};
+use frosttrail_daemon::upstream::{AddressTable, ConnectionLimits, HttpUpstream, UpstreamObserver};
 use serde_json::{json, Value};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -468,7 +468,8 @@
         let names = ConfiguredNames::new(&setup()).unwrap();
         let settings = settings(&setup(), &names).unwrap();
         let (membership, conductor, addresses) = conductor(&settings, servers);
-        let listeners = ClientListeners::new(8, timeouts, slog::Logger::root(slog::Discard, slog::o!()));
+        let closes = Metrics::new().unwrap().client_closes;
+        let listeners = ClientListeners::new(8, timeouts, closes, discarding_log());
         let config = ChatConfig {
             listen: any_port(),
             models: vec!["chat".into()],
@@ -514,9 +515,14 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// A counter for upstreams whose metrics are not checked.
-pub fn unread_counter() -> prometheus::IntCounter {
-    prometheus::IntCounter::new("sends", "Attempts").unwrap()
+/// A log that nobody reads.
+fn discarding_log() -> slog::Logger {
+    slog::Logger::root(slog::Discard, slog::o!())
+}
+
+/// An observer for upstreams whose metrics and log are not checked.
+fn observer() -> UpstreamObserver {
+    UpstreamObserver::new(&Metrics::new().unwrap(), discarding_log())
 }
 
 pub fn upstream(servers: &[(&str, usize, SocketAddr)]) -> HttpUpstream {
@@ -528,13 +534,13 @@
     servers: &[(&str, usize, SocketAddr)],
     settle_time: Duration,
 ) -> HttpUpstream {
-    HttpUpstream::new(address_table(servers), limits(settle_time), unread_counter())
+    HttpUpstream::new(address_table(servers), limits(settle_time), observer())
 }
 
 /// An upstream and the address table of its servers.
 pub fn upstream_and_addresses(servers: &[(&str, usize, SocketAddr)]) -> (HttpUpstream, Arc<AddressTable>) {
     let addresses = address_table(servers);
-    (HttpUpstream::new(addresses.clone(), limits(Duration::ZERO), unread_counter()), addresses)
+    (HttpUpstream::new(addresses.clone(), limits(Duration::ZERO), observer()), addresses)
 }
 
 /// An upstream with this connect timeout.
@@ -545,7 +551,7 @@
     HttpUpstream::new(
         address_table(servers),
         ConnectionLimits { connect_timeout: timeout, ..limits(Duration::ZERO) },
-        unread_counter(),
+        observer(),
     )
 }
 
@@ -589,9 +595,9 @@
         settings: settings.clone(),
         seed: 7,
         clock: Clock::new(),
-        upstream: Arc::new(HttpUpstream::new(addresses.clone(), limits(Duration::ZERO), unread_counter())),
+        upstream: Arc::new(HttpUpstream::new(addresses.clone(), limits(Duration::ZERO), observer())),
         members: ChannelMembership(updates),
-        log: slog::Logger::root(slog::Discard, slog::o!()),
+        log: discarding_log(),
     });
     (membership, conductor, addresses)
 }
--- a/daemon/tests/unit/client_connection.rs
+++ b/daemon/tests/unit/client_connection.rs
@@ -31,7 +31,8 @@
         idle: Duration::from_secs(5),
         write: Duration::from_secs(20),
     };
-    let listeners = ClientListeners::new(1, timeouts, Logger::root(slog::Discard, slog::o!()));
+    let closes = frosttrail_core::Metrics::new().unwrap().client_closes;
+    let listeners = ClientListeners::new(1, timeouts, closes, Logger::root(slog::Discard, slog::o!()));
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     client.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
