Reject a chunk that is larger than any body as soon as its size is stated

Cause: the HTTP library hands out a chunk's bytes as they come and keeps its size to itself. The events in it looked sound, and each restarted the timer of 4.5 s for silent streams (SILENCE_TIMEOUT, core/src/answer_stream.rs). The class of fault: progress counted at a layer that does not know whether the layer below is sound.

Change: upstream/response_framing.rs follows the framing of every response on a connection to a server and fails the read once a size line exceeds 256 KiB, the largest body by PROTOCOL ("A body holds at most 256 KiB"). A spoilt stream ends at once, an attempt without its first event has failed and may have run. Probes, prefills' replies and releases pass through the same layer.

Ruled out: a limit on the time that a chunk takes, as one chunk of 20 events over 10 s is sound; a limit on the bytes passed on, as small events in a large chunk reach 4 MiB only after hours.

--- a/daemon/src/upstream/attempt.rs
+++ b/daemon/src/upstream/attempt.rs
@@ -1,8 +1,6 @@
 //! Makes one attempt at one server and maps the response to an outcome by the table in PROTOCOL, which also
 //! says whether the request has run.
 
-use std::error::Error;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -23,6 +21,7 @@
 use super::observer::InvalidResponse;
 use super::pool::{ConnectFailure, ConnectionPool};
 use super::response_body::read_to_end;
+use super::response_framing::invalid_response;
 use super::sse::{load_report_comment, EventSplitter, InvalidEvent};
 use super::Call;
 
@@ -274,18 +273,13 @@
 
     /// Tells invalid framing from a lost connection.
     fn broken_step(&self, e: &hyper::Error) -> StreamStep {
-        match is_invalid_framing(e) {
-            true => self.reject(InvalidResponse::Framing),
-            false => StreamStep::Broken(Outcome::ConnectionLost),
+        match invalid_response(e, InvalidResponse::Framing) {
+            Some(why) => self.reject(why),
+            None => StreamStep::Broken(Outcome::ConnectionLost),
         }
     }
 }
 
-fn is_invalid_framing(e: &hyper::Error) -> bool {
-    let io_error_kind = e.source().and_then(|e| e.downcast_ref::<std::io::Error>()).map(std::io::Error::kind);
-    e.is_parse() || matches!(io_error_kind, Some(ErrorKind::InvalidInput | ErrorKind::InvalidData))
-}
-
 impl EventStream for ServerEvents {
     fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<StreamStep> {
         if let Some(first) = self.first_event.take() {
--- a/daemon/src/upstream/connection.rs
+++ b/daemon/src/upstream/connection.rs
@@ -24,6 +24,7 @@
 
 use super::lock;
 use super::observer::InvalidResponse;
+use super::response_framing::{invalid_response, FramedResponses};
 use crate::tcp::TcpConnection;
 use crate::transient::is_resource_shortage;
 
@@ -156,7 +157,9 @@
 }
 
 /// The socket of a connection, or `None` once the connection is dropped.
-type SharedSocket = Arc<Mutex<Option<TokioIo<TcpConnection>>>>;
+type SharedSocket = Arc<Mutex<Option<ServerSocket>>>;
+
+type ServerSocket = TokioIo<FramedResponses<TcpConnection>>;
 
 /// The socket as hyper uses it, which records reads, writes and flushes. Hyper's task may outlive the
 /// connection by a moment; the socket does not.
@@ -168,7 +171,7 @@
 impl TrackedSocket {
     fn with_socket<T>(
         &self,
-        io: impl FnOnce(Pin<&mut TokioIo<TcpConnection>>) -> Poll<std::io::Result<T>>,
+        io: impl FnOnce(Pin<&mut ServerSocket>) -> Poll<std::io::Result<T>>,
     ) -> Poll<std::io::Result<T>> {
         match lock(&self.socket).as_mut() {
             Some(socket) => io(Pin::new(socket)),
@@ -262,7 +265,8 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let current_progress = CurrentProgress::default();
-        let socket = SharedSocket::new(Mutex::new(Some(TokioIo::new(TcpConnection::new(stream)))));
+        let stream = FramedResponses::new(TcpConnection::new(stream));
+        let socket = SharedSocket::new(Mutex::new(Some(TokioIo::new(stream))));
         let tracked_socket =
             TrackedSocket { socket: socket.clone(), current_progress: current_progress.clone() };
         // An invalid header, such as a malformed load report, does not fail the response.
@@ -347,7 +351,7 @@
     /// Why the response is invalid; `None` if the connection broke.
     pub(super) fn invalid_response(&self) -> Option<InvalidResponse> {
         match self {
-            SendError::Http(e) => e.is_parse().then_some(InvalidResponse::Head),
+            SendError::Http(e) => invalid_response(e, InvalidResponse::Head),
             SendError::HeadTimeout => Some(InvalidResponse::HeadTimeout),
         }
     }
--- a/daemon/src/upstream/mod.rs
+++ b/daemon/src/upstream/mod.rs
@@ -7,6 +7,7 @@
 mod observer;
 mod pool;
 mod response_body;
+mod response_framing;
 mod sse;
 
 use std::collections::HashMap;
--- a/daemon/src/upstream/observer.rs
+++ b/daemon/src/upstream/observer.rs
@@ -17,6 +17,8 @@
     HeadTimeout,
     #[error("the framing of the body can't be parsed")]
     Framing,
+    #[error("a chunk states a size that no body has")]
+    ChunkTooLarge,
     #[error("the body holds what is no server-sent event")]
     Event,
     #[error("an event or the whole answer is too large")]
@@ -30,6 +32,7 @@
             InvalidResponse::Head => "head",
             InvalidResponse::HeadTimeout => "head_timeout",
             InvalidResponse::Framing => "framing",
+            InvalidResponse::ChunkTooLarge => "chunk_too_large",
             InvalidResponse::Event => "event",
             InvalidResponse::TooLarge => "too_large",
         }
--- a/daemon/src/upstream/response_body.rs
+++ b/daemon/src/upstream/response_body.rs
@@ -4,7 +4,7 @@
 use hyper::body::Incoming;
 
 /// The largest response body that is read to its end. The protocol of the servers has none larger.
-const MAX_BODY_BYTES: usize = 256 << 10;
+pub(super) const MAX_BODY_BYTES: usize = 256 << 10;
 /// The part of a body that is kept: a load report or a count of tokens is far shorter.
 const MAX_KEPT_BYTES: usize = 16 << 10;
 
--- a/daemon/tests/spoilt_streams.rs
+++ b/daemon/tests/spoilt_streams.rs
@@ -39,9 +39,8 @@
             Form::ChatCollected => false,
         };
         let headers = format!("x-txn: {id}\r\nx-lane: {class}\r\nx-remaining: 7000m\r\n");
-        let body = format!(
-            "{{\"model\":\"chat\",\"stream\":{is_stream},\"messages\":[{{\"role\":\"user\",\"content\":\"a\"}}]}}"
-        );
+        let messages = "[{\"role\":\"user\",\"content\":\"a\"}]";
+        let body = format!("{{\"model\":\"chat\",\"stream\":{is_stream},\"messages\":{messages}}}");
         post("/v1/chat/completions", &headers, &body)
     }
 
@@ -114,3 +113,32 @@
         assert_eq!(answer.status, 502, "{form:?}: {answer:?}");
     }
 }
+
+/// Guards against limits on spoilt streams that cut a slow one which is sound.
+#[tokio::test]
+async fn a_slow_stream_that_is_sound_arrives_whole() {
+    const ONE_CHUNK: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1b\r\ndata: 1\n\n";
+    const END: &str = "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
+    /// The pause between parts in milliseconds, and the parts. Events are less than 5 s apart.
+    const SOUND: [(u64, &[&str]); 3] = [
+        // Events far apart.
+        (3_500, &[BEGINNING, "9\r\ndata: 2\n\n\r\n", END]),
+        // One chunk of several events.
+        (3_500, &[ONE_CHUNK, "data: 2\n\n", "data: 3\n\n\r\n", END]),
+        // An event that is written slowly.
+        (1_500, &[BEGINNING, "9\r\ndat", "a: 2\n\n\r\n", END]),
+    ];
+    let mut plays = JoinSet::new();
+    // A collected answer would have to be made of completion chunks.
+    for form in [Form::Platform, Form::ChatStream] {
+        for (pause_ms, parts) in SOUND {
+            plays.spawn(async move {
+                let pause = Duration::from_millis(pause_ms);
+                let played = play(form, "book", parts, pause, pause * 6).await;
+                let (answer, _) = played.expect("an answer");
+                assert!(answer.status == 200 && answer.whole, "{form:?}, {parts:?}: {answer:?}");
+            });
+        }
+    }
+    plays.join_all().await;
+}
