End a stream whose server sends comments and blank lines but no event

What callers saw: a client was left waiting on a stream without a further event for as long as its server sent comments, blank lines or fields without data.

Cause: each of these came out of the splitter as an event and restarted the timer for silent streams.

Change: bytes without data are a step of their own (StreamStep::Comment); they are passed on unchanged and leave the timer as it is. Ahead of the first event they are kept, up to one event's size, and passed on with it, so that a stream that breaks after comments alone has not begun for its client.

The new tests (daemon/tests/spoilt_streams.rs, three forms of request; core/tests/unit/answer_stream.rs in simulated time) pass, as do the daemon's other tests of servers, connections, chat and punctuality. A trial without the exception for a whole answer that holds comments only failed `random_steps_have_the_outcomes_of_the_protocol`; such an answer is served as before.

--- a/core/src/answer_stream.rs
+++ b/core/src/answer_stream.rs
@@ -18,7 +18,7 @@
 use crate::traits::{EventStream, StreamStep};
 
 /// A stream without an event for this long has lost its server, as a machine that disappears closes no
-/// connection. Less than the 5 s after which a waiting client counts as abandoned.
+/// connection. Comments don't count: a client is owed an event or the end. Less than the 5 s after which a waiting client counts as abandoned.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(4_500);
 /// Events that came while the client did not read lie in the server's socket. They get this long to arrive
 /// once the client reads again. Together with the silence timeout this stays below those 5 s.
@@ -114,13 +114,15 @@
                 StreamStep::Broken(Outcome::NoAnswer)
             }
         };
-        self.is_awaited = false;
+        // A comment does not end the wait for an event.
+        self.is_awaited &= matches!(step, StreamStep::Comment(_));
         Poll::Ready(match step {
             StreamStep::Event(bytes) => {
                 self.observer.record_event();
                 self.silence_timer.as_mut().reset(Instant::now() + SILENCE_TIMEOUT);
                 Some(Ok(bytes))
             }
+            StreamStep::Comment(bytes) => Some(Ok(bytes)),
             StreamStep::End => {
                 registration.metrics.mark_answered();
                 registration.report_ended(Outcome::Served, 0, None);
--- a/core/src/traits.rs
+++ b/core/src/traits.rs
@@ -30,6 +30,8 @@
 pub enum StreamStep {
     /// One whole event, unchanged.
     Event(Bytes),
+    /// Bytes without an event, such as a comment. They are passed on, but the answer has made no progress.
+    Comment(Bytes),
     /// The answer is complete.
     End,
     /// The stream broke off with this outcome.
--- a/core/tests/unit/answer_stream.rs
+++ b/core/tests/unit/answer_stream.rs
@@ -169,3 +169,27 @@
         assert_eq!(outcomes(&mut handles), [Outcome::NoAnswer]);
     }
 }
+
+/// Guards against a client that is left waiting because a server's comments count as progress.
+#[tokio::test(start_paused = true)]
+async fn comments_do_not_prolong_the_wait_for_an_event() {
+    for interval_ms in [10, 200, 1_000, 4_000] {
+        let (mut stream, mut handles) = stream().await;
+        handles.events.send(event()).unwrap();
+        assert!(matches!(poll_fn(|cx| stream.poll_next(cx)).await, Some(Ok(_))));
+        let events = handles.events.clone();
+        let server = tokio::spawn(async move {
+            while events.send(StreamStep::Comment(Bytes::from_static(b": wait\n\n"))).is_ok() {
+                tokio::time::sleep(Duration::from_millis(interval_ms)).await;
+            }
+        });
+        let begin = Instant::now();
+        while let Some(Ok(bytes)) = poll_fn(|cx| stream.poll_next(cx)).await {
+            assert_eq!(bytes, ": wait\n\n");
+            assert!(begin.elapsed() < Duration::from_secs(5), "every {interval_ms} ms");
+        }
+        assert!(begin.elapsed() < Duration::from_secs(5), "every {interval_ms} ms");
+        assert_eq!(outcomes(&mut handles), [Outcome::NoAnswer]);
+        server.abort();
+    }
+}
--- a/daemon/src/upstream/attempt.rs
+++ b/daemon/src/upstream/attempt.rs
@@ -7,7 +7,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use frosttrail::{Id, LoadReport, Outcome};
 use frosttrail_core::{AttemptReply, EventStream, SendPermit, StreamStep};
 use http_body::Body;
@@ -22,7 +22,7 @@
 use super::pool::{ConnectFailure, ConnectionPool};
 use super::response_body::read_to_end;
 use super::response_framing::invalid_response;
-use super::sse::{load_report_comment, EventSplitter, InvalidEvent};
+use super::sse::{has_data, load_report_comment, EventSplitter, InvalidEvent, MAX_EVENT_BYTES};
 use super::Call;
 
 /// Carries the time that the conductor will wait for the response.
@@ -242,15 +242,35 @@
     }
 
     /// Waits for the first event. Until it arrives, nothing has been sent to the client and the request can
-    /// still go to another server.
+    /// still go to another server. Comments before it are passed on with it.
     async fn wait_for_first_event(mut self, load: Option<LoadReport>) -> AttemptReply<Self> {
-        match std::future::poll_fn(|cx| self.poll_step(cx)).await {
-            StreamStep::Event(first) => {
-                self.first_event = Some(first);
-                AttemptReply::Stream(self)
+        let mut beginning = BytesMut::new();
+        loop {
+            match std::future::poll_fn(|cx| self.poll_step(cx)).await {
+                StreamStep::Comment(comment) if beginning.len() <= MAX_EVENT_BYTES => {
+                    beginning.extend_from_slice(&comment);
+                }
+                StreamStep::Comment(_) => {
+                    self.reject(InvalidResponse::TooLarge);
+                    return AttemptReply::Ended(Outcome::Failed, load);
+                }
+                StreamStep::Event(first) if beginning.is_empty() => {
+                    self.first_event = Some(first);
+                    return AttemptReply::Stream(self);
+                }
+                StreamStep::Event(first) => {
+                    beginning.extend_from_slice(&first);
+                    self.first_event = Some(beginning.freeze());
+                    return AttemptReply::Stream(self);
+                }
+                // A whole answer, even if it says nothing.
+                StreamStep::End if !beginning.is_empty() => {
+                    self.first_event = Some(beginning.freeze());
+                    return AttemptReply::Stream(self);
+                }
+                StreamStep::End => return AttemptReply::Ended(Outcome::ConnectionLost, load),
+                StreamStep::Broken(outcome) => return AttemptReply::Ended(outcome, load),
             }
-            StreamStep::End => AttemptReply::Ended(Outcome::ConnectionLost, load),
-            StreamStep::Broken(outcome) => AttemptReply::Ended(outcome, load),
         }
     }
 
@@ -259,7 +279,10 @@
             // Parsed only to detect a tainted connection; the report in a response head is the one passed on.
             parse_load_report(report, connection);
         }
-        StreamStep::Event(event)
+        match has_data(&event) {
+            true => StreamStep::Event(event),
+            false => StreamStep::Comment(event),
+        }
     }
 
     /// Ends the attempt because of what the server has sent.
--- a/daemon/src/upstream/sse.rs
+++ b/daemon/src/upstream/sse.rs
@@ -4,7 +4,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// The largest event accepted.
-const MAX_EVENT_BYTES: usize = 64 << 10;
+pub(super) const MAX_EVENT_BYTES: usize = 64 << 10;
 /// The longest response accepted.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// The fields with which a line may begin.
@@ -72,6 +72,11 @@
         .ok_or(InvalidEvent)
 }
 
+/// Whether the bytes up to a blank line hold an event: only its data makes it one.
+pub(super) fn has_data(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').any(|line| line.starts_with(b"data"))
+}
+
 /// Returns the load report in an event, if the event is a comment that carries one.
 pub(super) fn load_report_comment(event: &[u8]) -> Option<&[u8]> {
     event.strip_prefix(b": X-Pressure:").map(<[u8]>::trim_ascii)
--- a/daemon/tests/connection.rs
+++ b/daemon/tests/connection.rs
@@ -193,7 +193,7 @@
         AttemptReply::Ended(outcome, _) => outcome,
         AttemptReply::Stream(mut events) => loop {
             match std::future::poll_fn(|cx| events.poll_step(cx)).await {
-                StreamStep::Event(_) => {}
+                StreamStep::Event(_) | StreamStep::Comment(_) => {}
                 StreamStep::End => return Outcome::Served,
                 StreamStep::Broken(outcome) => return outcome,
             }
--- a/daemon/tests/spoilt_streams.rs
+++ b/daemon/tests/spoilt_streams.rs
@@ -114,6 +114,42 @@
     }
 }
 
+/// Guards against a client that is left waiting because comments and blank lines count as progress.
+#[tokio::test]
+async fn a_stream_of_comments_alone_ends_in_time() {
+    const NO_EVENTS: [&[&str]; 4] = [
+        &[BEGINNING, "8\r\n: wait\n\n\r\n"],
+        &[BEGINNING, "1\r\n\n\r\n"],
+        &[BEGINNING, "a\r\nevent: a\n\n\r\n"],
+        &[BEGINNING, "f\r\nid: 7\nretry: 1\n\n\r\n"],
+    ];
+    let mut plays = JoinSet::new();
+    for (form, parts) in FORMS.into_iter().flat_map(|form| NO_EVENTS.map(|parts| (form, parts))) {
+        plays.spawn(async move {
+            let played = play(form, "book", parts, Duration::from_millis(200), MAX_WAIT).await;
+            let (answer, _) =
+                played.unwrap_or_else(|| panic!("{form:?}, {parts:?}: the connection stays open"));
+            assert!(answer.status != 200 || !answer.whole, "{form:?}, {parts:?}: a whole answer");
+        });
+    }
+    plays.join_all().await;
+}
+
+/// Comments ahead of the first event are passed on with it, and don't make the attempt the client's.
+#[tokio::test]
+async fn a_stream_that_breaks_after_comments_alone_may_be_sent_again() {
+    const COMMENTS: Behavior = Behavior::BreaksAfter(&[": wait\n\n", "\n"]);
+    const COMMENT_FIRST: Behavior = Behavior::Streams(&[": wait\n\n", EVENT, DONE]);
+    let site = Site::start().await;
+    site.decode.next(COMMENTS);
+    site.decode.next(COMMENT_FIRST);
+    let answer = exchange(site.platform, &chat("again", "ask", 7_000)).await;
+    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    assert_eq!(answer.body, format!(": wait\n\n{EVENT}{DONE}"));
+    site.decode.next(COMMENTS);
+    assert_eq!(exchange(site.platform, &chat("once", "book", 7_000)).await.status, 502);
+}
+
 /// Guards against limits on spoilt streams that cut a slow one which is sound.
 #[tokio::test]
 async fn a_slow_stream_that_is_sound_arrives_whole() {
