Remember the ids of requests that may have taken effect

Cause: an id was claimed for as long as its request was open (core/src/id_claim.rs), and a request ends with its client. The class of fault: a memory that ends at the wrong layer, with the client and not with the effect. It was so after any end, not only this one: served, failed, cut.

Change: the id of a request that was sent, is not of a safe class and was not refused is remembered for 10 minutes (core/src/used_ids.rs, at most 32,768, keyed hashes, no I/O or clock). A request that comes under it gets 409 and nothing is sent. With a state folder the ids also stand in a table of fixed size that both processes of an upgrade and later ones read (daemon/src/used_id_table.rs: checksums against half-done writes, the machine's uptime against stepped clocks, records that can't be written wait). Of every class, a claim is kept until the end of a cancelled attempt has reached its server. The chat front tells client libraries not to retry a 409.

--- a/core/src/answer_stream.rs
+++ b/core/src/answer_stream.rs
@@ -125,6 +125,7 @@
             StreamStep::Comment(bytes) => Some(Ok(bytes)),
             StreamStep::End => {
                 registration.metrics.mark_answered();
+                registration.release_claim(false);
                 registration.report_ended(Outcome::Served, 0, None);
                 self.registration = None;
                 None
--- a/core/src/conductor.rs
+++ b/core/src/conductor.rs
@@ -15,7 +15,7 @@
 use crate::command::{CallId, Command};
 use crate::command_queue::CommandSender;
 use crate::exclusion::{ExclusionError, Exclusions};
-use crate::id_claim::{OpenIds, SharedIdClaims};
+use crate::id_claim::{IdRegistry, SharedIdClaims};
 use crate::metrics::Metrics;
 use crate::permit::AdmittingServers;
 use crate::release::{lock, UpstreamReleaser};
@@ -65,7 +65,7 @@
     /// The settings in force.
     pub(crate) settings: Arc<watch::Sender<Arc<Settings>>>,
     pub(crate) next_call_id: Arc<AtomicU64>,
-    pub(crate) open_ids: OpenIds,
+    pub(crate) ids: IdRegistry,
     pub(crate) has_members: watch::Receiver<bool>,
     pub(crate) releaser: Arc<UpstreamReleaser<U>>,
     pub(crate) exclusions: Arc<Mutex<Exclusions>>,
@@ -84,7 +84,7 @@
             clock: self.clock,
             settings: self.settings.clone(),
             next_call_id: self.next_call_id.clone(),
-            open_ids: self.open_ids.clone(),
+            ids: self.ids.clone(),
             has_members: self.has_members.clone(),
             releaser: self.releaser.clone(),
             exclusions: self.exclusions.clone(),
--- a/core/src/dispatcher.rs
+++ b/core/src/dispatcher.rs
@@ -20,7 +20,7 @@
 use crate::command_queue::{command_queue, CommandInProgress, CommandReceiver, WeakCommandSender};
 use crate::conductor::{Conductor, ConductorParts};
 use crate::exclusion::Exclusions;
-use crate::id_claim::OpenIds;
+use crate::id_claim::IdRegistry;
 use crate::metrics::Metrics;
 use crate::permit::{AdmittingServers, PermitConditions, SendPermit};
 use crate::release::{lock, ReleaseState, Releaser, UpstreamReleaser};
@@ -104,7 +104,7 @@
         clock,
         settings: current_settings,
         next_call_id: Arc::default(),
-        open_ids: OpenIds::new(shared_id_claims),
+        ids: IdRegistry::new(shared_id_claims),
         has_members,
         releaser,
         exclusions,
--- a/core/src/id_claim.rs
+++ b/core/src/id_claim.rs
@@ -1,4 +1,5 @@
-//! Claims of request ids: while a request is open, no other request with its id may run.
+//! Claims of request ids: while a request is open, no other request with its id may run, and for a while
+//! after one that may have taken effect.
 
 use std::collections::HashSet;
 use std::fmt;
@@ -6,9 +7,11 @@
 use std::time::Duration;
 
 use frosttrail::Id;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 use crate::release::lock;
+use crate::request::CallError;
+use crate::used_ids::UsedIds;
 
 /// How long a request waits for an id that another process has claimed. A client that sends a request again
 /// may reach this process before the other one has noticed the end of the first.
@@ -23,29 +26,42 @@
 
     /// Gives up this process's claim of an id.
     fn release(&self, id: &Id);
+
+    /// Records that the request with this id has ended and may have taken effect.
+    fn record_used(&self, id: &Id);
+
+    /// Whether a request with this id has ended, in any process, and may have taken effect.
+    fn is_used(&self, id: &Id) -> bool;
 }
 
-/// The ids of open requests.
+/// The ids of open requests, and of those that may have taken effect.
 #[derive(Clone, Default)]
-pub(crate) struct OpenIds {
-    local: Arc<Mutex<HashSet<Id>>>,
+pub(crate) struct IdRegistry {
+    local: Arc<Mutex<LocalIds>>,
     shared: Option<Arc<dyn SharedIdClaims>>,
 }
 
-impl OpenIds {
-    /// Keeps the ids of this process's requests, and claims them in `shared` as well.
+/// The ids of this process's requests.
+#[derive(Debug, Default)]
+struct LocalIds {
+    open: HashSet<Id>,
+    used: UsedIds,
+}
+
+impl IdRegistry {
+    /// Keeps the ids of this process's requests, and shares them over `shared` as well.
     pub(crate) fn new(shared: Option<Arc<dyn SharedIdClaims>>) -> Self {
-        OpenIds { local: Arc::default(), shared }
+        IdRegistry { local: Arc::default(), shared }
     }
 
-    /// Reserves an id; `None` if a request with this id is open.
-    pub(crate) async fn claim(&self, id: &Id) -> Option<IdClaim> {
+    /// Reserves an id, unless a request with it is open or may have taken effect.
+    pub(crate) async fn claim(&self, id: &Id) -> Result<IdClaim, CallError> {
         let local_claim = LocalIdClaim::acquire(&self.local, id)?;
         let shared_claim = match &self.shared {
             Some(claims) => Some(SharedIdClaim::acquire(claims, id).await?),
             None => None,
         };
-        Some(IdClaim { _shared_claim: shared_claim, _local_claim: local_claim })
+        Ok(IdClaim { shared_claim, local_claim })
     }
 }
 
@@ -53,26 +69,48 @@
 #[derive(Debug)]
 pub(crate) struct IdClaim {
     // Dropped before the local claim, under which another request of this process may acquire it.
-    _shared_claim: Option<SharedIdClaim>,
-    _local_claim: LocalIdClaim,
+    shared_claim: Option<SharedIdClaim>,
+    local_claim: LocalIdClaim,
+}
+
+impl IdClaim {
+    /// Records that the request may have taken effect, so that its id is not claimed again for a while.
+    pub(crate) fn record_used(&self) {
+        self.local_claim.record_used();
+        if let Some(shared_claim) = &self.shared_claim {
+            shared_claim.claims.record_used(&shared_claim.id);
+        }
+    }
 }
 
 /// A claim that holds within this process.
 #[derive(Debug)]
 struct LocalIdClaim {
-    ids: Arc<Mutex<HashSet<Id>>>,
+    ids: Arc<Mutex<LocalIds>>,
     id: Id,
 }
 
 impl LocalIdClaim {
-    fn acquire(ids: &Arc<Mutex<HashSet<Id>>>, id: &Id) -> Option<Self> {
-        lock(ids).insert(id.clone()).then(|| LocalIdClaim { ids: ids.clone(), id: id.clone() })
+    fn acquire(ids: &Arc<Mutex<LocalIds>>, id: &Id) -> Result<Self, CallError> {
+        let mut locked_ids = lock(ids);
+        if locked_ids.open.contains(id) {
+            return Err(CallError::IdInUse);
+        }
+        if locked_ids.used.contains(id, Instant::now()) {
+            return Err(CallError::IdUsed);
+        }
+        locked_ids.open.insert(id.clone());
+        Ok(LocalIdClaim { ids: ids.clone(), id: id.clone() })
+    }
+
+    fn record_used(&self) {
+        lock(&self.ids).used.record(&self.id, Instant::now());
     }
 }
 
 impl Drop for LocalIdClaim {
     fn drop(&mut self) {
-        lock(&self.ids).remove(&self.id);
+        lock(&self.ids).open.remove(&self.id);
     }
 }
 
@@ -84,14 +122,19 @@
 
 impl SharedIdClaim {
     /// Waits for a while if another process has claimed the id.
-    async fn acquire(claims: &Arc<dyn SharedIdClaims>, id: &Id) -> Option<Self> {
+    async fn acquire(claims: &Arc<dyn SharedIdClaims>, id: &Id) -> Result<Self, CallError> {
         let claimed = async {
             while !claims.claim(id) {
                 sleep(FOREIGN_CLAIM_POLL_INTERVAL).await;
             }
             SharedIdClaim { claims: claims.clone(), id: id.clone() }
         };
-        timeout(FOREIGN_CLAIM_TIMEOUT, claimed).await.ok()
+        let claim = timeout(FOREIGN_CLAIM_TIMEOUT, claimed).await.map_err(|_| CallError::IdInUse)?;
+        // Looked up under the claim: the process that had it has recorded by then what it has to.
+        match claims.is_used(id) {
+            true => Err(CallError::IdUsed),
+            false => Ok(claim),
+        }
     }
 }
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -28,6 +28,7 @@
 mod release;
 mod request;
 mod traits;
+mod used_ids;
 
 pub use answer_stream::{AnswerStream, StreamBroken};
 pub use clock::Clock;
@@ -39,3 +40,4 @@
 pub use permit::{SendPermit, WithheldReason};
 pub use request::{Answer, CallError, Request};
 pub use traits::{AttemptReply, EventStream, MembershipSource, MembershipUpdate, StreamStep, Upstream};
+pub use used_ids::{MAX_USED_IDS, USED_ID_TTL};
--- a/core/src/registration.rs
+++ b/core/src/registration.rs
@@ -32,7 +32,10 @@
     pub(crate) has_attempt_in_flight: bool,
     /// Its answer has begun, so that no KV cache is held any more.
     pub(crate) is_streaming: bool,
-    pub(crate) _claim: IdClaim,
+    /// A request with the same id may run later: this one has no effect that must not be repeated.
+    pub(crate) may_repeat: bool,
+    /// Present until the request ends.
+    pub(crate) claim: Option<IdClaim>,
 }
 
 impl std::fmt::Debug for Registration {
@@ -53,6 +56,21 @@
         self.report(Report::Ended { outcome, cached_tokens, load });
     }
 
+    /// The request is refused, which promises that a retry is harmless.
+    pub(crate) fn mark_refused(&mut self) {
+        self.metrics.mark_deferred();
+        self.may_repeat = true;
+    }
+
+    /// Gives up the claim of the id, which is remembered if the request may have taken effect.
+    pub(crate) fn release_claim(&mut self, was_cancelled: bool) {
+        let Some(claim) = self.claim.take() else { return };
+        if !self.may_repeat && lock(&self.release_state).has_been_sent() {
+            claim.record_used();
+        }
+        self.releaser.release_claim(claim, &self.release_state, was_cancelled);
+    }
+
     /// The attempt in flight was ended by this side, and its end has reached the server.
     pub(crate) fn record_cancelled_attempt(&mut self) {
         self.has_attempt_in_flight = false;
@@ -90,6 +108,7 @@
         }
         let has_been_sent = release_state.has_been_sent();
         drop(release_state);
+        self.release_claim(self.has_attempt_in_flight || self.is_streaming);
         if has_been_sent && !self.is_streaming {
             self.releaser.release_at_end(&self.id, &self.release_state, self.has_attempt_in_flight);
         }
--- a/core/src/release.rs
+++ b/core/src/release.rs
@@ -14,6 +14,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
+use crate::id_claim::IdClaim;
 use crate::reachability::Reachability;
 use crate::traits::Upstream;
 
@@ -93,6 +94,10 @@
     /// would be held for ever.
     fn release_at_end(&self, request: &Id, release_state: &Mutex<ReleaseState>, was_cancelled: bool);
 
+    /// Gives up the claim of a request's id once the end of an attempt that was cancelled has reached its
+    /// server: before that, another request with this id would be a second attempt.
+    fn release_claim(&self, claim: IdClaim, release_state: &Mutex<ReleaseState>, was_cancelled: bool);
+
     /// Records what an attempt showed about its server.
     fn record_outcome(&self, server: &Id, outcome: Outcome, now: Micros);
 }
@@ -149,6 +154,12 @@
 }
 
 impl<U: Upstream> UpstreamReleaser<U> {
+    /// How long the end of the last attempt takes to reach its server, if it was cancelled.
+    fn cancellation_delay(&self, release_state: &ReleaseState, was_cancelled: bool) -> Duration {
+        let last_server = release_state.sent_to.first().filter(|_| was_cancelled);
+        last_server.map_or(Duration::ZERO, |server| self.upstream.cancellation_delay(server))
+    }
+
     /// Starts a release, unless an earlier one covers all that is held.
     fn start_release(&self, request: &Id, release_state: &mut ReleaseState, delay: Duration) {
         if release_state.is_covered {
@@ -199,11 +210,22 @@
 
     fn release_at_end(&self, request: &Id, release_state: &Mutex<ReleaseState>, was_cancelled: bool) {
         let mut release_state = lock(release_state);
-        let last_server = release_state.sent_to.first().filter(|_| was_cancelled);
-        let delay = last_server.map_or(Duration::ZERO, |server| self.upstream.cancellation_delay(server));
+        let delay = self.cancellation_delay(&release_state, was_cancelled);
         self.start_release(request, &mut release_state, delay);
     }
 
+    fn release_claim(&self, claim: IdClaim, release_state: &Mutex<ReleaseState>, was_cancelled: bool) {
+        let delay = self.cancellation_delay(&lock(release_state), was_cancelled);
+        if delay.is_zero() {
+            return;
+        }
+        let release_later = async move {
+            sleep(delay).await;
+            drop(claim);
+        };
+        self.tasks.spawn_on(release_later, &self.runtime);
+    }
+
     fn record_outcome(&self, server: &Id, outcome: Outcome, now: Micros) {
         lock(&self.reachability).record_outcome(server, outcome, now);
     }
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use frosttrail::admission::{self, ExecutionRecord};
-use frosttrail::{Decision, Id, Micros, Outcome, Query, Report};
+use frosttrail::{Decision, Effect, Id, Micros, Outcome, Query, Report};
 use slog::{debug, info};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, timeout, Instant};
@@ -59,6 +59,9 @@
     /// A request with the same id is open.
     #[error("a request with this id has not ended yet")]
     IdInUse,
+    /// A request with the same id has ended and may have taken effect.
+    #[error("a request with this id may have taken effect; send a new request under a new id")]
+    IdUsed,
 }
 
 impl CallError {
@@ -66,6 +69,7 @@
     pub(crate) fn label(self) -> &'static str {
         match self {
             CallError::IdInUse => "in_use",
+            CallError::IdUsed => "used",
         }
     }
 }
@@ -167,7 +171,7 @@
         let is_refusal = self.execution.may_be_refused();
         metrics.count_overdue(is_refusal);
         if is_refusal {
-            self.registration.metrics.mark_deferred();
+            self.registration.mark_refused();
             return Answer::Refused { retry_after: self.retry_after, last_outcome: self.last_outcome };
         }
         Answer::Failed { last_outcome: self.last_outcome }
@@ -211,7 +215,7 @@
         let Request { mut query, call } = request;
         let arrived_at = self.clock.now();
         // Checked first: a refusal of a request that is open would promise that nothing of it has run.
-        let Some(claim) = self.claim_id(&query.id).await else { return Err(CallError::IdInUse) };
+        let claim = self.claim_id(&query.id).await?;
         query.budget = query.budget.saturating_sub(self.clock.now().saturating_sub(arrived_at));
         if !admission::admits(self.commands.backlog().expected_wait(), query.budget) {
             return Ok(self.refuse_early(&query));
@@ -249,7 +253,7 @@
                     }
                 }
                 Decision::Refuse { retry_after } => {
-                    open_call.registration.metrics.mark_deferred();
+                    open_call.registration.mark_refused();
                     let retry_after = Duration::from_micros(retry_after);
                     return Ok(Answer::Refused { retry_after, last_outcome: open_call.last_outcome });
                 }
@@ -260,12 +264,12 @@
         }
     }
 
-    /// Reserves the id of a request; `None` if it is in use, or if the conductor stops meanwhile.
-    async fn claim_id(&self, id: &Id) -> Option<IdClaim> {
+    /// Reserves the id of a request. If the conductor stops meanwhile, the id counts as in use.
+    async fn claim_id(&self, id: &Id) -> Result<IdClaim, CallError> {
         tokio::select! {
             biased;
-            claim = self.open_ids.claim(id) => claim,
-            () = self.final_answers_due() => None,
+            claim = self.ids.claim(id) => claim,
+            () = self.final_answers_due() => Err(CallError::IdInUse),
         }
     }
 
@@ -297,7 +301,8 @@
             cache_clock: CacheClock::default(),
             has_attempt_in_flight: false,
             is_streaming: false,
-            _claim: claim,
+            may_repeat: query.class.effect == Effect::Safe,
+            claim: Some(claim),
         };
         let answer_timeout = Duration::from_micros(admission::answer_timeout(query.budget));
         let release_timeout = admission::release_timeout(self.settings.borrow().cache_release_timeout);
--- a/core/tests/id_claims.rs
+++ b/core/tests/id_claims.rs
@@ -9,8 +9,8 @@
 
 use frosttrail::{Health, Id, ListUpdateKind, LoadReport, Outcome, Role, Settings};
 use frosttrail_core::{
-    start, AttemptReply, CallError, Clock, Conductor, ConductorParts, MembershipUpdate, Metrics, Request,
-    SendPermit, SharedIdClaims, Upstream,
+    start, Answer, AttemptReply, CallError, Clock, Conductor, ConductorParts, MembershipUpdate, Metrics,
+    Request, SendPermit, SharedIdClaims, Upstream,
 };
 use support::{classes, entry, query, run_paused, ChannelSource, NoEvents};
 use tokio::sync::mpsc;
@@ -26,6 +26,7 @@
 struct ClaimTable {
     own: Mutex<HashSet<Id>>,
     foreign: Mutex<HashSet<Id>>,
+    used: Mutex<HashSet<Id>>,
 }
 
 impl SharedIdClaims for ClaimTable {
@@ -36,9 +37,18 @@
     fn release(&self, id: &Id) {
         assert!(self.own.lock().unwrap().remove(id), "released without a claim");
     }
+
+    fn record_used(&self, id: &Id) {
+        assert!(self.own.lock().unwrap().contains(id), "recorded without a claim");
+        self.used.lock().unwrap().insert(id.clone());
+    }
+
+    fn is_used(&self, id: &Id) -> bool {
+        self.used.lock().unwrap().contains(id)
+    }
 }
 
-/// A prefill server that records the timeout of each attempt, and fails it.
+/// Servers that record the timeout of each attempt; the decode server fails it.
 #[derive(Clone, Default)]
 struct Server(Arc<Mutex<Vec<Duration>>>);
 
@@ -48,14 +58,17 @@
 
     async fn attempt(
         &self,
-        _: &Id,
+        server: &Id,
         _: &Id,
         _: &(),
         attempt_timeout: Duration,
         _: &SendPermit,
     ) -> AttemptReply<NoEvents> {
         self.0.lock().unwrap().push(attempt_timeout);
-        AttemptReply::Ended(Outcome::Failed, None)
+        match &**server {
+            "prefill" => AttemptReply::PrefillDone { cached_tokens: 0, load: None },
+            _ => AttemptReply::Ended(Outcome::Failed, None),
+        }
     }
 
     async fn release(&self, _: &Id, _: &Id) -> bool {
@@ -137,3 +150,42 @@
         assert!(timeouts[0] <= BUDGET - WAIT, "{timeouts:?}");
     });
 }
+
+/// Guards against a request that runs a second time, at the process that replaces the one that ran it.
+#[test]
+fn an_id_that_another_process_has_used_is_rejected_and_nothing_is_sent() {
+    run_paused(async {
+        let (server, claims) = (Server::default(), Arc::<ClaimTable>::default());
+        claims.used.lock().unwrap().insert("id-1".into());
+        let conductor = conductor(&server, &claims).await;
+        assert_eq!(conductor.call(request()).await.err(), Some(CallError::IdUsed));
+        assert_eq!(*server.0.lock().unwrap(), [], "sent though another process had used the id");
+        assert!(claims.own.lock().unwrap().is_empty(), "a rejected request keeps its claim");
+    });
+}
+
+/// What may have taken effect does not run again; what may be repeated, or was refused, may come again.
+#[test]
+fn only_the_id_of_a_request_that_may_have_taken_effect_is_remembered() {
+    run_paused(async {
+        let (server, claims) = (Server::default(), Arc::<ClaimTable>::default());
+        let conductor = conductor(&server, &claims).await;
+        let call = |id: &'static str, class: usize, budget: Duration| {
+            let mut query = query(id, class);
+            query.budget = budget.as_micros() as u64;
+            let conductor = conductor.clone();
+            async move { conductor.call(Request { query, call: () }).await }
+        };
+        assert!(matches!(call("unsafe", 1, BUDGET).await, Ok(Answer::Failed { .. })));
+        let sent = server.0.lock().unwrap().len();
+        for class in [0, 1] {
+            assert_eq!(call("unsafe", class, BUDGET).await.err(), Some(CallError::IdUsed));
+        }
+        assert_eq!(server.0.lock().unwrap().len(), sent, "sent again");
+        assert!(call("safe", 0, BUDGET).await.is_ok());
+        assert!(matches!(call("refused", 1, Duration::ZERO).await, Ok(Answer::Refused { .. })));
+        assert_eq!(*claims.used.lock().unwrap(), HashSet::from(["unsafe".into()]));
+        assert!(call("safe", 0, BUDGET).await.is_ok());
+        assert!(call("refused", 1, BUDGET).await.is_ok());
+    });
+}
--- a/core/tests/unit/answer_stream.rs
+++ b/core/tests/unit/answer_stream.rs
@@ -11,7 +11,7 @@
 use crate::clock::Clock;
 use crate::command::Command;
 use crate::command_queue::{command_queue, CommandReceiver};
-use crate::id_claim::OpenIds;
+use crate::id_claim::{IdClaim, IdRegistry};
 use crate::permit::SendPermit;
 use crate::release::{ReleaseState, Releaser};
 
@@ -27,6 +27,8 @@
         panic!("a stream has nothing to release");
     }
 
+    fn release_claim(&self, _: IdClaim, _: &Mutex<ReleaseState>, _: bool) {}
+
     fn record_outcome(&self, _: &Id, _: Outcome, _: Micros) {}
 }
 
@@ -61,7 +63,8 @@
         cache_clock: CacheClock::default(),
         has_attempt_in_flight: false,
         is_streaming: true,
-        _claim: OpenIds::default().claim(&"id".into()).await.unwrap(),
+        may_repeat: true,
+        claim: Some(IdRegistry::default().claim(&"id".into()).await.unwrap()),
     };
     let log = Logger::root(slog::Discard, slog::o!());
     let cuts = crate::Metrics::new().unwrap().streams_cut;
--- a/daemon/src/front/chat/error.rs
+++ b/daemon/src/front/chat/error.rs
@@ -71,7 +71,11 @@
         let mut response = full_response(status, JSON, json!({ "error": object }).to_string());
         let may_have_run = matches!(
             self,
-            ApiError::ServerFailed | ApiError::TimedOut | ApiError::OutOfMemory | ApiError::Stopping
+            ApiError::ServerFailed
+                | ApiError::TimedOut
+                | ApiError::OutOfMemory
+                | ApiError::Stopping
+                | ApiError::Input(InputError::IdInUse | InputError::IdUsed)
         );
         if may_have_run {
             response.headers_mut().insert(SHOULD_RETRY, HeaderValue::from_static("false"));
--- a/daemon/src/front/chat/mod.rs
+++ b/daemon/src/front/chat/mod.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use frosttrail::Outcome;
-use frosttrail_core::{Answer, AnswerStream, CallError, Conductor, EventStream, StreamBroken, Upstream};
+use frosttrail_core::{Answer, AnswerStream, Conductor, EventStream, StreamBroken, Upstream};
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
@@ -103,7 +103,7 @@
                 ApiError::TimedOut.response()
             }
             Ok(Answer::Failed { .. }) => ApiError::ServerFailed.response(),
-            Err(CallError::IdInUse) => return Err(InputError::IdInUse.into()),
+            Err(e) => return Err(InputError::from(e).into()),
         };
         if let Ok(id) = HeaderValue::from_str(&id) {
             response.headers_mut().insert(REQUEST_ID, id);
--- a/daemon/src/front/input.rs
+++ b/daemon/src/front/input.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use frosttrail::{Id, Micros, Settings};
+use frosttrail_core::CallError;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{
@@ -72,6 +73,9 @@
     /// Another request with the same id is still open.
     #[error("X-Txn: a request with this id has not ended yet")]
     IdInUse,
+    /// A request with the same id has ended and may have taken effect.
+    #[error("X-Txn: a request with this id may have taken effect; send a new request under a new id")]
+    IdUsed,
     /// The body is larger than `MAX_BODY_BYTES`.
     #[error("the body is larger than 256 KiB")]
     BodyTooLarge,
@@ -89,6 +93,15 @@
     OutOfMemory,
 }
 
+impl From<CallError> for InputError {
+    fn from(error: CallError) -> Self {
+        match error {
+            CallError::IdInUse => InputError::IdInUse,
+            CallError::IdUsed => InputError::IdUsed,
+        }
+    }
+}
+
 impl InputError {
     /// Whether the request arrived in full and is refused only for lack of time or capacity.
     pub fn is_refusal(&self) -> bool {
@@ -102,7 +115,7 @@
             | InputError::UnknownName(_)
             | InputError::InvalidBody(_)
             | InputError::AmbiguousFraming => StatusCode::BAD_REQUEST,
-            InputError::IdInUse => StatusCode::CONFLICT,
+            InputError::IdInUse | InputError::IdUsed => StatusCode::CONFLICT,
             InputError::UnknownModel(_) | InputError::UnknownPath => StatusCode::NOT_FOUND,
             InputError::MethodNotAllowed(_) => StatusCode::METHOD_NOT_ALLOWED,
             InputError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
--- a/daemon/src/front/platform.rs
+++ b/daemon/src/front/platform.rs
@@ -1,7 +1,7 @@
 //! The front for the platform's protocol: maps headers to queries, and answers to status codes.
 
 use frosttrail::{Query, Settings};
-use frosttrail_core::{Answer, CallError, Conductor, Upstream};
+use frosttrail_core::{Answer, Conductor, Upstream};
 use hyper::body::Incoming;
 use hyper::header::RETRY_AFTER;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
@@ -76,7 +76,7 @@
                 refused
             }
             Ok(Answer::Failed { .. }) => full_response(StatusCode::BAD_GATEWAY, TEXT_PLAIN, "failed\n"),
-            Err(CallError::IdInUse) => return Err(InputError::IdInUse),
+            Err(e) => return Err(e.into()),
         })
     }
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -20,3 +20,5 @@
 mod tcp;
 pub mod transient;
 pub mod upstream;
+mod uptime;
+mod used_id_table;
--- a/daemon/src/request_id_locks.rs
+++ b/daemon/src/request_id_locks.rs
@@ -1,6 +1,6 @@
 //! Claims the ids of open requests among the processes of a conductor, by locks on single bytes of a file
 //! that they share. The kernel arbitrates between processes, and drops the locks of one that exits or is
-//! killed.
+//! killed. Ids that may not be used again are kept in a table beside it.
 
 use std::collections::HashSet;
 use std::fs::File;
@@ -17,6 +17,7 @@
 use slog::{info, warn, Logger};
 
 use crate::state_dir;
+use crate::used_id_table::UsedIdTable;
 
 /// The offset of the byte that stands for a request id.
 type LockOffset = libc::off_t;
@@ -27,7 +28,9 @@
 pub struct RequestIdLocks {
     path: PathBuf,
     state: Mutex<LockState>,
+    used_ids: Mutex<UsedIdTable>,
     has_failed: AtomicBool,
+    has_table_failed: AtomicBool,
     log: Logger,
 }
 
@@ -49,7 +52,26 @@
                 LockState::Unavailable(HashSet::new())
             }
         };
-        RequestIdLocks { path, state: Mutex::new(state), has_failed: AtomicBool::new(false), log }
+        RequestIdLocks {
+            path,
+            state: Mutex::new(state),
+            used_ids: Mutex::new(UsedIdTable::in_folder(state_folder)),
+            has_failed: AtomicBool::default(),
+            has_table_failed: AtomicBool::default(),
+            log,
+        }
+    }
+
+    /// Logs once per outage that the table of used ids can't be read or written.
+    fn report_table<T: Default>(&self, result: io::Result<T>) -> T {
+        let has_failed = self.has_table_failed.swap(result.is_err(), Ordering::Relaxed);
+        result.unwrap_or_else(|e| {
+            if !has_failed {
+                warn!(self.log, "a used request id may run again in another process; check $TMPDIR";
+                    "why" => %e);
+            }
+            T::default()
+        })
     }
 
     /// Opens the file if that has failed before, and locks what has been claimed since.
@@ -112,6 +134,16 @@
             }
         }
     }
+
+    fn record_used(&self, id: &Id) {
+        let recorded = self.used_ids.lock().unwrap_or_else(PoisonError::into_inner).record(id);
+        self.report_table(recorded)
+    }
+
+    fn is_used(&self, id: &Id) -> bool {
+        let found = self.used_ids.lock().unwrap_or_else(PoisonError::into_inner).contains(id);
+        self.report_table(found)
+    }
 }
 
 fn open(path: &Path) -> io::Result<File> {
--- a/daemon/src/snapshot_file.rs
+++ b/daemon/src/snapshot_file.rs
@@ -6,9 +6,8 @@
 
 use frosttrail_core::InheritedState;
 
-use rustix::time::{clock_gettime, ClockId};
-
 use crate::state_dir;
+use crate::uptime::{boot_id, uptime};
 
 /// The first word of the file, which includes the version of the format.
 const MAGIC: &str = "frosttrail-snapshot-2";
@@ -41,20 +40,6 @@
 #[derive(Clone, Debug)]
 pub struct SnapshotFile(PathBuf);
 
-/// The kernel's random id of the current boot.
-const BOOT_ID: &str = "/proc/sys/kernel/random/boot_id";
-
-/// The monotonic clock, which all processes of the machine share and which is never stepped.
-fn uptime() -> Duration {
-    let now = clock_gettime(ClockId::Monotonic);
-    Duration::new(now.tv_sec.unsigned_abs(), now.tv_nsec.unsigned_abs() as u32)
-}
-
-/// Identifies the current boot: uptimes of different boots are not comparable.
-fn boot_id() -> Result<String, SnapshotError> {
-    Ok(fs::read_to_string(BOOT_ID)?.trim().to_string())
-}
-
 impl SnapshotFile {
     /// The snapshot file in a conductor's state folder.
     pub fn in_folder(folder: &Path) -> Self {
--- a/rpc/src/client.rs
+++ b/rpc/src/client.rs
@@ -53,6 +53,9 @@
     /// Another request with this id has not ended.
     #[error("another request with this id has not ended")]
     IdInUse,
+    /// A request with this id has ended and may have taken effect.
+    #[error("a request with this id may have taken effect; use a new id")]
+    IdUsed,
     /// The settings have no class of this name.
     #[error("unknown class; use one of the settings")]
     UnknownClass,
@@ -84,6 +87,7 @@
             Ok(FinalAnswer::Refused { retry_after, .. }) => Err(GenerateError::Refused { retry_after }),
             Ok(FinalAnswer::Failed { .. }) => Err(GenerateError::Failed),
             Err(CallError::IdInUse) => Err(GenerateError::IdInUse),
+            Err(CallError::IdUsed) => Err(GenerateError::IdUsed),
         }
     }
 
