Let the soak draw spoilt and slow streams, floods, and ids that come again

Change: the stub servers write their responses themselves (no HTTP library writes an unsound one) and have new modes: a chunk of 3 GB with events that look sound, comments alone, a size line that never ends, noise, second answers 12 ms late, slow but sound streams of 5 s. New clients: one in twelve leaves and comes again with its id; a flood of unsound requests under ever new names; 96 clients that stop halfway through a large request or a long head. The limit on memory is 96 MB. The oracle checks the wait after a server's last event (5 s by PROTOCOL), sound streams that are cut though nothing interrupted them, decodes by id, events of another request, and the peak of resident memory.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -5,7 +5,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::oracle::{ClientResult, Oracle};
 
@@ -21,6 +21,8 @@
     Waits,
     /// Closes its connection after this time.
     Leaves(Duration),
+    /// Closes its connection after this time, and sends the request again under its id after the second one.
+    ComesAgain(Duration, Duration),
     /// Sends part of a request, and stays connected.
     Stops,
     /// Completes a request, sends part of a head on the same connection, and stays connected.
@@ -64,10 +66,36 @@
         }
         match self.behavior {
             ClientBehavior::Stops => self.send_partial(stream, &self.to_http()[..60], &oracle).await,
+            ClientBehavior::ComesAgain(leaves_after, pause) => {
+                self.send_twice(stream, leaves_after, pause, &oracle).await
+            }
             _ => self.send_on_new_connection(stream, &oracle).await,
         }
     }
 
+    /// Sends the request, leaves, and sends it again under the same id.
+    async fn send_twice(
+        &self,
+        mut stream: TcpStream,
+        leaves_after: Duration,
+        pause: Duration,
+        oracle: &Oracle,
+    ) {
+        oracle.record_request(&self.id, self.conductor, self.is_fragile, self.budget);
+        if let Ok((result, _)) = timeout(leaves_after, self.exchange(&mut stream)).await {
+            return oracle.record_result(&self.id, result);
+        }
+        oracle.record_client_left(&self.id);
+        drop(stream);
+        sleep(pause).await;
+        let Ok(Ok(mut stream)) = timeout(self.budget, TcpStream::connect(self.address)).await else { return };
+        oracle.record_return(&self.id);
+        let exchanged = timeout(self.budget + MAX_STREAM_DURATION, self.exchange(&mut stream)).await;
+        if let Ok((result, _)) = exchanged {
+            oracle.record_result(&self.id, result);
+        }
+    }
+
     /// Sends the request on a connection, and returns whether that stays open. A connection that is not new
     /// has carried answers before, so that the conductor may close it while the request is on its way.
     pub async fn send_on(&self, stream: &mut TcpStream, is_new: bool, oracle: &Oracle) -> bool {
@@ -85,7 +113,7 @@
         if stream.write_all(self.to_http().as_bytes()).await.is_err() {
             return (ClientResult::Nothing, false);
         }
-        read_answer(stream).await
+        read_answer(stream, &self.id).await
     }
 
     async fn send_on_new_connection(&self, mut stream: TcpStream, oracle: &Oracle) {
@@ -127,8 +155,14 @@
     }
 }
 
+/// Whether an answer holds an event of another request.
+fn has_foreign_event(body: &str, id: &str) -> bool {
+    let ids = body.split("\"of\":\"").skip(1).filter_map(|rest| rest.split_once('"'));
+    ids.into_iter().any(|(of, _)| of != id)
+}
+
 /// Reads one answer, and returns whether its connection stays open.
-async fn read_answer(stream: &mut TcpStream) -> (ClientResult, bool) {
+async fn read_answer(stream: &mut TcpStream, id: &str) -> (ClientResult, bool) {
     let mut bytes = Vec::new();
     loop {
         let text = String::from_utf8_lossy(&bytes).into_owned();
@@ -142,6 +176,7 @@
                 None => body.ends_with("0\r\n\r\n"),
             };
             match (status, is_complete) {
+                _ if has_foreign_event(body, id) => return (ClientResult::Foreign, false),
                 (200, true) => return (ClientResult::Served, stays_open),
                 (429 | 503, true) => return (ClientResult::Refused, stays_open),
                 (_, true) => return (ClientResult::Failed, stays_open),
--- a/soak/src/conductor.rs
+++ b/soak/src/conductor.rs
@@ -117,6 +117,14 @@
         Some(status.code().unwrap_or(-1))
     }
 
+    /// The largest resident memory so far; `None` if the process has ended.
+    pub fn peak_memory_bytes(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()?)).ok()?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kib: u64 = peak.trim().trim_end_matches(" kB").parse().ok()?;
+        Some(kib * 1_024)
+    }
+
     /// Kills the process.
     pub async fn kill(&mut self) {
         // The process may have ended already.
--- a/soak/src/fault_injection.rs
+++ b/soak/src/fault_injection.rs
@@ -10,8 +10,9 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
+use crate::bad_clients::{flood, stop_halfway};
 use crate::conductor::{call_ops, Process};
-use crate::oracle::ClosedPeriod;
+use crate::oracle::{ClosedPeriod, Interrupted};
 use crate::plan::{FaultKind, ScheduledFault, TURNOVER_BATCHES};
 use crate::server::ServerMode;
 use crate::shim::SystemFaults;
@@ -102,6 +103,18 @@
             FaultKind::BreakingServer => {
                 self.set_server_mode(server, ServerMode::Truncating, fault.duration).await
             }
+            FaultKind::SlowServer => self.set_server_mode(server, ServerMode::Slow, fault.duration).await,
+            FaultKind::HugeChunk => self.set_server_mode(server, ServerMode::HugeChunk, fault.duration).await,
+            FaultKind::Comments => self.set_server_mode(server, ServerMode::Comments, fault.duration).await,
+            FaultKind::EndlessSizeLine => {
+                self.set_server_mode(server, ServerMode::EndlessSizeLine, fault.duration).await
+            }
+            FaultKind::Noise => self.set_server_mode(server, ServerMode::Noise, fault.duration).await,
+            FaultKind::SecondAnswers => {
+                self.set_server_mode(server, ServerMode::AnswersTwice, fault.duration).await
+            }
+            FaultKind::Flood => flood(self.conductors[conductor].listen, fault.duration).await,
+            FaultKind::HalfRequests => stop_halfway(self.conductors[conductor].listen, fault.duration).await,
             FaultKind::Drain => self.drain_server(server, fault.duration).await,
             FaultKind::Crowd => self.connect_idle_clients(conductor, fault.duration).await,
             FaultKind::Exclusion => self.exclude_server(conductor, server, fault.duration, rng).await,
@@ -114,7 +127,9 @@
         let mut process_slot = self.conductors[conductor].process.lock().await;
         let Some(mut process) = process_slot.take() else { return };
         self.add_shim_counts(&process);
+        self.check_memory(conductor, &process);
         process.kill().await;
+        self.oracle.record_interruption(Interrupted::Conductor(conductor), from, Instant::now());
         self.oracle.record_outage(conductor, from, Instant::now());
         sleep(duration / 4).await;
         *process_slot = self.start_process(conductor).await;
@@ -134,6 +149,7 @@
     /// Ends a process as the platform does, and checks how it exits.
     pub(crate) async fn shut_down(&self, conductor: usize, mut process: Process) {
         let from = Instant::now();
+        self.check_memory(conductor, &process);
         for signal in SHUTDOWN_SIGNALS {
             process.signal(signal).await;
             sleep(SIGNAL_INTERVAL).await;
@@ -150,9 +166,19 @@
                 self.oracle.record_outage(conductor, from, from + Duration::from_millis(700));
             }
         }
+        // Streams that still run are cut, as clients ask for the rest.
+        self.oracle.record_interruption(Interrupted::Conductor(conductor), from, Instant::now());
         self.add_shim_counts(&process);
     }
 
+    /// Records a violation if a process has taken more memory than its limit.
+    fn check_memory(&self, conductor: usize, process: &Process) {
+        let Some(peak) = process.peak_memory_bytes() else { return };
+        if peak > self.memory_limit {
+            self.oracle.record_violation(format!("crash: conductor {conductor} took {peak} bytes of memory"));
+        }
+    }
+
     async fn restart_conductor(&self, conductor: usize) {
         let mut process_slot = self.conductors[conductor].process.lock().await;
         let Some(process) = process_slot.take() else { return };
@@ -236,6 +262,7 @@
     async fn silence_servers(&self, servers: &[usize], duration: Duration) {
         let all_links =
             || self.conductors.iter().flat_map(|c| servers.iter().map(|server| &c.links[*server]));
+        let from = Instant::now();
         all_links().for_each(|link| link.set_stalled(true));
         servers.iter().for_each(|server| self.oracle.set_server_silent(*server, true));
         sleep(duration).await;
@@ -243,7 +270,10 @@
             link.reset_connections();
             link.set_stalled(false);
         });
-        servers.iter().for_each(|server| self.oracle.set_server_silent(*server, false));
+        for server in servers {
+            self.oracle.set_server_silent(*server, false);
+            self.oracle.record_interruption(Interrupted::Server(*server), from, Instant::now());
+        }
     }
 
     async fn change_links(
@@ -253,9 +283,11 @@
         duration: Duration,
         undo: impl Fn(&Link),
     ) {
+        let from = Instant::now();
         self.conductors.iter().for_each(|conductor| apply(&conductor.links[server]));
         sleep(duration).await;
         self.conductors.iter().for_each(|conductor| undo(&conductor.links[server]));
+        self.oracle.record_interruption(Interrupted::Server(server), from, Instant::now());
     }
 
     async fn set_server_mode(&self, server: usize, mode: ServerMode, duration: Duration) {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 
 pub mod agent;
+mod bad_clients;
 pub mod client;
 pub mod conductor;
 mod fault_injection;
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -16,6 +16,8 @@
 const CLIENT_LEFT_ALLOWANCE: Duration = Duration::from_millis(100);
 /// A final answer may come this long after the request's budget; a later one counts as lost.
 const LATE_ANSWER_ALLOWANCE: Duration = Duration::from_millis(500);
+/// A client may be left waiting for this long after a server's last event.
+const MAX_WAIT_AFTER_EVENT: Duration = Duration::from_secs(5);
 /// The end of an attempt may take this long to reach its server.
 const MAX_END_DELAY: Duration = Duration::from_millis(50);
 
@@ -70,6 +72,10 @@
     never_ran: bool,
     /// The remaining time that was sent to the server.
     told: Duration,
+    /// When the server wrote its last sound event.
+    last_event: Option<Instant>,
+    /// The server has written its answer to the end.
+    is_whole: bool,
 }
 
 /// How a request ended for its client. The report prints the variants by name.
@@ -85,6 +91,8 @@
     Failed,
     /// The connection ended without an answer.
     Nothing,
+    /// An answer with events of another request.
+    Foreign,
     /// A connection that had carried answers ended without one, maybe before the request was read.
     Crossed,
 }
@@ -100,6 +108,8 @@
     budget: Duration,
     /// When the client left early.
     gone: Option<Instant>,
+    /// When the request was sent once more under the same id, after its client had left.
+    again: Option<Instant>,
     /// The result, and when the client had it.
     told: Option<(ClientResult, Instant)>,
 }
@@ -129,9 +139,19 @@
     /// Servers, and when they started.
     server_starts: Vec<(usize, Instant)>,
     outages: Outages,
+    interruptions: Vec<(Interrupted, Instant, Instant)>,
     violations: Vec<String>,
 }
 
+/// What may break streams that are sound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Interrupted {
+    /// A conductor, by its index, whose process ends.
+    Conductor(usize),
+    /// A server, by its index, whose connections fail.
+    Server(usize),
+}
+
 /// A period in which a server takes nothing new from a conductor.
 #[derive(Clone, Copy, Debug)]
 pub struct ClosedPeriod {
@@ -181,7 +201,7 @@
     /// Records that a client is about to send a request.
     pub fn record_request(&self, id: &str, conductor: usize, fragile: bool, budget: Duration) {
         let sent = Instant::now();
-        let asked = Asked { conductor, fragile, sent, budget, gone: None, told: None };
+        let asked = Asked { conductor, fragile, sent, budget, gone: None, again: None, told: None };
         self.observations().requests.entry(id.into()).or_default().asked = Some(asked);
     }
 
@@ -201,6 +221,37 @@
         }
     }
 
+    /// Records that a request whose client has left is about to be sent again under its id.
+    pub fn record_return(&self, id: &str) {
+        if let Some(asked) = self.observations().requests.get_mut(id).and_then(|record| record.asked.as_mut())
+        {
+            (asked.again, asked.told) = (Some(Instant::now()), None);
+        }
+    }
+
+    /// Records that a server has written a sound event.
+    pub fn record_event(&self, id: &str, attempt: usize) {
+        self.with_attempt(id, attempt, |attempt| attempt.last_event = Some(Instant::now()));
+    }
+
+    /// Records that a server has written an answer to its end.
+    pub fn record_stream_end(&self, id: &str, attempt: usize) {
+        self.with_attempt(id, attempt, |attempt| attempt.is_whole = true);
+    }
+
+    fn with_attempt(&self, id: &str, attempt: usize, change: impl FnOnce(&mut Attempt)) {
+        let mut observations = self.observations();
+        let attempts = observations.requests.get_mut(id).and_then(|record| record.attempts.get_mut(attempt));
+        if let Some(attempt) = attempts {
+            change(attempt);
+        }
+    }
+
+    /// Records a period in which a conductor ends its streams, or a server's connections may break.
+    pub fn record_interruption(&self, interrupted: Interrupted, from: Instant, until: Instant) {
+        self.observations().interruptions.push((interrupted, from, until));
+    }
+
     /// Records that the last byte of an attempt has arrived, and returns its number within the request.
     pub fn record_attempt(&self, id: &str, server: usize, decode: bool, remaining: Duration) -> usize {
         let mut observations = self.observations();
@@ -213,18 +264,18 @@
             ended: None,
             never_ran: false,
             told: remaining,
+            last_event: None,
+            is_whole: false,
         });
         record.attempts.len() - 1
     }
 
     /// Records that an attempt has ended at its server, by its answer or by the end of its connection.
     pub fn record_attempt_end(&self, id: &str, attempt: usize, never_ran: bool) {
-        let mut observations = self.observations();
-        let attempts = observations.requests.get_mut(id).and_then(|record| record.attempts.get_mut(attempt));
-        if let Some(attempt) = attempts {
+        self.with_attempt(id, attempt, |attempt| {
             attempt.ended.get_or_insert_with(Instant::now);
             attempt.never_ran |= never_ran;
-        }
+        });
     }
 
     /// Records that a server's connections fall silent, or that they work again.
@@ -296,13 +347,14 @@
             report.attempts += record.attempts.len();
             let broken_rules = self.check(&observations, record);
             if let Some(asked) = &record.asked {
-                let result = match (asked.gone, asked.told) {
+                let result = match (asked.gone.filter(|_| asked.again.is_none()), asked.told) {
                     (Some(_), _) => "left",
                     (_, Some((ClientResult::Served, _))) => "served",
                     (_, Some((ClientResult::Broken, _))) => "broken",
                     (_, Some((ClientResult::Refused, _))) => "refused",
                     (_, Some((ClientResult::Failed, _))) => "failed",
                     (_, Some((ClientResult::Crossed, _))) => "crossed",
+                    (_, Some((ClientResult::Foreign, _))) => "foreign",
                     (_, Some((ClientResult::Nothing, _)) | None) => "nothing",
                 };
                 *report.results.entry(result).or_default() += 1;
@@ -337,6 +389,32 @@
         })
     }
 
+    /// Returns the rules on streams that a request's record breaks.
+    fn check_stream(&self, observations: &Observations, asked: &Asked, record: &Record) -> Vec<String> {
+        let mut broken_rules = Vec::new();
+        let Some((attempt, last_event)) =
+            record.attempts.last().and_then(|attempt| Some((attempt, attempt.last_event?)))
+        else {
+            return broken_rules;
+        };
+        if asked.gone.is_some() {
+            return broken_rules;
+        }
+        let ended = asked.told.map_or_else(Instant::now, |(_, at)| at);
+        let waited = ended.saturating_duration_since(last_event);
+        if waited > MAX_WAIT_AFTER_EVENT + TIMING_ALLOWANCE {
+            broken_rules.push(format!("lost: left waiting for {waited:?} after the last event"));
+        }
+        let interrupted = [Interrupted::Conductor(asked.conductor), Interrupted::Server(attempt.server)];
+        let was_interrupted = observations.interruptions.iter().any(|(what, from, until)| {
+            interrupted.contains(what) && *from <= ended && *until >= attempt.arrived
+        });
+        if attempt.is_whole && matches!(asked.told, Some((ClientResult::Broken, _))) && !was_interrupted {
+            broken_rules.push("lost: a sound stream was cut".into());
+        }
+        broken_rules
+    }
+
     /// Returns the rules that a request's record breaks.
     fn check(&self, observations: &Observations, record: &Record) -> Vec<String> {
         let mut broken_rules = Vec::new();
@@ -348,13 +426,19 @@
                 *outage_conductor == conductor && *begin <= to && *end >= from
             })
         };
-        let answer_due = asked.sent + asked.budget + LATE_ANSWER_ALLOWANCE + TIMING_ALLOWANCE;
+        let sent_last = asked.again.unwrap_or(asked.sent);
+        let answer_due = sent_last + asked.budget + LATE_ANSWER_ALLOWANCE + TIMING_ALLOWANCE;
         let was_killed = overlaps_outage(asked.conductor, asked.sent, answer_due);
         match asked.told {
-            None if asked.gone.is_none() && !was_killed => broken_rules.push("lost: no answer".into()),
+            None if (asked.gone.is_none() || asked.again.is_some()) && !was_killed => {
+                broken_rules.push("lost: no answer".into())
+            }
             Some((ClientResult::Crossed, _)) if !record.attempts.is_empty() && !was_killed => {
                 broken_rules.push("lost: sent on, and closed without an answer".into());
             }
+            Some((ClientResult::Foreign, _)) => {
+                broken_rules.push("lost: the answer of another request".into())
+            }
             Some((ClientResult::Nothing, _)) if !was_killed => {
                 broken_rules.push("lost: closed without an answer".into())
             }
@@ -371,13 +455,16 @@
                 broken_rules.push("duplicate: two attempts out".into());
             }
             let ran = |before: &Attempt| before.decode && !before.never_ran;
-            if asked.fragile && attempt.decode && earlier.iter().any(ran) {
+            let is_after_kill = asked.again.is_some() && was_killed;
+            if asked.fragile && attempt.decode && earlier.iter().any(ran) && !is_after_kill {
                 broken_rules.push("duplicate: sent again after it may have run".into());
             }
-            if asked.gone.is_some_and(|at| attempt.arrived > at + CLIENT_LEFT_ALLOWANCE + TIMING_ALLOWANCE) {
+            let has_left = |at: Instant| attempt.arrived > at + CLIENT_LEFT_ALLOWANCE + TIMING_ALLOWANCE;
+            if asked.gone.is_some_and(has_left) && asked.again.is_none_or(|again| attempt.arrived < again) {
                 broken_rules.push("lost: sent for a client that had gone".into());
             }
-            let left = (asked.sent + asked.budget).saturating_duration_since(attempt.arrived);
+            let sent = asked.again.filter(|again| *again <= attempt.arrived).unwrap_or(asked.sent);
+            let left = (sent + asked.budget).saturating_duration_since(attempt.arrived);
             if attempt.told > left + REMAINING_TIME_ALLOWANCE + TIMING_ALLOWANCE {
                 broken_rules.push(format!("deadline: told {:?}, {left:?} are left", attempt.told));
             }
@@ -396,6 +483,7 @@
         if asked.fragile && may_have_run && matches!(asked.told, Some((ClientResult::Refused, _))) {
             broken_rules.push("duplicate: refused after it may have run".into());
         }
+        broken_rules.extend(self.check_stream(observations, asked, record));
         let waiting = record.held_since.map_or(Duration::ZERO, |since| since.elapsed());
         let held = record.held_longest.max(waiting);
         if held > self.limits.release_timeout + HOLD_ALLOWANCE + TIMING_ALLOWANCE && !was_killed {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -44,6 +44,22 @@
     ErringServer,
     /// A server ends its streams early.
     BreakingServer,
+    /// A server streams slowly and soundly.
+    SlowServer,
+    /// A server's streams run into a chunk of 3 GB with events that look sound.
+    HugeChunk,
+    /// A server's streams end in comments alone.
+    Comments,
+    /// A server's streams run into a chunk's size line that never ends.
+    EndlessSizeLine,
+    /// A server's streams run into noise.
+    Noise,
+    /// A server sends second answers.
+    SecondAnswers,
+    /// A client sends unsound requests to a conductor at full speed.
+    Flood,
+    /// Clients stop halfway through large requests to a conductor.
+    HalfRequests,
     /// A server drains, and comes back in slow start.
     Drain,
     /// Operators exclude a server at one conductor, and include it again.
@@ -113,7 +129,7 @@
 /// Draws the faults of a run, in the order in which they begin.
 pub fn draw_faults(seed: u64, run_duration: Duration) -> Vec<ScheduledFault> {
     use FaultKind::*;
-    const ALL: [FaultKind; 22] = [
+    const ALL: [FaultKind; 30] = [
         Kill,
         Restart,
         Upgrade,
@@ -133,6 +149,14 @@
         FullServer,
         ErringServer,
         BreakingServer,
+        SlowServer,
+        HugeChunk,
+        Comments,
+        EndlessSizeLine,
+        Noise,
+        SecondAnswers,
+        Flood,
+        HalfRequests,
         Drain,
         Exclusion,
         Crowd,
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -72,6 +72,10 @@
             0..12 => ClientBehavior::Leaves(Duration::from_millis(rng.random_range(0..400))),
             12..14 => ClientBehavior::Stops,
             14..16 => ClientBehavior::StopsAgain,
+            16..24 => ClientBehavior::ComesAgain(
+                Duration::from_millis(rng.random_range(0..500)),
+                Duration::from_millis(rng.random_range(0..1_000)),
+            ),
             _ => ClientBehavior::Waits,
         };
         let request = ClientRequest {
--- a/soak/src/testbed.rs
+++ b/soak/src/testbed.rs
@@ -49,9 +49,22 @@
     }
 }
 
+impl RunOptions {
+    fn memory_mb(&self) -> u64 {
+        match self.ids_per_server {
+            1 => MEMORY_MB,
+            _ => LARGE_FLEET_MEMORY_MB,
+        }
+    }
+}
+
 /// Time from the longest deadline to SIGKILL, which comes as early as it may.
 const KILL_DELAY_AFTER_DEADLINE: Duration = Duration::from_millis(700);
 
+/// The limit on memory of a conductor's process, in megabytes.
+const MEMORY_MB: u64 = 96;
+/// The same with thousands of ids.
+const LARGE_FLEET_MEMORY_MB: u64 = 192;
 /// The limit on descriptors of a conductor's process.
 const MAX_DESCRIPTORS: u64 = 512;
 
@@ -80,6 +93,8 @@
     pub(crate) kill_timeout: Duration,
     pub(crate) shim_counts: Mutex<[u64; COUNTERS.len()]>,
     pub(crate) short_per_mille: u32,
+    /// The limit on memory of a conductor's process, in bytes.
+    pub(crate) memory_limit: u64,
     /// Until when each conductor may lack the latest changes of the list.
     pub(crate) updates_late_until: Mutex<Vec<Instant>>,
 }
@@ -137,6 +152,7 @@
             kill_timeout,
             shim_counts,
             short_per_mille,
+            memory_limit: options.memory_mb() * 1_000_000,
             updates_late_until,
         })
     }
@@ -198,7 +214,7 @@
         let settings = conductor_settings(options.listed_conductors, &options.limits());
         let config = json!({"name": name, "listen": listen, "discovery": agents[0].address,
             "seed": format!("{:x}", options.seed.wrapping_add(conductor_index as u64)),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": MAX_DESCRIPTORS}, "ops": "127.0.0.1:0",
+            "limits": {"cores": 1.0, "memory_mb": options.memory_mb(), "sockets": MAX_DESCRIPTORS}, "ops": "127.0.0.1:0",
             "known": {"rev": 1, "all": true, "targets": targets}, "settings": settings});
         let program = options.program.clone();
         let spec = Mutex::new(ProcessSpec { program, folder, config, listen });
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -6,7 +6,7 @@
 use std::process::Command;
 use std::time::Duration;
 
-use frosttrail_soak::oracle::{ClientResult, ClosedPeriod, Limits, Oracle, SlowStart};
+use frosttrail_soak::oracle::{ClientResult, ClosedPeriod, Interrupted, Limits, Oracle, SlowStart};
 use frosttrail_soak::plan::draw_faults;
 use support::find_program;
 
@@ -107,6 +107,55 @@
     }
 }
 
+/// A decode attempt of request `a` whose server has written one event.
+fn oracle_with_stream() -> (Oracle, usize) {
+    let oracle = oracle_with_request(true);
+    let decode = oracle.record_attempt("a", 1, true, BUDGET);
+    oracle.record_event("a", decode);
+    (oracle, decode)
+}
+
+#[test]
+fn the_oracle_finds_a_client_that_is_left_waiting() {
+    let (oracle, _) = oracle_with_stream();
+    std::thread::sleep(Duration::from_millis(5_200));
+    oracle.record_result("a", ClientResult::Broken);
+    let found = broken_rules(&oracle);
+    assert!(found.iter().any(|rule| rule.starts_with("lost: left waiting")), "{found:?}");
+}
+
+#[test]
+fn the_oracle_finds_a_sound_stream_that_is_cut_unless_its_connections_failed() {
+    for interrupted in [None, Some(Interrupted::Conductor(0)), Some(Interrupted::Server(1))] {
+        let begun_at = std::time::Instant::now();
+        let (oracle, decode) = oracle_with_stream();
+        oracle.record_stream_end("a", decode);
+        oracle.record_result("a", ClientResult::Broken);
+        if let Some(interrupted) = interrupted {
+            oracle.record_interruption(interrupted, begun_at, std::time::Instant::now());
+        }
+        let is_found = broken_rules(&oracle).iter().any(|rule| rule == "lost: a sound stream was cut");
+        assert_eq!(is_found, interrupted.is_none(), "{interrupted:?}");
+    }
+}
+
+#[test]
+fn the_oracle_finds_an_id_that_runs_twice_and_a_foreign_answer() {
+    let (oracle, decode) = oracle_with_stream();
+    oracle.record_client_left("a");
+    oracle.record_attempt_end("a", decode, false);
+    oracle.record_return("a");
+    oracle.record_result("a", ClientResult::Failed);
+    assert_eq!(broken_rules(&oracle), Vec::<String>::new());
+    let again = oracle.record_attempt("a", 1, true, BUDGET / 2);
+    oracle.record_attempt_end("a", again, false);
+    let found = broken_rules(&oracle);
+    assert_eq!(found, ["duplicate: sent again after it may have run"]);
+    let foreign = oracle_with_request(false);
+    foreign.record_result("a", ClientResult::Foreign);
+    assert_eq!(broken_rules(&foreign), ["lost: the answer of another request"]);
+}
+
 #[test]
 fn a_prefill_whose_answer_is_lost_is_open_for_as_long_as_its_conductor_waits() {
     for (is_silent, found) in [(true, false), (false, true)] {
@@ -137,10 +186,22 @@
 
 #[test]
 fn the_program_breaks_no_rule_in_a_short_soak() {
+    assert_no_rule_is_broken("1", &["--conductors", "4", "--seconds", "6"]);
+}
+
+/// Guards against streams that stay open in a chunk of 3 GB, and ids that run twice: the seed draws both.
+#[test]
+fn the_program_breaks_no_rule_among_spoilt_streams_and_ids_that_come_again() {
+    assert_no_rule_is_broken("100", &["--conductors", "3", "--servers", "3"]);
+}
+
+/// Runs the soak of one seed.
+fn assert_no_rule_is_broken(seed: &str, options: &[&str]) {
     let program = find_program();
-    let folder = std::env::temp_dir().join(format!("frosttrail-soak-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("frosttrail-soak-{seed}-{}", std::process::id()));
     let output = Command::new(env!("CARGO_BIN_EXE_frosttrail-soak"))
-        .args(["--conductors", "4", "--seconds", "6", "--seed", "1", "--program"])
+        .args(options)
+        .args(["--seed", seed, "--program"])
         .arg(&program)
         .arg("--folder")
         .arg(&folder)
