Refuse no request by itself in a front where its id may have run

What a caller would see: a `book` that may have run comes again while the conductor closes, has no slot or no memory left, and gets 503, which says that trying again is harmless.

Found by following each refusal to where the id is checked.

Change: before a front refuses by itself it asks Conductor::check_refusable; an id that is open or used gets 409.

Measured: `what_may_have_run_is_not_refused_while_the_conductor_closes` (both fronts) failed without it, 503 for 409, and passes. An id that another process has open and no process has used still gets 503 there: the lock can't be looked up without being taken.

--- a/core/src/conductor.rs
+++ b/core/src/conductor.rs
@@ -19,6 +19,7 @@
 use crate::metrics::Metrics;
 use crate::permit::AdmittingServers;
 use crate::release::{lock, UpstreamReleaser};
+use crate::request::CallError;
 use crate::traits::Upstream;
 
 /// An attempt waits for the request's previous release for the KV cache release timeout divided by this.
@@ -106,6 +107,12 @@
         self.next_call_id.load(Ordering::Relaxed)
     }
 
+    /// Whether a front may refuse a request by itself, which promises that a retry is harmless. An error says
+    /// that a request with this id is open or may have taken effect.
+    pub fn check_refusable(&self, id: &Id) -> Result<(), CallError> {
+        self.ids.check(id).inspect_err(|why| self.metrics.count_id_conflict(*why))
+    }
+
     /// Counts a request of this class that a front has refused by itself.
     pub fn count_refused(&self, class: &str) {
         self.metrics.open_request(class).mark_deferred();
--- a/core/src/id_claim.rs
+++ b/core/src/id_claim.rs
@@ -48,12 +48,35 @@
     used: UsedIds,
 }
 
+impl LocalIds {
+    /// Whether a request with this id is open or may have taken effect.
+    fn check(&mut self, id: &Id) -> Result<(), CallError> {
+        if self.open.contains(id) {
+            return Err(CallError::IdInUse);
+        }
+        match self.used.contains(id, Instant::now()) {
+            true => Err(CallError::IdUsed),
+            false => Ok(()),
+        }
+    }
+}
+
 impl IdRegistry {
     /// Keeps the ids of this process's requests, and shares them over `shared` as well.
     pub(crate) fn new(shared: Option<Arc<dyn SharedIdClaims>>) -> Self {
         IdRegistry { local: Arc::default(), shared }
     }
 
+    /// Whether an id may be claimed, as far as is known without a claim: that of an open request of another
+    /// process may seem free.
+    pub(crate) fn check(&self, id: &Id) -> Result<(), CallError> {
+        lock(&self.local).check(id)?;
+        match self.shared.as_ref().is_some_and(|claims| claims.is_used(id)) {
+            true => Err(CallError::IdUsed),
+            false => Ok(()),
+        }
+    }
+
     /// Reserves an id, unless a request with it is open or may have taken effect.
     pub(crate) async fn claim(&self, id: &Id) -> Result<IdClaim, CallError> {
         let local_claim = LocalIdClaim::acquire(&self.local, id)?;
@@ -93,12 +116,7 @@
 impl LocalIdClaim {
     fn acquire(ids: &Arc<Mutex<LocalIds>>, id: &Id) -> Result<Self, CallError> {
         let mut locked_ids = lock(ids);
-        if locked_ids.open.contains(id) {
-            return Err(CallError::IdInUse);
-        }
-        if locked_ids.used.contains(id, Instant::now()) {
-            return Err(CallError::IdUsed);
-        }
+        locked_ids.check(id)?;
         locked_ids.open.insert(id.clone());
         Ok(LocalIdClaim { ids: ids.clone(), id: id.clone() })
     }
--- a/daemon/src/front/chat/mod.rs
+++ b/daemon/src/front/chat/mod.rs
@@ -22,7 +22,7 @@
 use self::error::ApiError;
 use self::request::{ParsedRequest, RequestParser};
 use super::body::{event_stream_response, full_response, set_retry_after, ResponseBody, ServiceResult};
-use super::input::{buffer_budget, read_body, remaining_budget, InputError};
+use super::input::{buffer_budget, header_text, read_body, remaining_budget, InputError};
 use super::listener::Service;
 use crate::buffer_budget::{BudgetExhausted, BufferBudget};
 use crate::config::ChatConfig;
@@ -71,12 +71,17 @@
     ) -> Result<Response<ResponseBody<B::Events>>, ApiError> {
         let (head, incoming) = request.into_parts();
         let buffers = buffer_budget(&head);
-        let ParsedRequest { mut query, call, stream, include_usage, model } = self.parser.parse(
-            &self.conductor.settings(),
-            &head.headers,
-            read_body(&head, incoming).await?,
-            &buffers,
-        )?;
+        let body = match read_body(&head, incoming).await {
+            Err(e) if e.is_refusal() => {
+                if let Some(id) = header_text(&head.headers, "x-txn") {
+                    self.conductor.check_refusable(&id.into()).map_err(InputError::from)?;
+                }
+                return Err(e.into());
+            }
+            body => body?,
+        };
+        let ParsedRequest { mut query, call, stream, include_usage, model } =
+            self.parser.parse(&self.conductor.settings(), &head.headers, body, &buffers)?;
         query.budget = remaining_budget(&head, query.budget);
         let id = query.id.clone();
         let answer = self.conductor.call(frosttrail_core::Request { query, call }).await;
--- a/daemon/src/front/platform.rs
+++ b/daemon/src/front/platform.rs
@@ -53,11 +53,14 @@
     ) -> Result<Response<ResponseBody<B::Events>>, InputError> {
         let (mut head, incoming) = request.into_parts();
         let mut query = parse_query(&head.headers, &self.conductor.settings())?;
-        let body = read_body(&head, incoming).await.inspect_err(|e| {
-            if e.is_refusal() {
+        let body = match read_body(&head, incoming).await {
+            Err(e) if e.is_refusal() => {
+                self.conductor.check_refusable(&query.id)?;
                 self.conductor.count_refused(&query.class.name);
+                return Err(e);
             }
-        })?;
+            body => body?,
+        };
         if query.prompt_tokens == 0 {
             query.prompt_tokens = body.len() as u64 / CHARS_PER_TOKEN;
         }
--- a/daemon/tests/ids_again.rs
+++ b/daemon/tests/ids_again.rs
@@ -132,3 +132,21 @@
     assert_eq!(exchange(newest.listen, &unsafe_request("other")).await.status, 200);
     assert_eq!(decode.posts().len(), 3, "sent again");
 }
+
+/// Guards against a refusal of what may have run: it would say that trying again is harmless. A front that takes
+/// nothing new refuses requests by itself.
+#[tokio::test]
+async fn what_may_have_run_is_not_refused_while_the_conductor_closes() {
+    for front in 0..2 {
+        let site = Site::start().await;
+        let (name, address, text) = fronts(&site, "again", "book")[front].clone();
+        assert_eq!(exchange(address, &text).await.status, 200);
+        site.listeners.plan_close(tokio::time::Instant::now());
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(exchange(address, &text).await.status, 409, "{name}");
+        let (_, _, new) = fronts(&site, "new", "book")[front].clone();
+        assert_eq!(exchange(address, &new).await.status, 503, "{name}");
+        let (_, _, safe) = fronts(&site, "again", "ask")[front].clone();
+        assert_eq!(exchange(address, &safe).await.status, 409, "{name}");
+    }
+}
