--- a/daemon/src/front/chat/mod.rs
+++ b/daemon/src/front/chat/mod.rs
@@ -13,6 +13,7 @@
 use frosttrail_core::{Answer, AnswerStream, Conductor, EventStream, StreamBroken, Upstream};
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::json;
 
@@ -71,17 +72,10 @@
     ) -> Result<Response<ResponseBody<B::Events>>, ApiError> {
         let (head, incoming) = request.into_parts();
         let buffers = buffer_budget(&head);
-        let body = match read_body(&head, incoming).await {
-            Err(e) if e.is_refusal() => {
-                if let Some(id) = header_text(&head.headers, "x-txn") {
-                    self.conductor.check_refusable(&id.into()).map_err(InputError::from)?;
-                }
-                return Err(e.into());
-            }
-            body => body?,
-        };
+        let body = read_body(&head, incoming).await.map_err(|e| self.check_refusal(&head, e.into()))?;
+        let parsed = self.parser.parse(&self.conductor.settings(), &head.headers, body, &buffers);
         let ParsedRequest { mut query, call, stream, include_usage, model } =
-            self.parser.parse(&self.conductor.settings(), &head.headers, body, &buffers)?;
+            parsed.map_err(|e| self.check_refusal(&head, e))?;
         query.budget = remaining_budget(&head, query.budget);
         let id = query.id.clone();
         let answer = self.conductor.call(frosttrail_core::Request { query, call }).await;
@@ -116,6 +110,18 @@
         Ok(response)
     }
 
+    /// Replaces a refusal by this front where it would not be harmless to try again.
+    fn check_refusal(&self, head: &Parts, error: ApiError) -> ApiError {
+        if !matches!(&error, ApiError::Input(e) if e.is_refusal()) {
+            return error;
+        }
+        let id = header_text(&head.headers, "x-txn");
+        match id.map(|id| self.conductor.check_refusable(&id.into())) {
+            Some(Err(conflict)) => InputError::from(conflict).into(),
+            _ => error,
+        }
+    }
+
     /// Collects a stream into one completion object. Fails if the final answers are due first: the client has
     /// received nothing, however much of the stream has arrived.
     async fn collect_until_due(
