Accept events up to the size of a body, and charge large ones to the memory budget

Cause: EventSplitter's limit was chosen, and its buffer belonged to no budget.

Change: an event may have 256 KiB. What is kept of an event over 8 KiB is reserved from the BufferBudget that clients' requests use, and stays so until the event has been written; where there is no room the stream ends (svc_invalid_responses, `out_of_memory`). A large event leaves with its own allocation.

--- a/daemon/src/buffer_budget.rs
+++ b/daemon/src/buffer_budget.rs
@@ -122,6 +122,17 @@
         Ok(())
     }
 
+    /// Reserves as many bytes as are missing to `bytes`, or leaves the reservation as it is.
+    pub fn try_grow_to(&mut self, bytes: usize) -> Result<(), BudgetExhausted> {
+        self.try_grow(bytes.saturating_sub(self.bytes))
+    }
+
+    /// Takes the whole reservation out, and leaves an empty one of the same budget.
+    pub fn take(&mut self) -> Reservation {
+        let empty = self.budget.empty_reservation();
+        std::mem::replace(self, empty)
+    }
+
     /// Returns all bytes to the budget.
     pub fn clear(&mut self) {
         self.budget.0.used_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
--- a/daemon/src/command/serve.rs
+++ b/daemon/src/command/serve.rs
@@ -88,6 +88,13 @@
     membership: Option<service::MembershipConfig>,
 }
 
+/// What the connections to servers may take.
+struct UpstreamResources {
+    max_connections: usize,
+    /// Shared with the connections of clients.
+    buffers: BufferBudget,
+}
+
 struct Signals {
     terminate: Signal,
     hangup: Signal,
@@ -105,13 +112,14 @@
     let buffers = buffer_budget(&config, 2 * max_connections);
     let client_listeners =
         ClientListeners::new(max_connections, CLIENT_TIMEOUTS, metrics.client_closes.clone(), log.clone())
-            .with_buffer_budget(buffers);
+            .with_buffer_budget(buffers.clone());
+    let resources = UpstreamResources { max_connections, buffers };
     let client_listeners = if ops.is_some() { client_listeners.sharing_address() } else { client_listeners };
     let listen = config.listen;
     let (discovery, members) = watch::channel(config.discovery_config());
     let upgrade_state = ops.as_mut().map(|ops| ops.take_upgrade_state(&log)).unwrap_or_default();
     let (conductor, upstream) =
-        start_conductor(config.clone(), members, xds, max_connections, upgrade_state, &metrics, &log);
+        start_conductor(config.clone(), members, xds, resources, upgrade_state, &metrics, &log);
     let reloader = ConfigReloader {
         config,
         conductor: conductor.clone(),
@@ -236,7 +244,7 @@
     config: Config,
     discovery: watch::Receiver<DiscoveryConfig>,
     xds: Option<XdsConfig>,
-    connections: usize,
+    resources: UpstreamResources,
     upgrade_state: UpgradeState,
     metrics: &Metrics,
     log: &Logger,
@@ -244,14 +252,18 @@
     let clock = Clock::new();
     let addresses = Arc::new(AddressTable::default());
     let limits = ConnectionLimits {
-        max_connections: connections,
+        max_connections: resources.max_connections,
         connect_timeout: Duration::from_micros(config.settings.connect_timeout),
         server_idle_timeout: Duration::from_micros(config.settings.connection_idle_timeout),
         settle_time: SETTLE_TIME,
         stale_reset_window: STALE_RESET_WINDOW,
     };
-    let upstream =
-        Arc::new(HttpUpstream::new(addresses.clone(), limits, UpstreamObserver::new(metrics, log.clone())));
+    let upstream = Arc::new(HttpUpstream::new(
+        addresses.clone(),
+        limits,
+        UpstreamObserver::new(metrics, log.clone()),
+        resources.buffers,
+    ));
     let Config { name, known_members, names, settings, seed, .. } = config;
     let (log, shared_upstream, metrics) = (log.clone(), upstream.clone(), metrics.clone());
     let members = match xds {
--- a/daemon/src/upstream/attempt.rs
+++ b/daemon/src/upstream/attempt.rs
@@ -227,7 +227,7 @@
         body: Incoming,
         is_framed: bool,
     ) -> Self {
-        let (event_splitter, first_event) = (EventSplitter::default(), None);
+        let (event_splitter, first_event) = (EventSplitter::new(&pool.buffers), None);
         ServerEvents {
             pool,
             server,
@@ -331,8 +331,8 @@
                 }
                 Some(Ok(frame)) => {
                     let data = frame.into_data().unwrap_or_default();
-                    if self.event_splitter.push(&data).is_err() {
-                        return Poll::Ready(self.reject(InvalidResponse::TooLarge));
+                    if let Err(e) = self.event_splitter.push(&data) {
+                        return Poll::Ready(self.reject(e.into()));
                     }
                 }
             }
--- a/daemon/src/upstream/mod.rs
+++ b/daemon/src/upstream/mod.rs
@@ -22,6 +22,8 @@
 use hyper::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
 
+use crate::buffer_budget::BufferBudget;
+
 pub use attempt::ServerEvents;
 pub use observer::UpstreamObserver;
 pub use pool::{ConnectionLimits, ConnectionPool};
@@ -119,9 +121,14 @@
 }
 
 impl HttpUpstream {
-    /// Reaches the servers in `addresses`.
-    pub fn new(addresses: Arc<AddressTable>, limits: ConnectionLimits, observer: UpstreamObserver) -> Self {
-        HttpUpstream { pool: Arc::new(ConnectionPool::new(addresses, limits, observer)) }
+    /// Reaches the servers in `addresses`. Large events take their memory from `buffers`.
+    pub fn new(
+        addresses: Arc<AddressTable>,
+        limits: ConnectionLimits,
+        observer: UpstreamObserver,
+        buffers: BufferBudget,
+    ) -> Self {
+        HttpUpstream { pool: Arc::new(ConnectionPool::new(addresses, limits, observer, buffers)) }
     }
 
     /// Applies the connection timeouts of new settings.
--- a/daemon/src/upstream/observer.rs
+++ b/daemon/src/upstream/observer.rs
@@ -8,6 +8,8 @@
 use prometheus::{IntCounter, IntCounterVec};
 use slog::{info, Logger};
 
+use super::sse::PushError;
+
 /// Why a response can't be used although its connection is up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(super) enum InvalidResponse {
@@ -23,6 +25,17 @@
     Event,
     #[error("an event or the whole answer is too large")]
     TooLarge,
+    #[error("no memory is left for a large event; raise limits.memory_mb")]
+    OutOfMemory,
+}
+
+impl From<PushError> for InvalidResponse {
+    fn from(error: PushError) -> Self {
+        match error {
+            PushError::TooLarge => InvalidResponse::TooLarge,
+            PushError::OutOfMemory(_) => InvalidResponse::OutOfMemory,
+        }
+    }
 }
 
 impl InvalidResponse {
@@ -35,6 +48,7 @@
             InvalidResponse::ChunkTooLarge => "chunk_too_large",
             InvalidResponse::Event => "event",
             InvalidResponse::TooLarge => "too_large",
+            InvalidResponse::OutOfMemory => "out_of_memory",
         }
     }
 }
--- a/daemon/src/upstream/pool.rs
+++ b/daemon/src/upstream/pool.rs
@@ -14,6 +14,7 @@
 use super::observer::UpstreamObserver;
 use super::response_body::read_to_end;
 use super::{lock, AddressTable};
+use crate::buffer_budget::BufferBudget;
 
 /// Limits reading a response body to its end only to reuse the connection.
 const BODY_READ_TIMEOUT: Duration = Duration::from_millis(500);
@@ -55,6 +56,8 @@
     idle_age_limits: Mutex<IdleAgeLimits>,
     /// Counts and logs what attempts show.
     pub(super) observer: UpstreamObserver,
+    /// The memory for large events.
+    pub(super) buffers: BufferBudget,
 }
 
 impl ConnectionPool {
@@ -62,10 +65,11 @@
         addresses: Arc<AddressTable>,
         limits: ConnectionLimits,
         observer: UpstreamObserver,
+        buffers: BufferBudget,
     ) -> Self {
         let permits = Arc::new(Semaphore::new(limits.max_connections));
         let (limits, idle, idle_age_limits) = (Mutex::new(limits), Mutex::default(), Mutex::default());
-        ConnectionPool { addresses, limits, permits, idle, idle_age_limits, observer }
+        ConnectionPool { addresses, limits, permits, idle, idle_age_limits, observer, buffers }
     }
 
     fn limits(&self) -> ConnectionLimits {
--- a/daemon/src/upstream/sse.rs
+++ b/daemon/src/upstream/sse.rs
@@ -3,36 +3,77 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// The largest event accepted.
-pub(super) const MAX_EVENT_BYTES: usize = 64 << 10;
+use super::response_body::MAX_BODY_BYTES;
+use crate::buffer_budget::{BudgetExhausted, BufferBudget, Reservation};
+
+/// The largest event accepted: a body may be a single event.
+pub(super) const MAX_EVENT_BYTES: usize = MAX_BODY_BYTES;
+/// An event up to this size is not charged to the budget for buffers, which allows for it with the connection.
+const MAX_UNCHARGED_BYTES: usize = 8 << 10;
 /// The longest response accepted.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// The fields with which a line may begin.
 const KNOWN_FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
 
-/// The input is not an event, or exceeds a size limit.
+/// The input is not an event.
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the response is not a valid event stream")]
 pub(super) struct InvalidEvent;
 
+/// Why input is not kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(super) enum PushError {
+    /// An event or the whole response exceeds its limit.
+    #[error("an event or the whole answer is too large")]
+    TooLarge,
+    /// The budget for buffers has no room for a large event.
+    #[error(transparent)]
+    OutOfMemory(#[from] BudgetExhausted),
+}
+
 /// Splits bytes into events, each including the blank line that ends it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct EventSplitter {
     buffer: BytesMut,
+    /// For the buffer, where it is large.
+    reservation: Reservation,
     /// Where the first line that has not been checked starts.
     line_start: usize,
     total_bytes: usize,
 }
 
 impl EventSplitter {
+    /// Large events take their memory from `budget`.
+    pub(super) fn new(budget: &BufferBudget) -> Self {
+        let (buffer, reservation) = (BytesMut::new(), budget.empty_reservation());
+        EventSplitter { buffer, reservation, line_start: 0, total_bytes: 0 }
+    }
+
     /// Appends received bytes.
-    pub(super) fn push(&mut self, data: &[u8]) -> Result<(), InvalidEvent> {
+    pub(super) fn push(&mut self, data: &[u8]) -> Result<(), PushError> {
         self.total_bytes += data.len();
+        let length = self.buffer.len() + data.len();
+        if length > MAX_EVENT_BYTES + data.len() || self.total_bytes > MAX_RESPONSE_BYTES {
+            return Err(PushError::TooLarge);
+        }
+        if length > MAX_UNCHARGED_BYTES + data.len() {
+            self.reservation.try_grow_to(length)?;
+        }
         self.buffer.extend_from_slice(data);
-        let max_buffered = MAX_EVENT_BYTES + data.len();
-        (self.buffer.len() <= max_buffered && self.total_bytes <= MAX_RESPONSE_BYTES)
-            .then_some(())
-            .ok_or(InvalidEvent)
+        Ok(())
+    }
+
+    /// Takes the bytes up to the current line. A large event leaves with its allocation and the reservation
+    /// for it; what is behind it moves to a new one.
+    fn take_event(&mut self) -> Bytes {
+        let length = std::mem::take(&mut self.line_start);
+        if length <= MAX_UNCHARGED_BYTES {
+            return self.buffer.split_to(length).freeze();
+        }
+        let rest = BytesMut::from(&self.buffer[length..]);
+        let mut event = std::mem::replace(&mut self.buffer, rest);
+        event.truncate(length);
+        self.reservation.take().attach_to(event.freeze())
     }
 
     /// Returns the next complete event, if there is one.
@@ -44,9 +85,7 @@
             let is_event_end = line.is_empty();
             self.line_start += length + 1;
             if is_event_end {
-                let event = self.buffer.split_to(self.line_start).freeze();
-                self.line_start = 0;
-                return Ok(Some(event));
+                return Ok(Some(self.take_event()));
             }
         }
         check_line(&self.buffer[self.line_start..], false)?;
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -16,6 +16,7 @@
 use frosttrail::setup::{settings, ConfiguredNames};
 use frosttrail::{Health, Id, ListUpdateKind, ServerEntry, Settings};
 use frosttrail_core::{start, Clock, Conductor, ConductorParts, MembershipSource, MembershipUpdate, Metrics};
+use frosttrail_daemon::buffer_budget::BufferBudget;
 use frosttrail_daemon::config::ChatConfig;
 use frosttrail_daemon::front::chat::ChatFront;
 use frosttrail_daemon::front::platform::PlatformFront;
@@ -534,13 +535,16 @@
     servers: &[(&str, usize, SocketAddr)],
     settle_time: Duration,
 ) -> HttpUpstream {
-    HttpUpstream::new(address_table(servers), limits(settle_time), observer())
+    HttpUpstream::new(address_table(servers), limits(settle_time), observer(), BufferBudget::unlimited())
 }
 
 /// An upstream and the address table of its servers.
 pub fn upstream_and_addresses(servers: &[(&str, usize, SocketAddr)]) -> (HttpUpstream, Arc<AddressTable>) {
     let addresses = address_table(servers);
-    (HttpUpstream::new(addresses.clone(), limits(Duration::ZERO), observer()), addresses)
+    (
+        HttpUpstream::new(addresses.clone(), limits(Duration::ZERO), observer(), BufferBudget::unlimited()),
+        addresses,
+    )
 }
 
 /// An upstream with this connect timeout.
@@ -552,6 +556,7 @@
         address_table(servers),
         ConnectionLimits { connect_timeout: timeout, ..limits(Duration::ZERO) },
         observer(),
+        BufferBudget::unlimited(),
     )
 }
 
@@ -595,7 +600,12 @@
         settings: settings.clone(),
         seed: 7,
         clock: Clock::new(),
-        upstream: Arc::new(HttpUpstream::new(addresses.clone(), limits(Duration::ZERO), observer())),
+        upstream: Arc::new(HttpUpstream::new(
+            addresses.clone(),
+            limits(Duration::ZERO),
+            observer(),
+            BufferBudget::unlimited(),
+        )),
         members: ChannelMembership(updates),
         log: discarding_log(),
     });
