--- a/daemon/src/upstream/sse.rs
+++ b/daemon/src/upstream/sse.rs
@@ -8,7 +8,8 @@
 
 /// The largest event accepted: a body may be a single event.
 pub(super) const MAX_EVENT_BYTES: usize = MAX_BODY_BYTES;
-/// An event up to this size is not charged to the budget for buffers, which allows for it with the connection.
+/// An event up to this size is not charged to the budget for buffers, which allows for it with its
+/// connection.
 const MAX_UNCHARGED_BYTES: usize = 8 << 10;
 /// The longest response accepted.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
--- a/daemon/tests/ids_again.rs
+++ b/daemon/tests/ids_again.rs
@@ -133,8 +133,8 @@
     assert_eq!(decode.posts().len(), 3, "sent again");
 }
 
-/// Guards against a refusal of what may have run: it would say that trying again is harmless. A front that takes
-/// nothing new refuses requests by itself.
+/// Guards against a refusal of what may have run: it would say that trying again is harmless. A front that
+/// takes nothing new refuses requests by itself.
 #[tokio::test]
 async fn what_may_have_run_is_not_refused_while_the_conductor_closes() {
     for front in 0..2 {
--- a/daemon/tests/unit/used_id_table.rs
+++ b/daemon/tests/unit/used_id_table.rs
@@ -1,5 +1,5 @@
-//! Tests of private items of `daemon/src/used_id_table.rs`. Each table opens the file for itself, as a process
-//! does.
+//! Tests of private items of `daemon/src/used_id_table.rs`. Each table opens the file for itself, as a
+//! process does.
 
 use std::fs;
 
--- a/soak/src/testbed.rs
+++ b/soak/src/testbed.rs
@@ -214,7 +214,8 @@
         let settings = conductor_settings(options.listed_conductors, &options.limits());
         let config = json!({"name": name, "listen": listen, "discovery": agents[0].address,
             "seed": format!("{:x}", options.seed.wrapping_add(conductor_index as u64)),
-            "limits": {"cores": 1.0, "memory_mb": options.memory_mb(), "sockets": MAX_DESCRIPTORS}, "ops": "127.0.0.1:0",
+            "limits": {"cores": 1.0, "memory_mb": options.memory_mb(), "sockets": MAX_DESCRIPTORS},
+            "ops": "127.0.0.1:0",
             "known": {"rev": 1, "all": true, "targets": targets}, "settings": settings});
         let program = options.program.clone();
         let spec = Mutex::new(ProcessSpec { program, folder, config, listen });
