--- a/core/src/answer_stream.rs
+++ b/core/src/answer_stream.rs
@@ -18,7 +18,8 @@
 use crate::traits::{EventStream, StreamStep};
 
 /// A stream without an event for this long has lost its server, as a machine that disappears closes no
-/// connection. Comments don't count: a client is owed an event or the end. Less than the 5 s after which a waiting client counts as abandoned.
+/// connection. Comments don't count: a client is owed an event or the end. Less than the 5 s after which a
+/// waiting client counts as abandoned.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(4_500);
 /// Events that came while the client did not read lie in the server's socket. They get this long to arrive
 /// once the client reads again. Together with the silence timeout this stays below those 5 s.
